--- /dev/null
+++ b/packages/common/src/brand.ts
@@ -0,0 +1,30 @@
+declare const brand: unique symbol;
+
+/** A string or number type that cannot be mixed up with another kind of id. */
+export type Brand<Base, Name extends string> = Base & {
+  readonly [brand]: Name;
+};
+
+export type InstanceId = Brand<string, 'InstanceId'>;
+export type AccountId = Brand<string, 'AccountId'>;
+export type PoolId = Brand<string, 'PoolId'>;
+export type UpstreamId = Brand<string, 'UpstreamId'>;
+export type DomainId = Brand<string, 'DomainId'>;
+export type TrainerId = Brand<string, 'TrainerId'>;
+export type RequestId = Brand<string, 'RequestId'>;
+export type AttemptId = Brand<string, 'AttemptId'>;
+export type OrderId = Brand<string, 'OrderId'>;
+export type SampleId = Brand<string, 'SampleId'>;
+/** Identifies one run of a process; a restarted process has a new epoch. */
+export type Epoch = Brand<string, 'Epoch'>;
+/** Position of a record in a stream of the platform's log. */
+export type Offset = Brand<number, 'Offset'>;
+/** Milliseconds on the monotonic clock of this process. */
+export type MonotonicMs = Brand<number, 'MonotonicMs'>;
+
+/** Marks a plain value as an id of the wanted kind. */
+export function as<Branded extends string | number>(
+  value: Branded extends string ? string : number,
+): Branded {
+  return value as unknown as Branded;
+}
--- /dev/null
+++ b/packages/common/src/logger.ts
@@ -0,0 +1,38 @@
+import {pino} from 'pino';
+
+/** Writes short sentences with the fixed prefix of one part. */
+export interface Logger {
+  info(message: string, fields?: Record<string, unknown>): void;
+  warn(message: string, fields?: Record<string, unknown>): void;
+  error(message: string, fields?: Record<string, unknown>): void;
+  /** A logger for another part of the same process. */
+  part(prefix: string): Logger;
+}
+
+export type LogLevel = 'info' | 'warn' | 'error' | 'silent';
+
+/** Field names whose values are never logged. */
+const REDACTED_FIELDS = ['key', 'secret', 'authorization', 'token'];
+
+function wrapPino(base: pino.Logger, prefix: string): Logger {
+  return {
+    info: (message, fields = {}) => base.info(fields, `${prefix}: ${message}`),
+    warn: (message, fields = {}) => base.warn(fields, `${prefix}: ${message}`),
+    error: (message, fields = {}) =>
+      base.error(fields, `${prefix}: ${message}`),
+    part: other => wrapPino(base, other),
+  };
+}
+
+/** Creates the logger of a process; JSON lines on standard error. */
+export function createLogger(
+  prefix: string,
+  level: LogLevel = 'info',
+  fields: Record<string, unknown> = {},
+): Logger {
+  const base = pino(
+    {level, base: fields, redact: REDACTED_FIELDS},
+    pino.destination({fd: 2, sync: true}),
+  );
+  return wrapPino(base, prefix);
+}
--- /dev/null
+++ b/packages/common/src/metrics.ts
@@ -0,0 +1,80 @@
+import * as hdr from 'hdr-histogram-js';
+
+/** Label names and values of one time series. */
+export type Labels = Readonly<Record<string, string>>;
+
+const QUANTILES = [0.5, 0.9, 0.99, 0.999];
+/** Highest latency that a histogram records, ms. */
+const HIGHEST_LATENCY_MS = 3_600_000;
+/** Latencies are recorded in microseconds so that short ones keep precision. */
+const MICROS_PER_MS = 1_000;
+
+function getSeriesName(name: string, labels: Labels): string {
+  const pairs = Object.entries(labels).map(
+    ([label, value]) => `${label}="${value.replace(/["\\\n]/g, '_')}"`,
+  );
+  return pairs.length === 0 ? name : `${name}{${pairs.join(',')}}`;
+}
+
+/** Counters, gauges and latency histograms of one process. */
+export class Metrics {
+  private readonly counters = new Map<string, number>();
+  private readonly gauges = new Map<string, () => number>();
+  private readonly histograms = new Map<string, hdr.Histogram>();
+
+  /** Adds to a counter; the series appears on first use. */
+  count(name: string, labels: Labels = {}, by = 1): void {
+    const series = getSeriesName(name, labels);
+    this.counters.set(series, (this.counters.get(series) ?? 0) + by);
+  }
+
+  /** The value of a counter, 0 if it was never counted. */
+  getCount(name: string, labels: Labels = {}): number {
+    return this.counters.get(getSeriesName(name, labels)) ?? 0;
+  }
+
+  /** Registers a gauge that is read at each scrape. */
+  gauge(name: string, read: () => number, labels: Labels = {}): void {
+    this.gauges.set(getSeriesName(name, labels), read);
+  }
+
+  /** Records a latency in milliseconds. */
+  observe(name: string, valueMs: number): void {
+    let histogram = this.histograms.get(name);
+    if (!histogram) {
+      histogram = hdr.build({
+        highestTrackableValue: HIGHEST_LATENCY_MS * MICROS_PER_MS,
+        numberOfSignificantValueDigits: 2,
+      });
+      this.histograms.set(name, histogram);
+    }
+    const micros = Math.round(Math.max(0, valueMs) * MICROS_PER_MS);
+    histogram.recordValue(Math.min(micros, HIGHEST_LATENCY_MS * MICROS_PER_MS));
+  }
+
+  /** A quantile of a histogram in milliseconds, 0 if nothing was recorded. */
+  getQuantile(name: string, quantile: number): number {
+    const histogram = this.histograms.get(name);
+    if (!histogram) return 0;
+    return histogram.getValueAtPercentile(quantile * 100) / MICROS_PER_MS;
+  }
+
+  /** All series in the Prometheus text format. */
+  render(): string {
+    const lines: string[] = [];
+    for (const [series, value] of this.counters) {
+      lines.push(`${series} ${value}`);
+    }
+    for (const [series, read] of this.gauges) {
+      lines.push(`${series} ${read()}`);
+    }
+    for (const [name, histogram] of this.histograms) {
+      for (const quantile of QUANTILES) {
+        const series = getSeriesName(name, {quantile: String(quantile)});
+        lines.push(`${series} ${this.getQuantile(name, quantile)}`);
+      }
+      lines.push(`${name}_count ${histogram.totalCount}`);
+    }
+    return `${lines.sort().join('\n')}\n`;
+  }
+}
--- /dev/null
+++ b/packages/common/src/result.ts
@@ -0,0 +1,21 @@
+/** Outcome of an operation that can fail in expected ways. */
+export type Result<Value, Failure> =
+  {ok: true; value: Value} | {ok: false; error: Failure};
+
+/** Wraps a value as a success. */
+export function ok<Value>(value: Value): {ok: true; value: Value} {
+  return {ok: true, value};
+}
+
+/** Wraps a tagged error as a failure. */
+export function fail<Failure>(error: Failure): {ok: false; error: Failure} {
+  return {ok: false, error};
+}
+
+/** Throws when an invariant of the program is broken; never for bad input. */
+export function assertInvariant(
+  condition: boolean,
+  message: string,
+): asserts condition {
+  if (!condition) throw new Error(`broken invariant: ${message}`);
+}
--- /dev/null
+++ b/packages/common/src/rpc.ts
@@ -0,0 +1,165 @@
+import type * as http from 'node:http';
+
+import {
+  JSONRPCClient,
+  JSONRPCErrorException,
+  JSONRPCServer,
+} from 'json-rpc-2.0';
+import type {JSONRPCRequest, JSONRPCResponse} from 'json-rpc-2.0';
+import {randomUUID} from 'node:crypto';
+import type {ZodType} from 'zod';
+
+import {readJson, requestJson, sendJson} from './http.js';
+import {getHmac, isEqualSecret} from './hash.js';
+import type {Result} from './result.js';
+import {fail, ok} from './result.js';
+
+/** Why a remote call gave no result. */
+export type RpcFailure =
+  /** The call was not processed: the connection was refused. */
+  | {tag: 'refused'; detail: string}
+  /** The call may have been processed; no answer arrived. */
+  | {tag: 'unknown'; detail: string}
+  /** The other side answered with an error. */
+  | {tag: 'rejected'; detail: string};
+
+/** One method of a server: the schema of its parameters and its handler. */
+export interface RpcMethod<Params> {
+  params: ZodType<Params>;
+  perform: (params: Params) => Promise<unknown> | unknown;
+}
+
+/** Methods by name. */
+export type RpcMethods = Record<string, RpcMethod<never>>;
+
+/** Path of the control RPC on a peer listener. */
+export const RPC_PATH = '/rpc';
+/** Largest accepted RPC body, bytes. */
+const MAX_RPC_BYTES = 16 * 1024 * 1024;
+/** How far the clocks of two instances may differ for authentication, ms. */
+const AUTH_WINDOW_MS = 30_000;
+
+/** Helper that keeps the parameter type of a method. */
+export function defineMethod<Params>(
+  params: ZodType<Params>,
+  perform: (params: Params) => Promise<unknown> | unknown,
+): RpcMethod<never> {
+  return {params, perform} as unknown as RpcMethod<never>;
+}
+
+/** Value of `vc-auth` for a request between own processes. */
+export function getAuth(
+  secret: string,
+  method: string,
+  path: string,
+  requestId: string,
+  wallMs: number,
+): string {
+  const mac = getHmac(secret, `${method}\n${path}\n${requestId}\n${wallMs}`);
+  return `${wallMs}.${mac}`;
+}
+
+/** Says whether `vc-auth` was made with the cluster secret recently. */
+export function isAuthValid(
+  secret: string,
+  method: string,
+  path: string,
+  requestId: string,
+  value: string | undefined,
+  wallMs: number,
+): boolean {
+  const sentMs = Number(value?.split('.')[0]);
+  if (!value || !Number.isFinite(sentMs)) return false;
+  if (Math.abs(wallMs - sentMs) > AUTH_WINDOW_MS) return false;
+  const expected = getAuth(secret, method, path, requestId, sentMs);
+  return isEqualSecret(expected, value);
+}
+
+/** Answers RPC requests on an HTTP listener after checking `vc-auth`. */
+export function createRpcHandler(
+  secret: string,
+  methods: RpcMethods,
+): (
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+) => Promise<void> {
+  const server = new JSONRPCServer({errorListener: () => {}});
+  for (const [name, method] of Object.entries(methods)) {
+    server.addMethod(name, async (raw: unknown) => {
+      const params = method.params.safeParse(raw);
+      if (!params.success) {
+        throw new JSONRPCErrorException(params.error.message, -32602);
+      }
+      return (await method.perform(params.data)) ?? null;
+    });
+  }
+  return async (request, response) => {
+    const id = String(request.headers['vc-request'] ?? '');
+    const auth = request.headers['vc-auth'] as string | undefined;
+    if (!isAuthValid(secret, 'POST', RPC_PATH, id, auth, Date.now())) {
+      sendJson(response, 401, {error: 'not authenticated'});
+      return;
+    }
+    const body = await readJson(request, MAX_RPC_BYTES);
+    if (!body.ok) {
+      sendJson(response, 400, {error: body.error.tag});
+      return;
+    }
+    const answer = await server.receive(body.value as JSONRPCRequest);
+    sendJson(response, 200, answer ?? {});
+  };
+}
+
+/** Calls the RPC methods of one peer. */
+export interface RpcClient {
+  call(
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+    signal?: AbortSignal,
+  ): Promise<Result<unknown, RpcFailure>>;
+}
+
+/** Creates a client for the peer listener at `ip:port`. */
+export function createRpcClient(
+  secret: string,
+  address: string,
+  agent?: http.Agent,
+): RpcClient {
+  return {
+    call: async (method, params, timeoutMs, signal) => {
+      let failure: RpcFailure | undefined;
+      const client: JSONRPCClient = new JSONRPCClient(async request => {
+        const id = randomUUID();
+        const answer = await requestJson({
+          method: 'POST',
+          url: `http://${address}${RPC_PATH}`,
+          body: request,
+          headers: {
+            'vc-request': id,
+            'vc-auth': getAuth(secret, 'POST', RPC_PATH, id, Date.now()),
+          },
+          timeoutMs,
+          agent,
+          signal,
+        });
+        if (!answer.ok) {
+          const tag = answer.error.tag === 'refused' ? 'refused' : 'unknown';
+          failure = {tag, detail: answer.error.detail};
+          throw new Error(answer.error.detail);
+        }
+        if (answer.value.status !== 200) {
+          failure = {tag: 'rejected', detail: `status ${answer.value.status}`};
+          throw new Error(failure.detail);
+        }
+        client.receive(answer.value.body as JSONRPCResponse);
+      });
+      try {
+        return ok(await client.request(method, params));
+      } catch (error) {
+        const detail = (error as Error).message;
+        return fail(failure ?? {tag: 'rejected', detail});
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/domain/src/controlRecords.ts
@@ -0,0 +1,104 @@
+import {z} from 'zod';
+
+/** Usage of one client account in a window. */
+export const figuresSchema = z.object({
+  requests: z.number().int().min(0),
+  promptTokens: z.number().int().min(0),
+  generatedTokens: z.number().int().min(0),
+});
+
+/** Figures by client account. */
+export const windowFiguresSchema = z.record(z.string(), figuresSchema);
+
+/** A change of one configuration record by an operator. */
+export const putSchema = z.object({
+  type: z.literal('put'),
+  key: z.string(),
+  /** Revision that the operator saw; 0 if there was no record. */
+  baseRevision: z.number().int().min(0),
+  schemaVersion: z.number().int().min(1),
+  body: z.unknown(),
+  operator: z.string(),
+});
+
+/** A claim of the controller lease. */
+export const claimSchema = z.object({
+  type: z.literal('claim'),
+  holder: z.string(),
+  /** Offset of the last lease record that the claimant saw, -1 if none. */
+  expects: z.number().int().min(-1),
+});
+
+export const renewSchema = z.object({
+  type: z.literal('renew'),
+  fencing: z.number().int().min(0),
+});
+
+export const releaseSchema = z.object({
+  type: z.literal('release'),
+  fencing: z.number().int().min(0),
+});
+
+/** The final figures of a usage window; the first seal in the log counts. */
+export const sealSchema = z.object({
+  type: z.literal('seal'),
+  window: z.number().int().min(0),
+  fencing: z.number().int().min(0),
+  figures: windowFiguresSchema,
+  /** Entries whose cells are in the figures, as epochs. */
+  sources: z.array(z.string()),
+});
+
+/** One record carried forward so that retention does not remove it. */
+export const carriedSchema = z.object({
+  key: z.string(),
+  revision: z.number().int().min(1),
+  offset: z.number().int().min(0),
+  schemaVersion: z.number().int().min(1),
+  body: z.unknown(),
+  operator: z.string(),
+});
+
+/** Live state written again before retention removes it. */
+export const checkpointSchema = z.object({
+  type: z.literal('checkpoint'),
+  fencing: z.number().int().min(0),
+  asOf: z.number().int().min(-1),
+  entries: z.array(carriedSchema),
+  lastSealed: z.number().int().min(-1),
+  /** Set on the last record of a cycle: where the cycle began. */
+  cycleStart: z.number().int().min(0).optional(),
+});
+
+/** A request fingerprint that crashes upstreams. */
+export const quarantineSchema = z.object({
+  type: z.literal('quarantine'),
+  fingerprint: z.string(),
+  reason: z.string(),
+});
+
+/** Payloads of the `control` stream. */
+export const controlPayloadSchema = z.discriminatedUnion('type', [
+  putSchema,
+  claimSchema,
+  renewSchema,
+  releaseSchema,
+  sealSchema,
+  checkpointSchema,
+  quarantineSchema,
+]);
+
+export type Figures = z.infer<typeof figuresSchema>;
+export type WindowFigures = z.infer<typeof windowFiguresSchema>;
+export type Put = z.infer<typeof putSchema>;
+export type Seal = z.infer<typeof sealSchema>;
+export type Checkpoint = z.infer<typeof checkpointSchema>;
+export type Carried = z.infer<typeof carriedSchema>;
+export type ControlPayload = z.infer<typeof controlPayloadSchema>;
+
+/** One record as read from a stream of the log. */
+export interface LogRecord {
+  offset: number;
+  appendId: string;
+  payload: unknown;
+}
--- /dev/null
+++ b/packages/domain/src/controlState.ts
@@ -0,0 +1,322 @@
+import {z} from 'zod';
+
+import {
+  REMEMBERED_APPENDS,
+  REMEMBERED_QUARANTINES,
+  REMEMBERED_SEALS,
+} from './constants.js';
+import type {
+  Carried,
+  Checkpoint,
+  ControlPayload,
+  LogRecord,
+  Put,
+  Seal,
+} from './controlRecords.js';
+import {
+  carriedSchema,
+  controlPayloadSchema,
+  sealSchema,
+} from './controlRecords.js';
+import type {LeaseState} from './lease.js';
+import {applyLeaseRecord, noLease} from './lease.js';
+import type {RecordBodies, RecordKind} from './records.js';
+import {parseRecordKey, restoreBody} from './records.js';
+
+/** The newest accepted version of one configuration record. */
+export interface StoredRecord {
+  key: string;
+  revision: number;
+  /** Offset of the put that made this version. */
+  offset: number;
+  schemaVersion: number;
+  /** The body as written; null for a deleted record. */
+  raw: unknown;
+  /** The last body that this process understood; null for a deleted one. */
+  body: unknown;
+  /** False when `raw` has a newer schema than this process knows. */
+  isUnderstood: boolean;
+  operator: string;
+}
+
+/** What became of an append. */
+export type AppendOutcome =
+  | {tag: 'accepted'; offset: number; revision?: number}
+  | {tag: 'conflict'; winner: string; revision: number; offset: number}
+  | {tag: 'invalid'; detail: string};
+
+/** Everything that the control stream decides; immutable. */
+export interface ControlState {
+  /** Highest offset that was applied; -1 before the first. */
+  highest: number;
+  records: ReadonlyMap<string, StoredRecord>;
+  lease: LeaseState;
+  lastSealed: number;
+  seals: ReadonlyMap<number, Seal & {offset: number}>;
+  quarantine: ReadonlyMap<string, string>;
+  outcomes: ReadonlyMap<string, AppendOutcome>;
+  /** Records whose schema is newer than this process understands. */
+  newerSchemas: number;
+  /** True if every live record is known to be in this state. */
+  isWhole: boolean;
+}
+
+export const emptyControlState: ControlState = {
+  highest: -1,
+  records: new Map(),
+  lease: noLease,
+  lastSealed: -1,
+  seals: new Map(),
+  quarantine: new Map(),
+  outcomes: new Map(),
+  newerSchemas: 0,
+  isWhole: false,
+};
+
+const snapshotSchema = z.object({
+  highest: z.number().int().min(-1),
+  records: z.array(
+    z.tuple([
+      z.string(),
+      carriedSchema.omit({body: true}).extend({raw: z.unknown()}),
+    ]),
+  ),
+  lease: z.object({
+    holder: z.string(),
+    fencing: z.number().int(),
+    lastOffset: z.number().int(),
+    isReleased: z.boolean(),
+  }),
+  lastSealed: z.number().int().min(-1),
+  seals: z.array(
+    z.tuple([z.number().int(), sealSchema.extend({offset: z.number().int()})]),
+  ),
+  quarantine: z.array(z.tuple([z.string(), z.string()])),
+  newerSchemas: z.number().int(),
+  isWhole: z.boolean(),
+});
+
+/** A copy of the state that one batch of records may change. */
+interface Draft {
+  highest: number;
+  records: Map<string, StoredRecord>;
+  lease: LeaseState;
+  lastSealed: number;
+  seals: Map<number, Seal & {offset: number}>;
+  quarantine: Map<string, string>;
+  outcomes: Map<string, AppendOutcome>;
+  newerSchemas: number;
+  isWhole: boolean;
+}
+
+function trimOldest<Key, Value>(map: Map<Key, Value>, limit: number): void {
+  for (const key of map.keys()) {
+    if (map.size <= limit) return;
+    map.delete(key);
+  }
+}
+
+/** Keeps the last understood body when the new one has a newer schema. */
+function createStoredRecord(
+  carried: Carried,
+  previous: StoredRecord | undefined,
+): StoredRecord | string {
+  const key = parseRecordKey(carried.key);
+  if (!key.ok) return `unknown record key ${carried.key}`;
+  const base = {
+    key: carried.key,
+    revision: carried.revision,
+    offset: carried.offset,
+    schemaVersion: carried.schemaVersion,
+    raw: carried.body ?? null,
+    operator: carried.operator,
+  };
+  if (base.raw === null) return {...base, body: null, isUnderstood: true};
+  const body = restoreBody(key.value.kind, carried.schemaVersion, base.raw);
+  if (body.ok) return {...base, body: body.value, isUnderstood: true};
+  if (body.error.tag === 'newer_schema') {
+    return {...base, body: previous?.body ?? null, isUnderstood: false};
+  }
+  return body.error.tag === 'invalid_body'
+    ? body.error.mistakes.join('; ')
+    : body.error.tag;
+}
+
+function applyPut(draft: Draft, offset: number, put: Put): AppendOutcome {
+  const current = draft.records.get(put.key);
+  const revision = current?.revision ?? 0;
+  if (put.baseRevision !== revision) {
+    const winner = current?.operator ?? '';
+    return {tag: 'conflict', winner, revision, offset};
+  }
+  const carried = {...put, revision: revision + 1, offset};
+  const record = createStoredRecord(carried, current);
+  if (typeof record === 'string') return {tag: 'invalid', detail: record};
+  draft.records.set(put.key, record);
+  return {tag: 'accepted', offset, revision: record.revision};
+}
+
+/** Applies carried records; one never overrides a newer record. */
+function applyCheckpoint(
+  draft: Draft,
+  offset: number,
+  checkpoint: Checkpoint,
+): AppendOutcome {
+  for (const carried of checkpoint.entries) {
+    const current = draft.records.get(carried.key);
+    if (current && current.offset >= carried.offset) continue;
+    const record = createStoredRecord(carried, current);
+    if (typeof record !== 'string') draft.records.set(carried.key, record);
+  }
+  draft.lastSealed = Math.max(draft.lastSealed, checkpoint.lastSealed);
+  return {tag: 'accepted', offset};
+}
+
+/** Only the lease holder seals, and each window at most once. */
+function applySeal(draft: Draft, offset: number, seal: Seal): AppendOutcome {
+  if (seal.fencing !== draft.lease.fencing) {
+    return {tag: 'invalid', detail: 'stale fencing number'};
+  }
+  if (seal.window <= draft.lastSealed) {
+    return {tag: 'invalid', detail: 'window already sealed'};
+  }
+  draft.seals.set(seal.window, {...seal, offset});
+  draft.lastSealed = seal.window;
+  trimOldest(draft.seals, REMEMBERED_SEALS);
+  return {tag: 'accepted', offset};
+}
+
+function applyLease(
+  draft: Draft,
+  offset: number,
+  payload: Extract<ControlPayload, {type: 'claim' | 'renew' | 'release'}>,
+): AppendOutcome {
+  const lease = applyLeaseRecord(draft.lease, offset, payload);
+  if (lease === draft.lease) {
+    return {tag: 'invalid', detail: 'lease record lost the race'};
+  }
+  draft.lease = lease;
+  return {tag: 'accepted', offset};
+}
+
+type Handlers = {
+  [Type in ControlPayload['type']]: (
+    draft: Draft,
+    offset: number,
+    payload: Extract<ControlPayload, {type: Type}>,
+  ) => AppendOutcome;
+};
+
+const handlers: Handlers = {
+  put: applyPut,
+  claim: applyLease,
+  renew: applyLease,
+  release: applyLease,
+  seal: applySeal,
+  checkpoint: applyCheckpoint,
+  quarantine: (draft, offset, payload) => {
+    draft.quarantine.set(payload.fingerprint, payload.reason);
+    trimOldest(draft.quarantine, REMEMBERED_QUARANTINES);
+    return {tag: 'accepted', offset};
+  },
+};
+
+function applyRecord(draft: Draft, record: LogRecord): void {
+  if (record.offset <= draft.highest) return;
+  draft.highest = record.offset;
+  if (draft.outcomes.has(record.appendId)) return;
+  const payload = controlPayloadSchema.safeParse(record.payload);
+  const outcome: AppendOutcome = payload.success
+    ? handlers[payload.data.type](draft, record.offset, payload.data as never)
+    : {tag: 'invalid', detail: payload.error.message};
+  draft.outcomes.set(record.appendId, outcome);
+  trimOldest(draft.outcomes, REMEMBERED_APPENDS);
+}
+
+/** Folds a batch of log records, in offset order, into the state. */
+export function applyControlRecords(
+  state: ControlState,
+  records: readonly LogRecord[],
+): ControlState {
+  if (records.length === 0) return state;
+  const draft: Draft = {
+    ...state,
+    records: new Map(state.records),
+    seals: new Map(state.seals),
+    quarantine: new Map(state.quarantine),
+    outcomes: new Map(state.outcomes),
+  };
+  for (const record of records) applyRecord(draft, record);
+  draft.newerSchemas = [...draft.records.values()].filter(
+    record => !record.isUnderstood,
+  ).length;
+  return draft;
+}
+
+/**
+ * Chooses between the own state and a peer's snapshot. A state with a lower
+ * highest offset never replaces a higher one, unless the own one has gaps.
+ */
+export function reconcileControlState(
+  own: ControlState,
+  peer: ControlState,
+): ControlState {
+  if (!peer.isWhole) return own;
+  if (!own.isWhole) return peer.highest >= own.highest ? peer : own;
+  return peer.highest > own.highest ? peer : own;
+}
+
+/** The understood body of a record, null if absent or deleted. */
+export function getBody<Kind extends RecordKind>(
+  state: ControlState,
+  kind: Kind,
+  id: string,
+): RecordBodies[Kind] | null {
+  const record = state.records.get(`${kind}/${id}`);
+  return (record?.body ?? null) as RecordBodies[Kind] | null;
+}
+
+/** All understood live bodies of a kind by id, in key order. */
+export function getBodies<Kind extends RecordKind>(
+  state: ControlState,
+  kind: Kind,
+): Array<{id: string; body: RecordBodies[Kind]}> {
+  const prefix = `${kind}/`;
+  const found: Array<{id: string; body: RecordBodies[Kind]}> = [];
+  for (const [key, record] of state.records) {
+    if (!key.startsWith(prefix) || record.body === null) continue;
+    const body = record.body as RecordBodies[Kind];
+    found.push({id: key.slice(prefix.length), body});
+  }
+  return found.sort((a, b) => (a.id < b.id ? -1 : 1));
+}
+
+/** Writes the state as JSON for a peer; outcomes of appends stay local. */
+export function serializeControlState(state: ControlState): unknown {
+  return {
+    ...state,
+    records: [...state.records],
+    seals: [...state.seals],
+    quarantine: [...state.quarantine],
+    outcomes: [],
+  };
+}
+
+/** Reads what `serializeControlState` wrote; null if it is malformed. */
+export function restoreControlState(data: unknown): ControlState | null {
+  const parsed = snapshotSchema.safeParse(data);
+  if (!parsed.success) return null;
+  const snapshot = parsed.data;
+  const records = new Map<string, StoredRecord>();
+  for (const [key, record] of snapshot.records) {
+    const stored = createStoredRecord({...record, body: record.raw}, undefined);
+    if (typeof stored !== 'string') records.set(key, stored);
+  }
+  return {
+    ...snapshot,
+    records,
+    seals: new Map(snapshot.seals),
+    quarantine: new Map(snapshot.quarantine),
+    outcomes: new Map(),
+  };
+}
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -1,1 +1,8 @@
-export {};
+/** Schemas of records and pure decision functions. */
+export * from './constants.js';
+export * from './controlRecords.js';
+export * from './controlState.js';
+export * from './instances.js';
+export * from './lease.js';
+export * from './messages.js';
+export * from './records.js';
--- /dev/null
+++ b/packages/domain/src/instances.ts
@@ -0,0 +1,25 @@
+import {z} from 'zod';
+
+/** One process of the system as the platform lists it. */
+export const instanceSchema = z.object({
+  id: z.string(),
+  role: z.enum(['entry', 'agent']),
+  domain: z.string(),
+  /** Caller listener of an entry, data listener of an agent, `ip:port`. */
+  address: z.string(),
+  /** RPC listener, `ip:port`. */
+  peerAddress: z.string(),
+  state: z.enum(['live', 'leaving']),
+  /** Set for agents. */
+  upstream: z.object({id: z.string(), pool: z.string()}).optional(),
+});
+
+export type Instance = z.infer<typeof instanceSchema>;
+/** An instance that runs beside an upstream. */
+export type AgentInstance = Instance & {
+  upstream: NonNullable<Instance['upstream']>;
+};
+
+export function isAgent(instance: Instance): instance is AgentInstance {
+  return instance.role === 'agent' && instance.upstream !== undefined;
+}
