--- /dev/null
+++ b/packages/daemon/src/peerServer.ts
@@ -0,0 +1,47 @@
+import * as http from 'node:http';
+
+import type {ListenAddress, RpcMethods} from '@vanillacross/common';
+import {closeServer, createRpcHandler, listen} from '@vanillacross/common';
+
+import type {Context, Part} from './types.js';
+
+/** Listener for control RPC from other processes of the system. */
+export interface PeerServer extends Part {
+  /** Bound address as `ip:port`, known after the start. */
+  getAddress(): string;
+  /** Adds methods; parts are created after the listener is bound. */
+  addMethods(methods: RpcMethods): void;
+}
+
+/** Creates the peer listener; it answers once methods were added. */
+export function createPeerServer(
+  context: Context,
+  address: ListenAddress,
+): PeerServer {
+  let methods: RpcMethods = {};
+  let handle = createRpcHandler(context.clusterSecret, methods);
+  const server = http.createServer((request, response) => {
+    void handle(request, response).catch((error: Error) => {
+      context.logger.error('RPC failed', {detail: error.message});
+      response.destroy();
+    });
+  });
+  // Agents hold polls for up to 10 s; idle sockets are kept longer than that.
+  server.keepAliveTimeout = 30_000;
+  let bound = '';
+  return {
+    name: 'peer',
+    start: async () => {
+      bound = await listen(server, address);
+    },
+    stop: () => {
+      server.closeAllConnections();
+      return closeServer(server);
+    },
+    getAddress: () => bound,
+    addMethods: added => {
+      methods = {...methods, ...added};
+      handle = createRpcHandler(context.clusterSecret, methods);
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/settingsSchema.ts
@@ -0,0 +1,176 @@
+import type {ListenAddress} from '@vanillacross/common';
+import {parseAddress} from '@vanillacross/common';
+import {z} from 'zod';
+
+const SHA256_PATTERN = /^[0-9a-f]{64}$/;
+const ID_PATTERN = /^[a-zA-Z0-9][a-zA-Z0-9._-]{0,63}$/;
+const MIN_SECRET_LENGTH = 16;
+
+const id = z
+  .string({error: 'an id'})
+  .regex(ID_PATTERN, 'an id of letters, digits, ".", "_" or "-"');
+
+const address = z
+  .string({error: 'an address as ip:port'})
+  .transform((text, context): ListenAddress => {
+    const parsed = parseAddress(text);
+    if (parsed) return parsed;
+    context.addIssue({code: 'custom', message: 'an address as ip:port'});
+    return z.NEVER;
+  });
+
+const url = z
+  .string({error: 'a URL that starts with http://'})
+  .regex(/^http:\/\/[^\s/]+$/, 'a URL such as http://127.0.0.1:9000');
+
+const addresses = z
+  .string()
+  .default('')
+  .transform(text =>
+    text
+      .split(',')
+      .map(part => part.trim())
+      .filter(part => part !== ''),
+  )
+  .pipe(
+    z.array(
+      z
+        .string()
+        .refine(
+          part => parseAddress(part) !== null,
+          'addresses as ip:port, separated by commas',
+        ),
+    ),
+  );
+
+/** A whole number within bounds; INI values are texts. */
+function count(defaultValue: number, min: number, max: number) {
+  return z.coerce
+    .number({error: `a whole number from ${min} to ${max}`})
+    .int(`a whole number from ${min} to ${max}`)
+    .min(min, `at least ${min}`)
+    .max(max, `at most ${max}`)
+    .default(defaultValue);
+}
+
+const limits = z
+  .strictObject({
+    /** Time for running requests at shutdown, ms. */
+    drainMs: count(30_000, 0, 3_600_000),
+    maxBodyBytes: count(4 * 1024 * 1024, 1_024, 1024 * 1024 * 1024),
+    /** Time for a caller to send its headers and body, ms. */
+    callerTimeoutMs: count(30_000, 100, 600_000),
+    /** Appends a second that this process may spend. */
+    appendsPerSecond: count(20, 1, 1_000),
+  })
+  .prefault({});
+
+const log = z
+  .strictObject({
+    level: z
+      .enum(['info', 'warn', 'error', 'silent'], {
+        error: 'info, warn, error or silent',
+      })
+      .default('info'),
+  })
+  .prefault({});
+
+const cluster = z.strictObject({
+  secret: z
+    .string({error: `a secret of at least ${MIN_SECRET_LENGTH} characters`})
+    .min(MIN_SECRET_LENGTH, `at least ${MIN_SECRET_LENGTH} characters`),
+  /** Peer listeners of entries, used until the instance list is read. */
+  seeds: addresses,
+});
+
+const instanceKeys = {
+  id,
+  domain: id,
+  region: id.default('default'),
+  /** Address that others use, where it differs from the listener. */
+  advertise: z.string().optional(),
+};
+
+/** Settings of an entry. */
+export const entrySettingsSchema = z.strictObject({
+  instance: z.strictObject({role: z.literal('entry'), ...instanceKeys}),
+  listen: z.strictObject({caller: address, peer: address, admin: address}),
+  platform: z.strictObject({
+    log: url,
+    instances: url,
+    reports: url.optional(),
+    weights: url.optional(),
+    scoring: url.optional(),
+    /** Ordering interface by failure domain. */
+    ordering: z.record(id, url).default({}),
+  }),
+  cluster,
+  operator: z.strictObject({
+    tokenHash: z
+      .string({error: 'the SHA-256 of the operator token in hex'})
+      .regex(SHA256_PATTERN, 'the SHA-256 of the operator token in hex'),
+  }),
+  controller: z
+    .strictObject({
+      /** Retention of the platform's log, ms. */
+      retentionMs: count(86_400_000, 10_000, 31_536_000_000),
+      /** Orders upstreams by demand; off leaves the fleet as it is. */
+      scaling: z.boolean({error: 'true or false'}).default(false),
+    })
+    .prefault({}),
+  limits,
+  log,
+});
+
+/** Settings of an agent. */
+export const agentSettingsSchema = z.strictObject({
+  instance: z.strictObject({role: z.literal('agent'), ...instanceKeys}),
+  listen: z.strictObject({data: address, peer: address, admin: address}),
+  platform: z.strictObject({instances: url}),
+  cluster,
+  upstream: z.strictObject({id, pool: id, url}),
+  limits,
+  log,
+});
+
+/** Settings of either role. */
+export const settingsSchema = z
+  .looseObject({
+    instance: z.looseObject(
+      {
+        role: z.enum(['entry', 'agent'], {error: 'entry or agent'}),
+      },
+      {error: 'a section with role, id and domain'},
+    ),
+  })
+  .transform((raw, context): EntrySettings | AgentSettings => {
+    const schema = settingsSchemas[raw.instance.role];
+    const parsed = schema.safeParse(raw);
+    if (parsed.success) return parsed.data;
+    for (const issue of parsed.error.issues) {
+      context.addIssue({
+        code: 'custom',
+        message:
+          issue.code === 'unrecognized_keys'
+            ? `no such key: ${issue.keys.join(', ')}`
+            : issue.message,
+        path: issue.path.map(part =>
+          typeof part === 'symbol' ? String(part) : part,
+        ),
+      });
+    }
+    return z.NEVER;
+  });
+
+const settingsSchemas = {
+  entry: entrySettingsSchema,
+  agent: agentSettingsSchema,
+};
+
+export type EntrySettings = z.infer<typeof entrySettingsSchema>;
+export type AgentSettings = z.infer<typeof agentSettingsSchema>;
+export type Settings = EntrySettings | AgentSettings;
+
+export function isEntrySettings(settings: Settings): settings is EntrySettings {
+  return settings.instance.role === 'entry';
+}
