Add the command line

Cause: operators need to publish declarations and read the state. Change: plan, apply, get, history, key, domain, upstream, status, reports, doctor, settings check over the operator API of an entry; exit statuses for conflict, not accepted, unknown and not in force.

--- /dev/null
+++ b/packages/cli/src/constants.ts
@@ -0,0 +1,26 @@
+/** Exit statuses of `vanillacross`. */
+export const EXIT = {
+  done: 0,
+  failed: 1,
+  /** Wrong arguments, settings or declarations. */
+  usage: 2,
+  /** Another operator was first. */
+  conflict: 3,
+  /** The log did not take the change. */
+  notAccepted: 4,
+  /** The change may or may not have been taken. */
+  unknown: 5,
+  /** Accepted, but not in force everywhere before the deadline. */
+  notInForce: 6,
+  /** `plan --exit-code` found changes. */
+  changes: 10,
+} as const;
+
+/** Time limit of one call to an entry, ms. */
+export const CALL_TIMEOUT_MS = 15_000;
+/** Interval between questions for "in force everywhere", ms. */
+export const IN_FORCE_POLL_MS = 200;
+/** Time limit for "in force everywhere", ms. */
+export const IN_FORCE_TIMEOUT_MS = 30_000;
+/** Random bytes of a new key. */
+export const KEY_BYTES = 24;
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+/** The command line `vanillacross`. */
+export type {Terminal} from './program.js';
+export {createProgram} from './program.js';
+export {EXIT} from './constants.js';
--- /dev/null
+++ b/packages/cli/src/recordPlan.ts
@@ -0,0 +1,107 @@
+import {parseRecordKey, restoreBody} from '@vanillacross/domain';
+
+import type {Declaration} from './declarations.js';
+import type {Change, ShownRecord} from './types.js';
+
+/** Brings a body to the newest schema version with defaults filled in. */
+function getComparable(key: string, version: number, body: unknown): unknown {
+  const parsed = parseRecordKey(key);
+  if (!parsed.ok || body === null) return body;
+  const restored = restoreBody(parsed.value.kind, version, body);
+  return restored.ok ? restored.value : body;
+}
+
+function isSame(a: unknown, b: unknown): boolean {
+  return JSON.stringify(sortKeys(a)) === JSON.stringify(sortKeys(b));
+}
+
+function sortKeys(value: unknown): unknown {
+  if (Array.isArray(value)) return value.map(sortKeys);
+  if (value === null || typeof value !== 'object') return value;
+  const entries = Object.entries(value).sort(([a], [b]) => (a < b ? -1 : 1));
+  return Object.fromEntries(entries.map(([key, v]) => [key, sortKeys(v)]));
+}
+
+/**
+ * Compares declarations with the records in force.
+ * @param isPruning deletes records of the declared kinds that have no file.
+ */
+export function getChanges(
+  declarations: readonly Declaration[],
+  records: readonly ShownRecord[],
+  isPruning: boolean,
+): Change[] {
+  const current = new Map(records.map(record => [record.key, record]));
+  const changes: Change[] = [];
+  for (const declared of declarations) {
+    const record = current.get(declared.key);
+    const wanted = getComparable(
+      declared.key,
+      declared.schemaVersion,
+      declared.body,
+    );
+    const previous = record
+      ? getComparable(record.key, record.schemaVersion, record.body)
+      : null;
+    if (record && isSame(wanted, previous)) continue;
+    changes.push({
+      key: declared.key,
+      baseRevision: record?.revision ?? 0,
+      schemaVersion: declared.schemaVersion,
+      body: declared.body,
+      previous,
+    });
+  }
+  if (!isPruning) return changes;
+  const declaredKeys = new Set(declarations.map(d => d.key));
+  const kinds = new Set(declarations.map(d => d.key.split('/')[0]));
+  for (const record of records) {
+    const isDeclared = declaredKeys.has(record.key);
+    const isInScope = kinds.has(record.key.split('/')[0]);
+    if (isDeclared || !isInScope || record.body === null) continue;
+    changes.push({
+      key: record.key,
+      baseRevision: record.revision,
+      schemaVersion: record.schemaVersion,
+      body: null,
+      previous: record.body,
+    });
+  }
+  return changes;
+}
+
+function getLeaves(value: unknown, path = ''): Map<string, string> {
+  if (value === null || typeof value !== 'object' || Array.isArray(value)) {
+    return new Map([[path, JSON.stringify(value)]]);
+  }
+  const leaves = new Map<string, string>();
+  for (const [key, inner] of Object.entries(value)) {
+    for (const [leaf, text] of getLeaves(
+      inner,
+      path ? `${path}.${key}` : key,
+    )) {
+      leaves.set(leaf, text);
+    }
+  }
+  return leaves;
+}
+
+/** One change as lines that a person can read. */
+export function describeChange(change: Change): string {
+  if (change.body === null) return `- ${change.key}`;
+  const wanted = getLeaves(
+    getComparable(change.key, change.schemaVersion, change.body),
+  );
+  if (change.previous === null) {
+    const lines = [...wanted].map(([path, text]) => `    ${path}: ${text}`);
+    return [`+ ${change.key}`, ...lines].join('\n');
+  }
+  const before = getLeaves(change.previous);
+  const lines = [`~ ${change.key} (revision ${change.baseRevision})`];
+  for (const path of new Set([...before.keys(), ...wanted.keys()])) {
+    const [old, next] = [before.get(path), wanted.get(path)];
+    if (old === next) continue;
+    lines.push(`    ${path}: ${old ?? '(none)'} -> ${next ?? '(none)'}`);
+  }
+  return lines.join('\n');
+}
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -6,3 +6,4 @@
 export * from './lease.js';
 export * from './messages.js';
 export * from './records.js';
+export * from './settings.js';
--- a/packages/daemon/src/settingsSchema.test.ts
+++ b/packages/domain/src/settings.test.ts
@@ -3,7 +3,7 @@
 
 import {parseSettings} from '@vanillacross/common';
 
-import {settingsSchema} from './settingsSchema.js';
+import {settingsSchema} from './settings.js';
 
 const ENTRY = `
 [instance]
