--- /dev/null
+++ b/packages/bench/src/benches.ts
@@ -0,0 +1,4 @@
+import type {Bench} from './types.js';
+
+/** All benches by name. */
+export const benches: readonly Bench[] = [];
--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,37 @@
+import {Command} from 'commander';
+
+import {benches} from './benches.js';
+import type {Bench, Measurement} from './types.js';
+
+function formatRows(headers: string[], rows: string[][]): string {
+  const all = [headers, ...rows];
+  const widths = headers.map((_, i) =>
+    Math.max(...all.map(row => row[i].length)),
+  );
+  return all
+    .map(row => row.map((cell, i) => cell.padEnd(widths[i])).join('  '))
+    .join('\n');
+}
+
+function printMeasurement(bench: Bench, measured: Measurement): void {
+  const {headers, rows, figure, baseline, conclusion, details} = measured;
+  console.log(`${bench.name}: ${bench.summary}\n`);
+  console.log(formatRows(headers, rows));
+  console.log(`\n${conclusion}`);
+  const ratio = baseline === 0 ? null : figure / baseline;
+  const line = {name: bench.name, figure, baseline, ratio, ...details};
+  console.log(JSON.stringify(line));
+}
+
+const program = new Command('bench')
+  .description('Runs one bench and prints a table and one JSON line')
+  .argument('<name>', `one of: ${benches.map(b => b.name).join(', ')}`)
+  .action(async (name: string) => {
+    const bench = benches.find(candidate => candidate.name === name);
+    if (!bench) {
+      program.error(`no bench ${name}`, {exitCode: 2});
+    }
+    printMeasurement(bench, await bench.run());
+  });
+
+await program.parseAsync();
--- /dev/null
+++ b/packages/bench/src/statistics.test.ts
@@ -0,0 +1,25 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {fitLine, getMedian, getQuantile} from './statistics.js';
+
+describe('statistics', () => {
+  // Guards against quantiles that are off by one place.
+  it('takes quantiles and medians at the right place', () => {
+    const values = [5, 1, 4, 2, 3];
+    assert.equal(getMedian(values), 3);
+    assert.equal(getQuantile(values, 0.99), 5);
+    assert.equal(getQuantile(values, 0.2), 1);
+  });
+
+  // Guards against capacity figures worked out from a wrong slope.
+  it('fits the line that made the points', () => {
+    const line = fitLine([
+      [1, 5],
+      [2, 7],
+      [4, 11],
+    ]);
+    assert.ok(Math.abs(line.slope - 2) < 1e-9);
+    assert.ok(Math.abs(line.intercept - 3) < 1e-9);
+  });
+});
