--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -23,7 +23,7 @@
   console.log(JSON.stringify(line));
 }
 
-const program = new Command('bench')
+const program: Command = new Command('bench')
   .description('Runs one bench and prints a table and one JSON line')
   .argument('<name>', `one of: ${benches.map(b => b.name).join(', ')}`)
   .action(async (name: string) => {
