--- /dev/null
+++ b/packages/platform/src/orderingPort.ts
@@ -0,0 +1,60 @@
+import type {JsonAnswer, Result} from '@vanillacross/common';
+import {fail, ok} from '@vanillacross/common';
+import {z} from 'zod';
+
+import {createPlatformCaller} from './platformCall.js';
+import type {OrderingPort, PlatformFailure} from './types.js';
+
+const statusSchema = z.object({status: z.string()});
+const staleSchema = z.object({highest: z.number().int()});
+const upstreamsSchema = z.object({
+  upstreams: z.array(
+    z.object({id: z.string(), pool: z.string(), state: z.string()}),
+  ),
+});
+
+/** An order with an old fencing number is answered with 409. */
+function getStaleFailure(
+  answer: JsonAnswer,
+): Result<never, PlatformFailure> | undefined {
+  if (answer.status !== 409) return undefined;
+  const stale = staleSchema.safeParse(answer.body);
+  if (!stale.success) return fail({tag: 'rejected', detail: 'status 409'});
+  return fail({tag: 'stale_fencing', highest: stale.data.highest});
+}
+
+/** Creates the adapter of the ordering interface of one failure domain. */
+export function createOrderingPort(baseUrl: string): OrderingPort {
+  const caller = createPlatformCaller(baseUrl);
+  const getPath = (orderId: string) =>
+    `/v1/orders/${encodeURIComponent(orderId)}`;
+  return {
+    order: ({orderId, ...order}, timeoutMs) =>
+      caller.call({
+        method: 'PUT',
+        path: getPath(orderId),
+        body: order,
+        schema: statusSchema,
+        hasEffect: true,
+        timeoutMs,
+        onStatus: getStaleFailure,
+      }),
+    getOrder: orderId =>
+      caller.call<{status: string} | null>({
+        method: 'GET',
+        path: getPath(orderId),
+        schema: statusSchema,
+        hasEffect: false,
+        onStatus: ({status}) => (status === 404 ? ok(null) : undefined),
+      }),
+    getUpstreams: async () => {
+      const answer = await caller.call({
+        method: 'GET',
+        path: '/v1/upstreams',
+        schema: upstreamsSchema,
+        hasEffect: false,
+      });
+      return answer.ok ? ok(answer.value.upstreams) : answer;
+    },
+  };
+}
--- /dev/null
+++ b/packages/platform/src/platformCall.ts
@@ -0,0 +1,90 @@
+import * as http from 'node:http';
+
+import type {JsonAnswer, Result} from '@vanillacross/common';
+import {fail, ok, requestJson} from '@vanillacross/common';
+import type {ZodType} from 'zod';
+import {z} from 'zod';
+
+import type {PlatformFailure} from './types.js';
+
+/** Connections to one platform interface that stay open between calls. */
+const MAX_SOCKETS = 64;
+/** Default time until a call is given up, ms. */
+export const CALL_TIMEOUT_MS = 5_000;
+
+const retryAfterSchema = z.object({retryAfterMs: z.number().min(0)});
+
+/** One call of a platform interface. */
+export interface PlatformCall<Body> {
+  method: 'GET' | 'POST' | 'PUT';
+  path: string;
+  body?: unknown;
+  /** Schema of the body of a 200 answer. */
+  schema: ZodType<Body>;
+  /** True if a lost answer leaves it open whether the call took effect. */
+  hasEffect: boolean;
+  timeoutMs?: number;
+  signal?: AbortSignal;
+  /** Meaning of other status codes; undefined applies the general rule. */
+  onStatus?: (answer: JsonAnswer) => Result<Body, PlatformFailure> | undefined;
+}
+
+/** Calls one platform interface at a base URL. */
+export interface PlatformCaller {
+  call<Body>(call: PlatformCall<Body>): Promise<Result<Body, PlatformFailure>>;
+}
+
+/** A failure after which it is open whether a write took effect. */
+function createLostFailure(hasEffect: boolean, detail: string) {
+  const tag = hasEffect ? 'unknown' : 'unavailable';
+  return fail<PlatformFailure>({tag, detail});
+}
+
+/** The general meaning of a status code other than 200. */
+function createStatusFailure(
+  answer: JsonAnswer,
+  hasEffect: boolean,
+): Result<never, PlatformFailure> {
+  const detail = `status ${answer.status}`;
+  if (answer.status === 429 || answer.status === 503) {
+    const parsed = retryAfterSchema.safeParse(answer.body);
+    const retryAfterMs = parsed.data?.retryAfterMs;
+    return fail({tag: 'unavailable', detail, retryAfterMs});
+  }
+  if (answer.status >= 400 && answer.status < 500) {
+    return fail({tag: 'rejected', detail});
+  }
+  return createLostFailure(hasEffect, detail);
+}
+
+/** Creates a caller with its own keep-alive connections. */
+export function createPlatformCaller(baseUrl: string): PlatformCaller {
+  const agent = new http.Agent({keepAlive: true, maxSockets: MAX_SOCKETS});
+  const base = baseUrl.replace(/\/+$/, '');
+  return {
+    call: async call => {
+      const answer = await requestJson({
+        method: call.method,
+        url: `${base}${call.path}`,
+        body: call.body,
+        timeoutMs: call.timeoutMs ?? CALL_TIMEOUT_MS,
+        signal: call.signal,
+        agent,
+      });
+      if (!answer.ok) {
+        const {tag, detail} = answer.error;
+        if (tag === 'refused') return fail({tag: 'unavailable', detail});
+        return createLostFailure(call.hasEffect, detail);
+      }
+      const special = call.onStatus?.(answer.value);
+      if (special) return special;
+      if (answer.value.status !== 200) {
+        return createStatusFailure(answer.value, call.hasEffect);
+      }
+      const body = call.schema.safeParse(answer.value.body);
+      if (body.success) return ok(body.data);
+      const detail = `unexpected answer: ${body.error.issues[0]?.message}`;
+      return createLostFailure(call.hasEffect, detail);
+    },
+  };
+}
