--- /dev/null
+++ b/packages/daemon/src/peerCalls.ts
@@ -0,0 +1,25 @@
+import * as http from 'node:http';
+
+import type {Result, RpcFailure} from '@vanillacross/common';
+import {createRpcClient} from '@vanillacross/common';
+
+/** Calls an RPC method of the process at `ip:port`. */
+export type CallPeer = (
+  address: string,
+  method: string,
+  params: unknown,
+  timeoutMs: number,
+  signal?: AbortSignal,
+) => Promise<Result<unknown, RpcFailure>>;
+
+/** Creates a caller that shares keep-alive connections over all peers. */
+export function createCallPeer(secret: string): CallPeer {
+  const agent = new http.Agent({keepAlive: true});
+  return (address, method, params, timeoutMs, signal) =>
+    createRpcClient(secret, address, agent).call(
+      method,
+      params,
+      timeoutMs,
+      signal,
+    );
+}
--- /dev/null
+++ b/packages/domain/src/agentView.ts
@@ -0,0 +1,57 @@
+import type {ControlState} from './controlState.js';
+import {getBodies, getBody} from './controlState.js';
+import type {AgentInstance, Instance} from './instances.js';
+import type {AgentView} from './messages.js';
+import {reportingSchema} from './records.js';
+
+const defaultReporting = reportingSchema.parse({});
+
+/** Keys of the records that an agent's view is made of. */
+function getViewKeys(agent: AgentInstance): string[] {
+  return [
+    `pool/${agent.upstream.pool}`,
+    `upstream/${agent.upstream.id}`,
+    `domain/${agent.domain}`,
+  ];
+}
+
+/** Derives the part of the control state that one agent needs. */
+export function getAgentView(
+  state: ControlState,
+  agent: AgentInstance,
+  members: readonly Instance[],
+): AgentView {
+  const pool = getBody(state, 'pool', agent.upstream.pool);
+  const poolRecord = state.records.get(`pool/${agent.upstream.pool}`);
+  const domain = getBody(state, 'domain', agent.domain);
+  const reporting = getBodies(state, 'reporting')[0]?.body ?? defaultReporting;
+  return {
+    offset: state.highest,
+    fencing: state.lease.fencing,
+    pool,
+    poolCreatedAt: poolRecord?.revision === 1 ? poolRecord.offset : -1,
+    upstream: getBody(state, 'upstream', agent.upstream.id),
+    isDomainIn: domain?.state !== 'out',
+    windowMs: reporting.windowMs,
+    members: pool?.kind === 'plain' ? [...members] : [],
+  };
+}
+
+/**
+ * The offset of the last record that changed an agent's view, apart from its
+ * members; -1 if none. A view with at least this offset is up to date.
+ */
+export function getAgentViewChange(
+  state: ControlState,
+  agent: AgentInstance,
+): number {
+  let changedAt = state.lease.fencing;
+  for (const key of getViewKeys(agent)) {
+    changedAt = Math.max(changedAt, state.records.get(key)?.offset ?? -1);
+  }
+  for (const [key, record] of state.records) {
+    if (!key.startsWith('reporting/')) continue;
+    changedAt = Math.max(changedAt, record.offset);
+  }
+  return changedAt;
+}
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -1,4 +1,6 @@
 /** Schemas of records and pure decision functions. */
+export * from './agentView.js';
+export * from './checkpointCycle.js';
 export * from './constants.js';
 export * from './controlRecords.js';
 export * from './controlState.js';
@@ -6,3 +8,4 @@
 export * from './lease.js';
 export * from './messages.js';
 export * from './records.js';
+export * from './subset.js';
