--- /dev/null
+++ b/packages/daemon/src/agentLink.ts
@@ -0,0 +1,280 @@
+import type {MonotonicMs, RpcMethods} from '@vanillacross/common';
+import {defineMethod, getDeadline} from '@vanillacross/common';
+import type {
+  AgentInstance,
+  AgentView,
+  CrashReport,
+  Instance,
+  Load,
+  Pull,
+  UsageCell,
+} from '@vanillacross/domain';
+import {getEntriesOfAgent, pullAnswerSchema} from '@vanillacross/domain';
+import {z} from 'zod';
+
+import type {CallPeer} from './peerCalls.js';
+import {createCallPeer} from './peerCalls.js';
+import type {Context, Part} from './types.js';
+
+/** What an agent hands to an entry with a poll. */
+export interface AgentReport {
+  load: Load;
+  cells: UsageCell[];
+  crashes: CrashReport[];
+}
+
+export interface AgentLinkOptions {
+  /** Entries that are known and not leaving. */
+  entries: () => readonly Instance[];
+  /** The report for one entry; called once per poll. */
+  getReport: (entry: Instance) => AgentReport;
+  /** Called when an entry has answered the poll that carried a report. */
+  onReportDelivered: (report: AgentReport, entry: Instance) => void;
+  instance: AgentInstance;
+  callPeer?: CallPeer;
+}
+
+/** The agent's connection to its entries. */
+export interface AgentLink extends Part {
+  /** The newest view; null before the first. */
+  getView(): AgentView | null;
+  /** Calls back after each new view; returns a function that unsubscribes. */
+  subscribe(listener: (view: AgentView) => void): () => void;
+  /** Highest fencing number heard from any entry, -1 if none. */
+  getHighestFencing(): number;
+  /** Highest control offset heard from any entry, -1 if none. */
+  getHighest(): number;
+  /** Entries that this agent polls now. */
+  getEntries(): readonly Instance[];
+  /** Time of the last answer of any entry; null before the first. */
+  getContact(): MonotonicMs | null;
+  /** Polls all entries at once, for example to hand over a crash report. */
+  pollNow(): void;
+  /** Tells all entries that this agent leaves; ends when they know or fail. */
+  announceLeaving(): Promise<void>;
+  /** Methods for the peer listener: `member.ping`. */
+  rpcMethods: RpcMethods;
+}
+
+/** One entry that is being polled. */
+interface Poller {
+  entry: Instance;
+  stopped: AbortController;
+  /** Ends the running poll so that the next one starts at once. */
+  interrupt: AbortController;
+  /** Called after each poll, answered or not. */
+  onPolled: Set<() => void>;
+  /** Tells the entry which members it sent last. */
+  membersHash: string | undefined;
+  loop: Promise<void>;
+}
+
+/** Entries hold a poll for up to 10 s; the rest covers the network. */
+const PULL_TIMEOUT_MS = 15_000;
+const MIN_BACKOFF_MS = 100;
+const MAX_BACKOFF_MS = 5_000;
+/** Bounds the polls of an entry that does not hold them. */
+const MIN_INTERVAL_MS = 50;
+const LEAVING_INTERVAL_MS = 1_000;
+const CHOICE_INTERVAL_MS = 500;
+/** Longest time that leaving waits for the entries, ms. */
+const LEAVING_WAIT_MS = 2_000;
+
+/** Creates the agent's side of configuration distribution. */
+export function createAgentLink(
+  context: Context,
+  options: AgentLinkOptions,
+): AgentLink {
+  const {clock, metrics} = context;
+  const logger = context.logger.part('agent link');
+  const callPeer = options.callPeer ?? createCallPeer(context.clusterSecret);
+  const stopped = new AbortController();
+  const pollers = new Map<string, Poller>();
+  const listeners = new Set<(view: AgentView) => void>();
+  let view: AgentView | null = null;
+  let highest = -1;
+  let highestFencing = -1;
+  let contact: MonotonicMs | null = null;
+  let isLeaving = false;
+  let loop: Promise<void> | undefined;
+
+  metrics.gauge('vc_agent_view_offset', () => view?.offset ?? -1);
+
+  const applyAnswer = (
+    poller: Poller,
+    sentOffset: number,
+    raw: unknown,
+  ): boolean => {
+    const answer = pullAnswerSchema.safeParse(raw);
+    if (!answer.success) return false;
+    contact = clock.now();
+    highest = Math.max(highest, answer.data.highest);
+    const offered = answer.data.view;
+    if (!offered) {
+      // The entry confirms the sent view up to its own offset.
+      const isSame = view !== null && view.offset === sentOffset;
+      if (view && isSame && sentOffset >= 0) {
+        const offset = Math.max(sentOffset, answer.data.highest);
+        view = {...view, offset};
+      }
+      return true;
+    }
+    highestFencing = Math.max(highestFencing, offered.fencing);
+    highest = Math.max(highest, offered.offset);
+    if (view && offered.offset < view.offset) {
+      metrics.count('vc_agent_older_views_total');
+      return true;
+    }
+    view = offered;
+    poller.membersHash = answer.data.membersHash;
+    for (const listener of listeners) listener(offered);
+    return true;
+  };
+
+  const createPull = (poller: Poller, report: AgentReport): Pull => ({
+    instance: {...options.instance, state: isLeaving ? 'leaving' : 'live'},
+    epoch: context.epoch,
+    offset: view?.offset ?? -1,
+    highest,
+    membersHash: poller.membersHash,
+    ...report,
+  });
+
+  /** One poll; returns whether the entry answered. */
+  const poll = async (poller: Poller): Promise<boolean> => {
+    const report = options.getReport(poller.entry);
+    const pull = createPull(poller, report);
+    const answer = await callPeer(
+      poller.entry.peerAddress,
+      'control.pull',
+      pull,
+      PULL_TIMEOUT_MS,
+      poller.interrupt.signal,
+    );
+    if (!answer.ok) return false;
+    if (!applyAnswer(poller, pull.offset, answer.value)) return false;
+    options.onReportDelivered(report, poller.entry);
+    return true;
+  };
+
+  const runPoller = async (poller: Poller) => {
+    let backoffMs = MIN_BACKOFF_MS;
+    while (!poller.stopped.signal.aborted) {
+      poller.interrupt = new AbortController();
+      const {interrupt} = poller;
+      const isAnswered = await poll(poller);
+      if (poller.stopped.signal.aborted) return;
+      if (interrupt.signal.aborted) continue;
+      for (const callback of poller.onPolled) callback();
+      if (!isAnswered) metrics.count('vc_agent_poll_failures_total');
+      const pauseMs = isLeaving ? LEAVING_INTERVAL_MS : MIN_INTERVAL_MS;
+      await clock.waitUntil(
+        getDeadline(clock.now(), isAnswered ? pauseMs : backoffMs),
+        interrupt.signal,
+      );
+      backoffMs = isAnswered
+        ? MIN_BACKOFF_MS
+        : Math.min(backoffMs * 2, MAX_BACKOFF_MS);
+    }
+  };
+
+  const endPoller = (poller: Poller) => {
+    poller.stopped.abort();
+    poller.interrupt.abort();
+  };
+
+  const addPoller = (entry: Instance) => {
+    const poller: Poller = {
+      entry,
+      stopped: new AbortController(),
+      interrupt: new AbortController(),
+      onPolled: new Set(),
+      membersHash: undefined,
+      loop: Promise.resolve(),
+    };
+    pollers.set(entry.id, poller);
+    poller.loop = runPoller(poller);
+  };
+
+  const chooseEntries = () => {
+    const {id, domain} = options.instance;
+    const chosen = getEntriesOfAgent(id, domain, options.entries());
+    const wanted = new Map(chosen.map(entry => [entry.id, entry]));
+    for (const [entryId, poller] of pollers) {
+      const entry = wanted.get(entryId);
+      if (entry?.peerAddress === poller.entry.peerAddress) continue;
+      // Without any known entry the last ones are the best guess.
+      if (wanted.size === 0) continue;
+      endPoller(poller);
+      pollers.delete(entryId);
+    }
+    for (const entry of chosen) {
+      if (!pollers.has(entry.id)) addPoller(entry);
+    }
+  };
+
+  const run = async () => {
+    while (!stopped.signal.aborted) {
+      chooseEntries();
+      await clock.waitUntil(
+        getDeadline(clock.now(), CHOICE_INTERVAL_MS),
+        stopped.signal,
+      );
+    }
+  };
+
+  const pollNow = () => {
+    for (const poller of pollers.values()) poller.interrupt.abort();
+  };
+
+  return {
+    name: 'agent link',
+    start: () => {
+      loop = run();
+    },
+    stop: async () => {
+      stopped.abort();
+      pollers.forEach(endPoller);
+      await loop;
+      await Promise.all([...pollers.values()].map(poller => poller.loop));
+    },
+    getView: () => view,
+    subscribe: listener => {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+    getHighestFencing: () => highestFencing,
+    getHighest: () => highest,
+    getEntries: () => [...pollers.values()].map(poller => poller.entry),
+    getContact: () => contact,
+    pollNow,
+    announceLeaving: async () => {
+      isLeaving = true;
+      logger.info('this agent leaves');
+      const told = [...pollers.values()].map(
+        poller =>
+          new Promise<void>(resolve => poller.onPolled.add(() => resolve())),
+      );
+      pollNow();
+      const expired = new AbortController();
+      await Promise.race([
+        Promise.all(told),
+        clock.waitUntil(
+          getDeadline(clock.now(), LEAVING_WAIT_MS),
+          expired.signal,
+        ),
+      ]);
+      expired.abort();
+    },
+    rpcMethods: {
+      'member.ping': defineMethod(z.unknown(), () => ({
+        instance: {
+          ...options.instance,
+          state: isLeaving ? 'leaving' : 'live',
+        },
+        epoch: context.epoch,
+        highest,
+      })),
+    },
+  };
+}
--- a/packages/daemon/src/controlFollower.ts
+++ b/packages/daemon/src/controlFollower.ts
@@ -51,6 +51,8 @@
 const LOG_SILENCE_MS = 5_000;
 /** How long an append that the log took may wait to be read, ms. */
 const OUTCOME_WAIT_MS = 5_000;
+/** Records of one answer that are published one by one. */
+const MAX_SINGLE_CHANGES = 64;
 /** Append outcomes in a snapshot; later duplicates must be recognized. */
 const SNAPSHOT_OUTCOMES = 512;
 
@@ -180,10 +182,25 @@
     return (rebuild.records.at(-1)?.offset ?? rebuild.start - 1) + 1;
   };
 
+  /** Publishes each change of a short batch, so that no revision is missed. */
+  const applyTail = (records: readonly LogRecord[]) => {
+    if (records.length > MAX_SINGLE_CHANGES) {
+      publish(applyControlRecords(published, records));
+      return;
+    }
+    for (const record of records) {
+      publish(applyControlRecords(published, [record]));
+    }
+  };
+
   const applyRange = (range: StreamRange) => {
     client.noteNext(CONTROL_STREAM, range.next);
+    // The log lost records that were read before; state never goes back.
+    if (range.next < getPosition()) {
+      metrics.count('vc_control_log_behind_total');
+    }
     if (rebuild === null) {
-      publish(applyControlRecords(published, range.records));
+      applyTail(range.records);
       return;
     }
     if (rebuild.tag === 'snapshot') {
--- /dev/null
+++ b/packages/daemon/src/instanceDirectory.ts
@@ -0,0 +1,161 @@
+import type {MonotonicMs} from '@vanillacross/common';
+import {getDeadline} from '@vanillacross/common';
+import type {Instance} from '@vanillacross/domain';
+import type {InstanceListPort} from '@vanillacross/platform';
+
+import type {Context, Part} from './types.js';
+
+/** Follows the platform's lagging list of instances. */
+export interface InstanceDirectory extends Part {
+  /** Listed instances, recently removed ones, and unresolved seeds. */
+  getInstances(): readonly Instance[];
+  /** Entries that are not leaving. */
+  getEntries(): readonly Instance[];
+  /** True if the newest list contains the instance. */
+  isListed(id: string): boolean;
+  /** Calls back after each change; returns a function that unsubscribes. */
+  subscribe(listener: () => void): () => void;
+}
+
+export interface InstanceDirectoryOptions {
+  /** Instances known from the settings, see `createSeedInstance`. */
+  seeds: readonly Instance[];
+  /** Interval between polls of the list, ms. */
+  pollMs?: number;
+}
+
+const POLL_MS = 1_000;
+const MAX_BACKOFF_MS = 5_000;
+/** How long an instance that left the list is kept, ms. */
+export const REMOVED_KEPT_MS = 30_000;
+const SEED_PREFIX = 'seed:';
+
+/** An entry of which only the RPC address is known from the settings. */
+export function createSeedInstance(peerAddress: string): Instance {
+  return {
+    id: `${SEED_PREFIX}${peerAddress}`,
+    role: 'entry',
+    domain: '',
+    address: '',
+    peerAddress,
+    state: 'live',
+  };
+}
+
+/** True until the instance behind a seed address is known. */
+export function isSeed(instance: Instance): boolean {
+  return instance.id.startsWith(SEED_PREFIX);
+}
+
+/** Creates the follower of the instance list. */
+export function createInstanceDirectory(
+  context: Context,
+  listPort: InstanceListPort,
+  options: InstanceDirectoryOptions,
+): InstanceDirectory {
+  const {clock, metrics} = context;
+  const logger = context.logger.part('instances');
+  const stopped = new AbortController();
+  const listeners = new Set<() => void>();
+  const listed = new Map<string, Instance>();
+  const removed = new Map<string, {instance: Instance; until: MonotonicMs}>();
+  let version = 0;
+  let isUp = true;
+  let known: Instance[] = [...options.seeds];
+  let loop: Promise<void> | undefined;
+
+  const refresh = () => {
+    const byAddress = new Map<string, Instance>();
+    for (const seed of options.seeds) byAddress.set(seed.peerAddress, seed);
+    for (const {instance} of removed.values()) {
+      byAddress.set(instance.peerAddress, instance);
+    }
+    // A listed instance replaces an older one at the same address.
+    for (const instance of listed.values()) {
+      byAddress.set(instance.peerAddress, instance);
+    }
+    known = [...byAddress.values()];
+    for (const listener of listeners) listener();
+  };
+
+  const remove = (id: string) => {
+    const instance = listed.get(id);
+    if (!instance) return;
+    listed.delete(id);
+    const until = getDeadline(clock.now(), REMOVED_KEPT_MS);
+    removed.set(id, {instance, until});
+  };
+
+  const dropExpired = (): boolean => {
+    const before = removed.size;
+    for (const [id, {until}] of removed) {
+      if (until <= clock.now()) removed.delete(id);
+    }
+    return removed.size !== before;
+  };
+
+  const poll = async (): Promise<boolean> => {
+    const changes = await listPort.getChanges(version);
+    if (!changes.ok) {
+      if (isUp) {
+        const {error} = changes;
+        logger.warn('the instance list does not answer', {
+          detail: 'detail' in error ? error.detail : error.tag,
+        });
+        metrics.count('vc_instance_list_outages_total');
+      }
+      isUp = false;
+      return false;
+    }
+    isUp = true;
+    const {full, instances, removed: gone} = changes.value;
+    const isChanged = instances.length > 0 || gone.length > 0;
+    // A list that lags behind an earlier answer must not undo it.
+    if (changes.value.version < version && !full) return true;
+    version = changes.value.version;
+    if (full) {
+      const present = new Set(instances.map(instance => instance.id));
+      for (const id of [...listed.keys()]) {
+        if (!present.has(id)) remove(id);
+      }
+    }
+    for (const id of gone) remove(id);
+    for (const instance of instances) {
+      removed.delete(instance.id);
+      listed.set(instance.id, instance);
+    }
+    if (dropExpired() || isChanged || full) refresh();
+    return true;
+  };
+
+  const run = async () => {
+    const pollMs = options.pollMs ?? POLL_MS;
+    let waitMs = pollMs;
+    while (!stopped.signal.aborted) {
+      const isAnswered = await poll();
+      waitMs = isAnswered ? pollMs : Math.min(waitMs * 2, MAX_BACKOFF_MS);
+      await clock.waitUntil(getDeadline(clock.now(), waitMs), stopped.signal);
+    }
+  };
+
+  return {
+    name: 'instance directory',
+    start: () => {
+      loop = run();
+    },
+    stop: async () => {
+      stopped.abort();
+      await loop;
+    },
+    getInstances: () => known,
+    getEntries: () =>
+      known.filter(
+        instance => instance.role === 'entry' && instance.state === 'live',
+      ),
+    isListed: id => listed.has(id),
+    subscribe: listener => {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/membership.ts
@@ -0,0 +1,634 @@
+import type {Epoch, MonotonicMs} from '@vanillacross/common';
+import {as, defineMethod, getDeadline, getHash32} from '@vanillacross/common';
+import type {
+  AgentInstance,
+  ControlState,
+  CrashReport,
+  Instance,
+  Load,
+  Pull,
+  PullAnswer,
+  UsageCell,
+} from '@vanillacross/domain';
+import {
+  getAgentView,
+  getAgentViewChange,
+  getAgentsOfEntry,
+  getBodies,
+  getBody,
+  instanceSchema,
+  isAgent,
+  pullSchema,
+} from '@vanillacross/domain';
+import type {InstanceListPort} from '@vanillacross/platform';
+import {z} from 'zod';
+
+import {createInstanceDirectory, isSeed} from './instanceDirectory.js';
+import type {CallPeer} from './peerCalls.js';
+import {createCallPeer} from './peerCalls.js';
+import type {
+  AgentPresence,
+  Context,
+  ControlFollower,
+  Membership,
+} from './types.js';
+
+export interface MembershipOptions {
+  /** Entries from the settings, see `createSeedInstance`. */
+  seeds: readonly Instance[];
+  callPeer?: CallPeer;
+}
+
+/** Answer to `control.status`: what one entry and its agents have applied. */
+export const entryStatusSchema = z.object({
+  instance: instanceSchema,
+  epoch: z.string(),
+  highest: z.number().int(),
+  isWhole: z.boolean(),
+  agents: z.array(
+    z.object({
+      id: z.string(),
+      upstream: z.string(),
+      offset: z.number().int(),
+    }),
+  ),
+});
+
+export type EntryStatus = z.infer<typeof entryStatusSchema>;
+
+/** What operators may learn from the membership of one entry. */
+export interface EntryMembership extends Membership {
+  getEntryStatus(): EntryStatus;
+  /** Every known agent, also leaving and unreachable ones. */
+  getAgents(): readonly AgentPresence[];
+  /** Marks this entry as leaving in its answers to peers. */
+  setLeaving(): void;
+  /** Failure domains from which something was heard within the bound. */
+  getHeardDomains(): readonly string[];
+}
+
+interface Member {
+  instance: AgentInstance;
+  epoch: Epoch | null;
+  load: Load | null;
+  offset: number;
+  heardAt: MonotonicMs | null;
+  /** Time of the last poll; answers to requests do not count. */
+  polledAt: MonotonicMs | null;
+  /** The agent itself said that it leaves. */
+  hasAnnounced: boolean;
+  failures: number;
+  ejections: number;
+  ejectedUntil: MonotonicMs | null;
+  /** Ends the poll that is held for this agent. */
+  release: () => void;
+}
+
+interface HeardEntry {
+  instance: Instance;
+  heardAt: MonotonicMs;
+}
+
+const HOLD_MS = 10_000;
+const TICK_MS = 1_000;
+/** An agent or peer that was heard within this time is alive, ms. */
+const ALIVE_MS = 30_000;
+/** Longest silence after which authority remains, ms. */
+const AUTHORITY_MS = 5_000;
+/** Silence of a failure domain after which an instance of it is asked, ms. */
+const PING_AFTER_MS = 2_000;
+const PING_TIMEOUT_MS = 1_000;
+/** Failed connections in a row that eject an agent. */
+const EJECT_AFTER = 3;
+const MIN_EJECTION_MS = 1_000;
+const MAX_EJECTION_MS = 30_000;
+
+const pingSchema = z.object({
+  instance: instanceSchema,
+  epoch: z.string(),
+  highest: z.number().int(),
+});
+
+function createMember(instance: AgentInstance): Member {
+  return {
+    instance,
+    epoch: null,
+    load: null,
+    offset: -1,
+    heardAt: null,
+    polledAt: null,
+    hasAnnounced: false,
+    failures: 0,
+    ejections: 0,
+    ejectedUntil: null,
+    release: () => {},
+  };
+}
+
+/** Creates the part that knows the other instances. */
+export function createMembership(
+  context: Context,
+  control: ControlFollower,
+  listPort: InstanceListPort,
+  options: MembershipOptions,
+): EntryMembership {
+  const {clock, metrics, self} = context;
+  const logger = context.logger.part('membership');
+  const callPeer = options.callPeer ?? createCallPeer(context.clusterSecret);
+  const directory = createInstanceDirectory(context, listPort, options);
+  const stopped = new AbortController();
+  const members = new Map<string, Member>();
+  const heardEntries = new Map<string, HeardEntry>();
+  const heardDomains = new Map<string, MonotonicMs>();
+  const pingTurns = new Map<string, number>();
+  const reportListeners = new Set<
+    (cells: UsageCell[], crashes: CrashReport[]) => void
+  >();
+  /** Held polls that wait for a change of the state or of the members. */
+  const holds = new Set<() => void>();
+  const subsets = new Map<string, {until: number; members: Member[]}>();
+  let isSelfLeaving = false;
+  let unsubscribe = () => {};
+  let loop: Promise<void> | undefined;
+
+  metrics.gauge('vc_agents_known', () => members.size);
+  metrics.gauge('vc_polls_held', () => holds.size);
+
+  const isRecent = (time: MonotonicMs | null | undefined, boundMs: number) =>
+    time !== null && time !== undefined && clock.now() - time <= boundMs;
+
+  /** Forgets derived choices and lets held polls look again. */
+  const noteChange = () => {
+    subsets.clear();
+    for (const wake of holds) wake();
+  };
+
+  const isMemberLeaving = (member: Member) =>
+    member.hasAnnounced || member.instance.state === 'leaving';
+
+  const isMemberEjected = (member: Member) =>
+    member.ejectedUntil !== null && member.ejectedUntil > clock.now();
+
+  const createPresence = (member: Member): AgentPresence => ({
+    instance: member.instance,
+    epoch: member.epoch,
+    load: member.load,
+    offset: member.offset,
+    heardAt: member.heardAt,
+    isLeaving: isMemberLeaving(member),
+  });
+
+  const noteHeard = (domain: string) => {
+    if (domain !== '') heardDomains.set(domain, clock.now());
+  };
+
+  const dropMember = (upstream: string) => {
+    members.get(upstream)?.release();
+    members.delete(upstream);
+  };
+
+  /** An address belongs to the instance that was seen there last. */
+  const dropOthersAt = (instance: AgentInstance) => {
+    for (const [upstream, member] of members) {
+      if (upstream === instance.upstream.id) continue;
+      if (member.instance.address !== instance.address) continue;
+      dropMember(upstream);
+    }
+  };
+
+  const setMember = (instance: AgentInstance): Member => {
+    dropMember(instance.upstream.id);
+    dropOthersAt(instance);
+    const member = createMember(instance);
+    members.set(instance.upstream.id, member);
+    return member;
+  };
+
+  const applyListed = (instance: AgentInstance) => {
+    const member = members.get(instance.upstream.id);
+    if (member?.instance.id === instance.id) {
+      // Polls are newer than the list, except for the state it adds.
+      const isHeard = isRecent(member.polledAt, ALIVE_MS);
+      const address = isHeard ? member.instance : instance;
+      member.instance = {...address, state: instance.state};
+      return;
+    }
+    if (member && isRecent(member.heardAt, ALIVE_MS)) return;
+    for (const other of members.values()) {
+      const isSameAddress = other.instance.address === instance.address;
+      if (isSameAddress && isRecent(other.heardAt, ALIVE_MS)) return;
+    }
+    setMember(instance);
+  };
+
+  const applyDirectory = () => {
+    const listed = new Map<string, AgentInstance>();
+    for (const instance of directory.getInstances()) {
+      if (!isAgent(instance)) continue;
+      const other = listed.get(instance.upstream.id);
+      // Of two instances of one upstream, the live listed one counts.
+      const isBetter =
+        instance.state === 'live' && directory.isListed(instance.id);
+      if (!other || isBetter) listed.set(instance.upstream.id, instance);
+    }
+    for (const instance of listed.values()) applyListed(instance);
+    for (const [upstream, member] of members) {
+      if (listed.has(upstream)) continue;
+      if (isRecent(member.heardAt, ALIVE_MS)) continue;
+      dropMember(upstream);
+    }
+    noteChange();
+  };
+
+  const notePull = (pull: Pull, instance: AgentInstance): Member => {
+    const known = members.get(instance.upstream.id);
+    const isNew = known?.instance.id !== instance.id;
+    const isOther = isNew && known && isRecent(known.polledAt, ALIVE_MS);
+    if (isOther && instance.state === 'leaving') {
+      // A predecessor that leaves must not hide its live successor.
+      return createMember(instance);
+    }
+    const wasLeaving = !known || isMemberLeaving(known);
+    const member = known && !isNew ? known : setMember(instance);
+    const isRestarted = member.epoch !== pull.epoch;
+    if (isRestarted) {
+      member.epoch = as<Epoch>(pull.epoch);
+      member.hasAnnounced = false;
+      member.failures = 0;
+      member.ejections = 0;
+      member.ejectedUntil = null;
+    }
+    const isFirstPoll = !isRecent(member.polledAt, ALIVE_MS);
+    member.hasAnnounced ||= instance.state === 'leaving';
+    const {state} = member.instance;
+    member.instance = {...instance, state: isNew ? instance.state : state};
+    member.load = pull.load;
+    member.offset = pull.offset;
+    member.heardAt = clock.now();
+    member.polledAt = member.heardAt;
+    noteHeard(instance.domain);
+    const isChanged = wasLeaving !== isMemberLeaving(member);
+    if (isNew || isRestarted || isFirstPoll || isChanged) noteChange();
+    return member;
+  };
+
+  const getPoolInstances = (pool: string): AgentInstance[] =>
+    [...members.values()]
+      .filter(member => member.instance.upstream.pool === pool)
+      .map(member => ({
+        ...member.instance,
+        state: isMemberLeaving(member)
+          ? ('leaving' as const)
+          : ('live' as const),
+      }))
+      .sort((a, b) => (a.upstream.id < b.upstream.id ? -1 : 1));
+
+  const createAnswer = (answer?: Partial<PullAnswer>): PullAnswer => {
+    const {isWhole, highest} = control.getState();
+    return {
+      entryEpoch: context.epoch,
+      highest: isWhole ? highest : -1,
+      view: null,
+      ...answer,
+    };
+  };
+
+  /** The answer to send now; null if the agent's view is up to date. */
+  const getNewAnswer = (pull: Pull, member: Member): PullAnswer | null => {
+    const state = control.getState();
+    const agent = member.instance;
+    if (!state.isWhole || state.highest < 0) return null;
+    // An older view would be dropped by the agent.
+    if (state.highest < pull.offset) return null;
+    const pool = agent.upstream.pool;
+    const view = getAgentView(state, agent, getPoolInstances(pool));
+    const hasMembers = view.members.length > 0;
+    const membersHash = hasMembers
+      ? getHash32(JSON.stringify(view.members)).toString(16)
+      : undefined;
+    const isCurrent =
+      pull.offset >= 0 && pull.offset >= getAgentViewChange(state, agent);
+    if (isCurrent && pull.membersHash === membersHash) return null;
+    return createAnswer({view, membersHash});
+  };
+
+  /** Resolves when something changed, the hold ended, or it was released. */
+  const waitForChange = async (member: Member, deadline: MonotonicMs) => {
+    const ended = new AbortController();
+    let isReleased = false;
+    const wake = () => ended.abort();
+    holds.add(wake);
+    member.release = () => {
+      isReleased = true;
+      wake();
+    };
+    await clock.waitUntil(deadline, ended.signal);
+    holds.delete(wake);
+    if (isReleased) return 'released';
+    return clock.now() < deadline ? 'changed' : 'expired';
+  };
+
+  const pull = async (params: Pull): Promise<PullAnswer> => {
+    const {instance} = params;
+    metrics.count('vc_pulls_total');
+    if (!isAgent(instance)) return createAnswer();
+    control.noteHighest(Math.max(params.highest, params.offset));
+    members.get(instance.upstream.id)?.release();
+    const member = notePull(params, instance);
+    if (params.cells.length > 0 || params.crashes.length > 0) {
+      for (const listener of reportListeners) {
+        listener(params.cells, params.crashes);
+      }
+    }
+    const deadline = getDeadline(clock.now(), HOLD_MS);
+    let mayHold = instance.state === 'live';
+    for (;;) {
+      const answer = getNewAnswer(params, member);
+      if (answer || !mayHold || stopped.signal.aborted) {
+        return answer ?? createAnswer();
+      }
+      const end = await waitForChange(member, deadline);
+      // A released poll was given up by its agent.
+      if (end === 'released') return createAnswer();
+      mayHold = end === 'changed';
+    }
+  };
+
+  const getKnownDomains = (state: ControlState): Set<string> => {
+    const known = new Set(getBodies(state, 'domain').map(({id}) => id));
+    for (const {instance} of members.values()) known.add(instance.domain);
+    for (const {domain} of directory.getInstances()) known.add(domain);
+    known.add(self.domain);
+    known.delete('');
+    return known;
+  };
+
+  const getHeardDomains = (): string[] => {
+    const known = getKnownDomains(control.getState());
+    return [...known].filter(domain =>
+      isRecent(heardDomains.get(domain), AUTHORITY_MS),
+    );
+  };
+
+  const hasAuthority = (): boolean => {
+    if (isRecent(control.getLogContact(), AUTHORITY_MS)) return true;
+    const known = getKnownDomains(control.getState());
+    return getHeardDomains().length * 2 > known.size;
+  };
+
+  const isSelf = (instance: Instance) =>
+    instance.id === self.id || instance.peerAddress === self.peerAddress;
+
+  const getPeers = (): Instance[] => {
+    const peers = new Map<string, Instance>();
+    for (const instance of directory.getInstances()) {
+      if (instance.role !== 'entry' || isSelf(instance)) continue;
+      peers.set(instance.peerAddress, instance);
+    }
+    for (const {instance, heardAt} of heardEntries.values()) {
+      if (!isRecent(heardAt, ALIVE_MS)) continue;
+      const listed = peers.get(instance.peerAddress);
+      const state = listed?.state === 'leaving' ? 'leaving' : instance.state;
+      peers.set(instance.peerAddress, {...instance, state});
+    }
+    return [...peers.values()].filter(peer => peer.state === 'live');
+  };
+
+  const createPing = () => ({
+    instance: {
+      ...self,
+      state: isSelfLeaving ? ('leaving' as const) : ('live' as const),
+    },
+    epoch: context.epoch,
+    highest: control.getState().highest,
+  });
+
+  const notePing = (ping: z.infer<typeof pingSchema>) => {
+    const {instance} = ping;
+    if (isSelf(instance)) return;
+    control.noteHighest(ping.highest);
+    noteHeard(instance.domain);
+    if (instance.role !== 'entry') return;
+    for (const [id, other] of heardEntries) {
+      const isReplaced = other.instance.peerAddress === instance.peerAddress;
+      if (id !== instance.id && isReplaced) heardEntries.delete(id);
+    }
+    heardEntries.set(instance.id, {instance, heardAt: clock.now()});
+  };
+
+  const sendPing = async (target: Instance): Promise<void> => {
+    const answer = await callPeer(
+      target.peerAddress,
+      'member.ping',
+      createPing(),
+      PING_TIMEOUT_MS,
+      stopped.signal,
+    );
+    const ping = answer.ok ? pingSchema.safeParse(answer.value) : null;
+    if (ping?.success) {
+      notePing(ping.data);
+    } else {
+      // The next ping goes to another instance of the failure domain.
+      const turn = pingTurns.get(target.domain) ?? 0;
+      pingTurns.set(target.domain, turn + 1);
+      metrics.count('vc_ping_failures_total');
+    }
+  };
+
+  /** Asks one instance of each failure domain that was not heard lately. */
+  const pingSilentDomains = () => {
+    const peers = getPeers();
+    for (const peer of peers) if (isSeed(peer)) void sendPing(peer);
+    const agents = [...members.values()].map(member => member.instance);
+    for (const domain of getKnownDomains(control.getState())) {
+      if (isRecent(heardDomains.get(domain), PING_AFTER_MS)) continue;
+      const targets = [...peers, ...agents].filter(
+        target => target.domain === domain && !isSeed(target),
+      );
+      const turn = pingTurns.get(domain) ?? 0;
+      if (targets.length > 0) void sendPing(targets[turn % targets.length]);
+    }
+  };
+
+  const run = async () => {
+    while (!stopped.signal.aborted) {
+      applyExpiry();
+      pingSilentDomains();
+      await clock.waitUntil(getDeadline(clock.now(), TICK_MS), stopped.signal);
+    }
+  };
+
+  /** Removes what was neither listed nor heard for a while. */
+  const applyExpiry = () => {
+    for (const [id, entry] of heardEntries) {
+      if (!isRecent(entry.heardAt, ALIVE_MS)) heardEntries.delete(id);
+    }
+    const isExpired = [...members.values()].some(
+      member =>
+        !directory.isListed(member.instance.id) &&
+        !isRecent(member.heardAt, ALIVE_MS),
+    );
+    if (isExpired) applyDirectory();
+  };
+
+  /** True if an agent may get new work now, ejection apart. */
+  const isEligible = (state: ControlState, member: Member): boolean => {
+    if (isMemberLeaving(member)) return false;
+    const {upstream, domain} = member.instance;
+    const record = getBody(state, 'upstream', upstream.id);
+    if (record?.state === 'draining') return false;
+    const domains = [domain, record?.domain ?? domain];
+    return domains.every(id => getBody(state, 'domain', id)?.state !== 'out');
+  };
+
+  /** The subset of a pool, kept until something changes or ends. */
+  const getSubset = (pool: string): Member[] => {
+    const cached = subsets.get(pool);
+    if (cached && clock.now() < cached.until) return cached.members;
+    const state = control.getState();
+    const eligible = [...members.values()].filter(
+      member =>
+        member.instance.upstream.pool === pool && isEligible(state, member),
+    );
+    const usable = eligible.filter(member => !isMemberEjected(member));
+    const placed = usable.map(member => ({
+      id: member.instance.upstream.id,
+      domain: member.instance.domain,
+      member,
+    }));
+    const chosen = getAgentsOfEntry(self.id, placed, agent =>
+      isRecent(agent.member.polledAt, ALIVE_MS),
+    ).map(agent => agent.member);
+    const ends = eligible.flatMap(member => {
+      const pollEnd =
+        member.polledAt === null ? [] : [member.polledAt + ALIVE_MS + 1];
+      return isMemberEjected(member)
+        ? [...pollEnd, member.ejectedUntil!]
+        : pollEnd;
+    });
+    const future = ends.filter(end => end > clock.now());
+    subsets.set(pool, {until: Math.min(Infinity, ...future), members: chosen});
+    return chosen;
+  };
+
+  const noteFailure = (upstream: string) => {
+    const member = members.get(upstream);
+    if (!member) return;
+    member.failures += 1;
+    // After an ejection, one more failure is enough.
+    const isProbe = member.ejections > 0;
+    if (member.failures < EJECT_AFTER && !isProbe) return;
+    if (isMemberEjected(member)) return;
+    const spanMs = MIN_EJECTION_MS * 2 ** Math.min(member.ejections, 10);
+    member.ejections += 1;
+    member.failures = 0;
+    member.ejectedUntil = getDeadline(
+      clock.now(),
+      Math.min(spanMs, MAX_EJECTION_MS),
+    );
+    subsets.clear();
+    metrics.count('vc_ejections_total');
+    logger.warn('an agent does not answer and gets no work for a while', {
+      upstream,
+      ejections: member.ejections,
+    });
+  };
+
+  const noteAnswer = (upstream: string, load: Load) => {
+    const member = members.get(upstream);
+    if (!member) return;
+    member.load = load;
+    member.heardAt = clock.now();
+    noteHeard(member.instance.domain);
+    member.failures = 0;
+    member.ejections = 0;
+    if (member.ejectedUntil === null) return;
+    member.ejectedUntil = null;
+    subsets.clear();
+  };
+
+  const getEntryStatus = (): EntryStatus => {
+    const state = control.getState();
+    const heard = [...members.values()].filter(member =>
+      isRecent(member.polledAt, ALIVE_MS),
+    );
+    return {
+      instance: createPing().instance,
+      epoch: context.epoch,
+      highest: state.highest,
+      isWhole: state.isWhole,
+      agents: heard.map(({instance, offset}) => {
+        // An unchanged view is in force up to the offset of this entry.
+        const isCurrent =
+          state.isWhole && offset >= getAgentViewChange(state, instance);
+        return {
+          id: instance.id,
+          upstream: instance.upstream.id,
+          offset: isCurrent ? Math.max(offset, state.highest) : offset,
+        };
+      }),
+    };
+  };
+
+  return {
+    name: 'membership',
+    start: async () => {
+      unsubscribe = control.subscribe(noteChange);
+      directory.subscribe(applyDirectory);
+      await directory.start();
+      loop = run();
+    },
+    stop: async signal => {
+      stopped.abort();
+      unsubscribe();
+      noteChange();
+      await directory.stop(signal);
+      await loop;
+    },
+    getInstances: () => {
+      const byId = new Map<string, Instance>();
+      for (const instance of directory.getInstances()) {
+        if (instance.role === 'entry') byId.set(instance.id, instance);
+      }
+      for (const peer of getPeers()) byId.set(peer.id, peer);
+      for (const member of members.values()) {
+        byId.set(member.instance.id, member.instance);
+      }
+      return [...byId.values()];
+    },
+    getPeers,
+    getPoolMembers: pool =>
+      [...members.values()]
+        .filter(member => member.instance.upstream.pool === pool)
+        .sort((a, b) =>
+          a.instance.upstream.id < b.instance.upstream.id ? -1 : 1,
+        )
+        .map(createPresence),
+    getCandidates: pool =>
+      getSubset(pool)
+        .filter(member => !isMemberEjected(member))
+        .map(createPresence),
+    getAgent: upstream => {
+      const member = members.get(upstream);
+      return member ? createPresence(member) : null;
+    },
+    getAgents: () => [...members.values()].map(createPresence),
+    noteAnswer,
+    noteFailure,
+    onReport: listener => void reportListeners.add(listener),
+    hasAuthority,
+    getEntryStatus,
+    setLeaving: () => {
+      isSelfLeaving = true;
+    },
+    getHeardDomains,
+    rpcMethods: {
+      'control.pull': defineMethod(pullSchema, pull),
+      'control.status': defineMethod(z.unknown(), getEntryStatus),
+      'member.ping': defineMethod(pingSchema, params => {
+        notePing(params);
+        return createPing();
+      }),
+    },
+  };
+}
--- a/packages/domain/src/messages.ts
+++ b/packages/domain/src/messages.ts
@@ -44,6 +44,8 @@
   load: loadSchema,
   cells: z.array(usageCellSchema),
   crashes: z.array(crashReportSchema),
+  /** `membersHash` of the last answer that this entry gave to this agent. */
+  membersHash: z.string().optional(),
 });
 
 /** The part of the control state that one agent needs. */
@@ -67,6 +69,8 @@
   entryEpoch: z.string(),
   highest: z.number().int(),
   view: agentViewSchema.nullable(),
+  /** Hash of the members in `view`; sent back with the next poll. */
+  membersHash: z.string().optional(),
 });
 
 /** What an engine or service is ordered to do. */
