--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -1,4 +1,6 @@
 /** Schemas of records and pure decision functions. */
+export * from './agentView.js';
+export * from './checkpointCycle.js';
 export * from './constants.js';
 export * from './controlRecords.js';
 export * from './controlState.js';
@@ -7,3 +9,4 @@
 export * from './messages.js';
 export * from './records.js';
 export * from './settings.js';
+export * from './subset.js';
