Add the agent: data listener, ramp, dedup, fencing and usage

The agent forwards authenticated requests to its upstream and says with trailers whether the answer is whole, which weight versions produced it and what it used. It limits concurrency with a ramp, fences orders, and runs a request with an idempotency key at most once over the agents of a pool.

--- /dev/null
+++ b/packages/daemon/src/agentDedup.ts
@@ -0,0 +1,676 @@
+import type {
+  Clock,
+  Metrics,
+  MonotonicMs,
+  Result,
+  RpcFailure,
+  RpcMethods,
+} from '@vanillacross/common';
+import {createRpcClient, defineMethod, getDeadline} from '@vanillacross/common';
+import type {
+  AgentView,
+  ClaimAnswer,
+  KeyClaim,
+  KeyCompletion,
+  KeyEntry,
+  KeyOutcome,
+  KeySync,
+  KeySyncAnswer,
+  StoredAnswer,
+} from '@vanillacross/domain';
+import {
+  DeadlineTable,
+  claimAnswerSchema,
+  claimKeySchema,
+  completeKeySchema,
+  decideClaim,
+  decideRepeat,
+  getKeyHolders,
+  hasAgreement,
+  isAgent,
+  mergeEntry,
+  syncAnswerSchema,
+  syncKeysSchema,
+} from '@vanillacross/domain';
+import type {ZodType} from 'zod';
+
+import type {AgentLimits} from './agentLimits.js';
+
+/** Interval of questions to the agent that runs a request, ms. */
+const ASK_INTERVAL_MS = 100;
+/** Interval of checks whether keys must be fetched from partners, ms. */
+const SYNC_INTERVAL_MS = 250;
+/** Time before keys are fetched again, ms. */
+const SYNC_RETRY_MS = 1_000;
+/** Largest page of `dedup.sync`, bytes of stored answers. */
+const SYNC_PAGE_BYTES = 1024 * 1024;
+const SYNC_PAGE_ENTRIES = 1_024;
+/** Pages that one partner may send in one round. */
+const MAX_SYNC_PAGES = 256;
+/** Time for one page, ms. */
+const SYNC_TIMEOUT_MS = 5_000;
+const DEFAULT_WINDOW_MS = 600_000;
+
+/** Calls a method of another agent's peer listener. */
+export type PartnerCall = (
+  partner: string,
+  method: string,
+  params: unknown,
+  timeoutMs: number,
+) => Promise<Result<unknown, RpcFailure>>;
+
+/** What deduplication by idempotency key needs. */
+export interface DedupOptions {
+  /** Upstream id of this agent. */
+  self: string;
+  epoch: string;
+  clock: Clock;
+  limits: AgentLimits;
+  metrics: Metrics;
+  secret: string;
+  getView: () => AgentView | null;
+  /** Replaces the calls over HTTP, for tests. */
+  call?: PartnerCall;
+}
+
+/** How a run ended. */
+export type RunOutcome =
+  | {tag: 'not_run'}
+  | {tag: 'done'; answer: StoredAnswer | null}
+  | {tag: 'unknown'};
+
+/** Permission to run the request of a key. */
+export interface KeyRun {
+  /** States the outcome; must be called exactly once. */
+  finish(outcome: RunOutcome): void;
+}
+
+/** What to do with a request that carries an idempotency key. */
+export type KeyDecision =
+  | {tag: 'run'; run: KeyRun}
+  | {tag: 'replay'; answer: StoredAnswer}
+  | {tag: 'unknown'}
+  | {tag: 'reused'}
+  /** Too few partners answered; nothing ran. */
+  | {tag: 'not_ready'};
+
+type ClaimResult =
+  /** The local state has changed and is decided about again. */
+  {tag: 'again'} | {tag: 'decided'; decision: KeyDecision};
+
+/** Runs each idempotency key at most once over the agents of a pool. */
+export class AgentDedup {
+  readonly rpcMethods: RpcMethods;
+  private readonly keys: DeadlineTable<KeyEntry>;
+  private readonly waiters = new Map<string, Set<() => void>>();
+  private readonly removed = new Map<string, number>();
+  private readonly sends = new Set<Promise<unknown>>();
+  private readonly startedAt: number;
+  private members: ReadonlyMap<string, string> = new Map();
+  private firstOffset: number | null = null;
+  private isSynced = false;
+  /** Set when a member left whose keys this agent had not fetched. */
+  private isSyncUseless = false;
+  private needsSync = true;
+  private nextSyncAt = 0;
+  private claimCount = 0;
+  private waiting = 0;
+  /** Size of stored answers; may count expired ones. */
+  private storedBytes = 0;
+
+  constructor(private readonly options: DedupOptions) {
+    this.keys = new DeadlineTable(options.limits.maxKeys);
+    this.startedAt = options.clock.now();
+    this.rpcMethods = {
+      'dedup.claim': defineMethod(claimKeySchema, p => this.answerClaim(p)),
+      'dedup.complete': defineMethod(completeKeySchema, p => this.complete(p)),
+      'dedup.sync': defineMethod(syncKeysSchema, p => this.answerSync(p)),
+    };
+    options.metrics.gauge('vc_agent_keys', () => this.keys.size);
+  }
+
+  /** Says whether anything is known locally about a key. */
+  isRemembered(key: string): boolean {
+    return this.keys.get(key, this.now()) !== null;
+  }
+
+  /** Decides about a request; waits for a run of the same key. */
+  async begin(
+    key: string,
+    fingerprint: string,
+    deadline: MonotonicMs,
+  ): Promise<KeyDecision> {
+    this.noteView();
+    while (this.now() < deadline) {
+      const entry = this.keys.get(key, this.now());
+      const {self, epoch} = this.options;
+      const decision = decideRepeat(entry, fingerprint, self, epoch);
+      switch (decision.tag) {
+        case 'claim': {
+          const result = await this.claim(key, fingerprint, deadline);
+          if (result.tag === 'decided') return result.decision;
+          break;
+        }
+        case 'wait':
+          if (!(await this.waitForChange(key, deadline))) {
+            return {tag: 'unknown'};
+          }
+          break;
+        case 'ask':
+          await this.ask(key, decision.runner, decision.runnerEpoch, deadline);
+          break;
+        default:
+          return decision;
+      }
+    }
+    return {tag: 'unknown'};
+  }
+
+  /** Fetches keys from partners after start and after changes. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.noteView();
+      this.keys.prune(this.now());
+      if (this.needsSync && this.now() >= this.nextSyncAt) await this.sync();
+      const until = getDeadline(this.options.clock.now(), SYNC_INTERVAL_MS);
+      await this.options.clock.waitUntil(until, signal);
+    }
+  }
+
+  /** Waits until partners have heard of all outcomes, or cannot. */
+  async flush(): Promise<void> {
+    await Promise.all(this.sends);
+  }
+
+  /** Says whether this agent knows all keys that it must know. */
+  isInformed(): boolean {
+    if (this.isSynced) return true;
+    if (this.now() >= this.startedAt + this.getWindowMs()) return true;
+    const createdAt = this.options.getView()?.poolCreatedAt ?? -1;
+    return this.firstOffset !== null && createdAt > this.firstOffset;
+  }
+
+  /** Takes over the members of the newest control view. */
+  noteView(): void {
+    const view = this.options.getView();
+    if (!view) return;
+    this.firstOffset ??= view.offset;
+    const members = new Map<string, string>();
+    for (const member of view.members) {
+      if (isAgent(member)) members.set(member.upstream.id, member.peerAddress);
+    }
+    members.delete(this.options.self);
+    const until = this.now() + this.getWindowMs();
+    for (const id of this.members.keys()) {
+      if (members.has(id)) continue;
+      if (!this.isInformed()) this.isSyncUseless = true;
+      this.removed.set(id, until);
+      this.needsSync = true;
+    }
+    for (const id of members.keys()) {
+      if (!this.members.has(id)) this.needsSync = true;
+      this.removed.delete(id);
+    }
+    for (const [id, deadline] of this.removed) {
+      if (deadline <= this.now()) this.removed.delete(id);
+    }
+    this.members = members;
+  }
+
+  private now(): number {
+    return this.options.clock.now();
+  }
+
+  private getWindowMs(): number {
+    return this.options.getView()?.pool?.dedupWindowMs ?? DEFAULT_WINDOW_MS;
+  }
+
+  /** Holders of a key; removed ones count until their keys were fetched. */
+  private getHolders(key: string): string[] {
+    const {self} = this.options;
+    return getKeyHolders(key, [
+      ...new Set([self, ...this.members.keys(), ...this.removed.keys()]),
+    ]);
+  }
+
+  private setEntry(key: string, entry: KeyEntry): boolean {
+    const now = this.now();
+    const kept = this.limitStored(entry);
+    const isOpen =
+      kept.state.tag === 'claiming' || kept.state.tag === 'running';
+    // A short window must not end before the run that it protects.
+    const spanMs = isOpen
+      ? Math.max(this.getWindowMs(), DEFAULT_WINDOW_MS)
+      : this.getWindowMs();
+    const isSet = this.keys.set(key, kept, now + spanMs, now);
+    if (!isSet) this.options.metrics.count('vc_agent_keys_full_total');
+    this.notify(key);
+    return isSet;
+  }
+
+  /** Drops the stored answer if all stored answers take too much memory. */
+  private limitStored(entry: KeyEntry): KeyEntry {
+    if (entry.state.tag !== 'done' || !entry.state.answer) return entry;
+    const {maxStoredTotalBytes} = this.options.limits;
+    const size = entry.state.answer.body.length;
+    if (this.storedBytes + size > maxStoredTotalBytes) this.recountStored();
+    if (this.storedBytes + size > maxStoredTotalBytes) {
+      this.options.metrics.count('vc_agent_stored_answers_dropped_total');
+      return {...entry, state: {tag: 'done', answer: null}};
+    }
+    this.storedBytes += size;
+    return entry;
+  }
+
+  private recountStored(): void {
+    this.storedBytes = 0;
+    this.keys.prune(this.now());
+    for (const [, {value}] of this.keys.getEntries(0, this.now())) {
+      if (value.state.tag !== 'done') continue;
+      this.storedBytes += value.state.answer?.body.length ?? 0;
+    }
+  }
+
+  private deleteEntry(key: string): void {
+    this.keys.delete(key);
+    this.notify(key);
+  }
+
+  private notify(key: string): void {
+    const waiters = this.waiters.get(key);
+    this.waiters.delete(key);
+    for (const wake of waiters ?? []) wake();
+  }
+
+  /** Waits for a change of the key; false if too many wait already. */
+  private async waitForChange(
+    key: string,
+    deadline: MonotonicMs,
+  ): Promise<boolean> {
+    if (this.waiting >= this.options.limits.maxWaiters) return false;
+    this.waiting += 1;
+    const changed = new AbortController();
+    const wake = () => changed.abort();
+    const waiters = this.waiters.get(key) ?? new Set();
+    waiters.add(wake);
+    this.waiters.set(key, waiters);
+    await this.options.clock.waitUntil(deadline, changed.signal);
+    waiters.delete(wake);
+    if (waiters.size === 0 && this.waiters.get(key) === waiters) {
+      this.waiters.delete(key);
+    }
+    this.waiting -= 1;
+    return true;
+  }
+
+  private async call<Answer>(
+    partner: string,
+    method: string,
+    params: unknown,
+    schema: ZodType<Answer>,
+    timeoutMs: number,
+  ): Promise<Answer | null> {
+    const result = await this.callRaw(partner, method, params, timeoutMs);
+    if (!result.ok) {
+      this.options.metrics.count('vc_agent_partner_failures_total', {method});
+      return null;
+    }
+    const parsed = schema.safeParse(result.value);
+    return parsed.success ? parsed.data : null;
+  }
+
+  private async callRaw(
+    partner: string,
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ): Promise<Result<unknown, RpcFailure>> {
+    const {call, secret} = this.options;
+    if (call) return call(partner, method, params, timeoutMs);
+    const address = this.members.get(partner);
+    if (address === undefined) {
+      return {ok: false, error: {tag: 'refused', detail: 'not a member'}};
+    }
+    return createRpcClient(secret, address).call(method, params, timeoutMs);
+  }
+
+  private sendClaim(
+    partner: string,
+    key: string,
+    fingerprint: string,
+    claimNumber: number | null,
+    deadline: MonotonicMs,
+  ): Promise<ClaimAnswer | null> {
+    const leftMs = Math.max(1, deadline - this.now());
+    const timeoutMs = Math.min(this.options.limits.claimTimeoutMs, leftMs);
+    const claim: KeyClaim = {
+      key,
+      fingerprint,
+      from: this.options.self,
+      fromEpoch: this.options.epoch,
+      claimNumber: claimNumber ?? 0,
+      isQuestion: claimNumber === null,
+    };
+    return this.call(
+      partner,
+      'dedup.claim',
+      claim,
+      claimAnswerSchema,
+      timeoutMs,
+    );
+  }
+
+  /** Asks the other holders for permission to run. */
+  private async claim(
+    key: string,
+    fingerprint: string,
+    deadline: MonotonicMs,
+  ): Promise<ClaimResult> {
+    const {self} = this.options;
+    const holders = this.getHolders(key);
+    if (!holders.includes(self)) {
+      return {tag: 'decided', decision: {tag: 'not_ready'}};
+    }
+    const claiming: KeyEntry = {fingerprint, state: {tag: 'claiming'}};
+    const claimNumber = ++this.claimCount;
+    if (!this.setEntry(key, claiming)) {
+      return {tag: 'decided', decision: {tag: 'not_ready'}};
+    }
+    const agreeing = [this.isInformed()];
+    const asked: string[] = [];
+    let agreement = hasAgreement(holders.length, agreeing);
+    for (const partner of holders) {
+      if (partner === self || agreement === 'yes') continue;
+      asked.push(partner);
+      const answer = await this.sendClaim(
+        partner,
+        key,
+        fingerprint,
+        claimNumber,
+        deadline,
+      );
+      // Another claim may have taken the place of this one meanwhile.
+      if (this.keys.get(key, this.now()) !== claiming) {
+        const outcome = {tag: 'released', claimNumber} as const;
+        this.tell(key, fingerprint, asked, outcome);
+        return {tag: 'again'};
+      }
+      if (!answer || answer.answer.tag === 'full') continue;
+      if (answer.answer.tag === 'known') {
+        const {entry} = answer.answer;
+        this.adopt(key, partner, answer.epoch, entry, asked, claimNumber);
+        return {tag: 'again'};
+      }
+      agreeing.push(answer.isInformed);
+      agreement = hasAgreement(holders.length, agreeing);
+    }
+    if (agreement !== 'yes') {
+      this.deleteEntry(key);
+      this.tell(key, fingerprint, asked, {tag: 'released', claimNumber});
+      const tag = agreement === 'uninformed' ? 'unknown' : 'not_ready';
+      this.options.metrics.count('vc_agent_claims_failed_total', {tag});
+      return {tag: 'decided', decision: {tag}};
+    }
+    const {epoch} = this.options;
+    const state = {
+      tag: 'running',
+      runner: self,
+      runnerEpoch: epoch,
+      claimNumber,
+    } as const;
+    this.setEntry(key, {fingerprint, state});
+    const run = this.createRun(key, fingerprint, asked, claimNumber);
+    return {tag: 'decided', decision: {tag: 'run', run}};
+  }
+
+  /** Takes over what a partner knows instead of claiming further. */
+  private adopt(
+    key: string,
+    partner: string,
+    partnerEpoch: string,
+    entry: KeyEntry,
+    asked: readonly string[],
+    claimNumber: number,
+  ): void {
+    const {state} = entry;
+    const others = asked.filter(id => id !== partner);
+    if (state.tag === 'claiming') {
+      // The partner is about to run; its questions are answered the same way.
+      const next = {
+        tag: 'running',
+        runner: partner,
+        runnerEpoch: partnerEpoch,
+        claimNumber: 0,
+      } as const;
+      this.setEntry(key, {...entry, state: next});
+    } else {
+      this.setEntry(key, entry);
+    }
+    const outcome: KeyOutcome =
+      state.tag === 'done' || state.tag === 'unknown'
+        ? state
+        : {tag: 'released', claimNumber};
+    this.tell(key, entry.fingerprint, others, outcome);
+  }
+
+  private createRun(
+    key: string,
+    fingerprint: string,
+    partners: readonly string[],
+    claimNumber: number,
+  ): KeyRun {
+    return {
+      finish: ended => {
+        if (ended.tag === 'not_run') {
+          this.deleteEntry(key);
+          const outcome = {tag: 'released', claimNumber} as const;
+          this.tell(key, fingerprint, partners, outcome);
+          return;
+        }
+        this.setEntry(key, {fingerprint, state: ended});
+        this.tell(key, fingerprint, partners, ended);
+      },
+    };
+  }
+
+  /** Tells partners of an outcome; a lost message leaves them asking. */
+  private tell(
+    key: string,
+    fingerprint: string,
+    partners: readonly string[],
+    outcome: KeyOutcome,
+  ): void {
+    const completion: KeyCompletion = {
+      key,
+      from: this.options.self,
+      fromEpoch: this.options.epoch,
+      fingerprint,
+      outcome,
+    };
+    const {claimTimeoutMs} = this.options.limits;
+    for (const partner of partners) {
+      const send = this.callRaw(
+        partner,
+        'dedup.complete',
+        completion,
+        claimTimeoutMs,
+      );
+      this.sends.add(send);
+      void send.finally(() => this.sends.delete(send));
+    }
+  }
+
+  /** Asks the agent that has the permission how its run went. */
+  private async ask(
+    key: string,
+    runner: string,
+    runnerEpoch: string,
+    deadline: MonotonicMs,
+  ): Promise<void> {
+    const before = this.keys.get(key, this.now());
+    const answer = await this.sendClaim(runner, key, '', null, deadline);
+    const entry = this.keys.get(key, this.now());
+    if (!entry || entry !== before) return;
+    const unknown: KeyEntry = {...entry, state: {tag: 'unknown'}};
+    if (!answer || answer.epoch !== runnerEpoch) {
+      // A claim without an outcome is never run again.
+      this.setEntry(key, unknown);
+      return;
+    }
+    if (answer.answer.tag !== 'known') {
+      // The same process forgets a key early only if nothing ran.
+      this.deleteEntry(key);
+      return;
+    }
+    const {state} = answer.answer.entry;
+    if (state.tag === 'done' || state.tag === 'unknown') {
+      this.setEntry(key, {...entry, state});
+      return;
+    }
+    if (this.isOwnRun(answer.answer.entry)) {
+      // Neither of the two runs it; the other's grant is out of date.
+      this.deleteEntry(key);
+      return;
+    }
+    if (state.tag === 'running' && state.runner !== runner) {
+      this.setEntry(key, {...entry, state});
+    }
+    const next = getDeadline(this.options.clock.now(), ASK_INTERVAL_MS);
+    const until = Math.min(next, deadline) as MonotonicMs;
+    await this.options.clock.waitUntil(until);
+  }
+
+  /** Says whether a partner names this process; it knows that itself. */
+  private isOwnRun({state}: KeyEntry): boolean {
+    const {self, epoch} = this.options;
+    if (state.tag !== 'running') return false;
+    return state.runner === self && state.runnerEpoch === epoch;
+  }
+
+  /** Handler of `dedup.claim`. */
+  answerClaim(claim: KeyClaim): ClaimAnswer {
+    this.noteView();
+    const {self, epoch} = this.options;
+    const entry = this.keys.get(claim.key, this.now());
+    const order = this.getHolders(claim.key);
+    const decision = decideClaim(entry, claim, self, order);
+    const head = {epoch, isInformed: this.isInformed()};
+    const {fingerprint} = claim;
+    switch (decision.tag) {
+      case 'grant': {
+        const state = {
+          tag: 'running',
+          runner: claim.from,
+          runnerEpoch: claim.fromEpoch,
+          claimNumber: claim.claimNumber,
+        } as const;
+        const isSet = this.setEntry(claim.key, {fingerprint, state});
+        return {...head, answer: {tag: isSet ? 'granted' : 'full'}};
+      }
+      case 'lost': {
+        const lost: KeyEntry = {fingerprint, state: {tag: 'unknown'}};
+        this.setEntry(claim.key, lost);
+        return {...head, answer: {tag: 'known', entry: lost}};
+      }
+      default:
+        return {...head, answer: decision};
+    }
+  }
+
+  /** Handler of `dedup.complete`. */
+  complete(completion: KeyCompletion): void {
+    const {key, from, fromEpoch, fingerprint, outcome} = completion;
+    const entry = this.keys.get(key, this.now());
+    const state = entry?.state;
+    if (outcome.tag === 'released') {
+      const isTheirs =
+        state?.tag === 'running' &&
+        state.runner === from &&
+        state.runnerEpoch === fromEpoch &&
+        // A late release must not end a newer claim of the same agent.
+        state.claimNumber <= outcome.claimNumber;
+      if (isTheirs) this.deleteEntry(key);
+      return;
+    }
+    if (state?.tag === 'done') return;
+    if (state?.tag === 'running' && state.runner === this.options.self) return;
+    this.setEntry(key, {fingerprint, state: outcome});
+  }
+
+  /** Handler of `dedup.sync`: entries of which the caller is a holder. */
+  answerSync(sync: KeySync): KeySyncAnswer {
+    const now = this.now();
+    const entries: KeySyncAnswer['entries'] = [];
+    let bytes = 0;
+    let last = sync.after;
+    for (const [key, kept] of this.keys.getEntries(sync.after, now)) {
+      const isFull = bytes > SYNC_PAGE_BYTES;
+      if (isFull || entries.length >= SYNC_PAGE_ENTRIES) {
+        return {isInformed: this.isInformed(), entries, next: last};
+      }
+      last = kept.sequence;
+      if (!getKeyHolders(key, sync.members).includes(sync.from)) continue;
+      const {value: entry, deadline} = kept;
+      entries.push({key, leftMs: deadline - now, entry});
+      if (entry.state.tag === 'done') {
+        bytes += entry.state.answer?.body.length ?? 0;
+      }
+    }
+    return {isInformed: this.isInformed(), entries, next: null};
+  }
+
+  /** Fetches this agent's keys from all members. */
+  private async sync(): Promise<void> {
+    if (this.options.getView() === null) return;
+    const partners = [...this.members.keys()];
+    const removedBefore = [...this.removed.keys()];
+    const members = [this.options.self, ...partners];
+    this.needsSync = false;
+    this.nextSyncAt = this.now() + SYNC_RETRY_MS;
+    let areInformed = true;
+    for (const partner of partners) {
+      const isInformed = await this.syncFrom(partner, members);
+      areInformed &&= isInformed === true;
+    }
+    if (!areInformed) {
+      this.needsSync = true;
+      return;
+    }
+    if (partners.length > 0 && !this.isSyncUseless) this.isSynced = true;
+    // One member that left shared each of its keys with one that is still
+    // here; two that left together may have shared some with each other only.
+    if (this.isInformed() && removedBefore.length === 1) {
+      this.removed.delete(removedBefore[0]);
+    }
+  }
+
+  /** Says whether the partner is informed; null if it did not answer. */
+  private async syncFrom(
+    partner: string,
+    members: string[],
+  ): Promise<boolean | null> {
+    let after = 0;
+    for (let page = 0; page < MAX_SYNC_PAGES; page++) {
+      const params: KeySync = {from: this.options.self, members, after};
+      const answer = await this.call(
+        partner,
+        'dedup.sync',
+        params,
+        syncAnswerSchema,
+        SYNC_TIMEOUT_MS,
+      );
+      if (!answer) return null;
+      for (const {key, entry} of answer.entries) this.merge(key, entry);
+      if (answer.next === null) return answer.isInformed;
+      after = answer.next;
+    }
+    return null;
+  }
+
+  private merge(key: string, remote: KeyEntry): void {
+    const local = this.keys.get(key, this.now());
+    if (this.isOwnRun(remote)) return;
+    const merged = mergeEntry(local, remote);
+    if (merged && merged !== local) this.setEntry(key, merged);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/agentExchange.ts
@@ -0,0 +1,384 @@
+import type * as http from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+import type {Clock, Metrics, MonotonicMs} from '@vanillacross/common';
+import {readBody} from '@vanillacross/common';
+import type {Load, Pool, StoredAnswer} from '@vanillacross/domain';
+import {HEADERS} from '@vanillacross/domain';
+
+import {forward} from './agentForward.js';
+import type {AgentGate} from './agentGate.js';
+import type {AgentRefusal} from './agentHeaders.js';
+import {
+  ENGINE_EPOCH_HEADER,
+  getAnswerHeaders,
+  getHeader,
+  getNumberHeader,
+  getUpstreamHeaders,
+  getUpstreamPath,
+} from './agentHeaders.js';
+import type {AgentLimits} from './agentLimits.js';
+import type {Observation} from './agentObserver.js';
+import {createObserver} from './agentObserver.js';
+import type {AgentUsage} from './agentUsage.js';
+import type {AgentWatcher} from './agentWatcher.js';
+
+/** Trailers of every answer. */
+const TRAILER_NAMES = [HEADERS.outcome, HEADERS.spans, HEADERS.usage].join(
+  ', ',
+);
+const NO_USAGE = {prompt: 0, generated: 0};
+
+/** One admitted request and what it needs to run. */
+export interface Exchange {
+  request: IncomingMessage;
+  response: ServerResponse;
+  pool: Pool;
+  base: URL;
+  gate: AgentGate;
+  watcher: AgentWatcher;
+  usage: AgentUsage;
+  limits: AgentLimits;
+  clock: Clock;
+  metrics: Metrics;
+  keepAlive: http.Agent;
+  /** Aborted to cancel the exchange; the reason says why. */
+  cancel: AbortController;
+  deadline: MonotonicMs;
+  isOnce: boolean;
+  /** With an idempotency key the answer is kept, and nobody cancels it. */
+  isKeyed: boolean;
+  refuse: (reason: AgentRefusal, isNotRun: boolean) => void;
+}
+
+/** What is known about a request after its exchange. */
+export type ExchangeOutcome =
+  /** Proof that no byte reached the upstream. */
+  | {tag: 'not_run'}
+  /** The answer arrived whole; `stored` is null if it was not kept. */
+  | {tag: 'whole'; stored: StoredAnswer | null}
+  /** The request may have run. */
+  | {tag: 'lost'};
+
+type CancelReason = 'caller_gone' | 'deadline' | 'stopped';
+
+function getCancelReason(exchange: Exchange): CancelReason | null {
+  const {signal} = exchange.cancel;
+  return signal.aborted ? (signal.reason as CancelReason) : null;
+}
+
+function isBodiless(exchange: Exchange, status: number): boolean {
+  return exchange.request.method === 'HEAD' || status === 204 || status === 304;
+}
+
+/** Sets the priority in an engine's request body, where it is JSON. */
+function withPriority(body: Buffer, priority: number | null): Buffer {
+  if (priority === null || body.length === 0) return body;
+  try {
+    const value = JSON.parse(body.toString('utf8')) as unknown;
+    if (typeof value !== 'object' || !value || Array.isArray(value)) {
+      return body;
+    }
+    return Buffer.from(JSON.stringify({...value, priority}));
+  } catch {
+    return body;
+  }
+}
+
+type PreparedBody =
+  | {tag: 'body'; body: Buffer | IncomingMessage}
+  | {tag: 'too_large'}
+  | {tag: 'cut'};
+
+async function prepareBody(exchange: Exchange): Promise<PreparedBody> {
+  const {request, pool, isKeyed, limits} = exchange;
+  if (pool.kind === 'plain' && !isKeyed) return {tag: 'body', body: request};
+  const body = await readBody(request, limits.maxBodyBytes);
+  if (!body.ok) return {tag: body.error.tag === 'cut' ? 'cut' : 'too_large'};
+  if (pool.kind === 'plain') return {tag: 'body', body: body.value};
+  const priority = getNumberHeader(request, HEADERS.priority);
+  return {tag: 'body', body: withPriority(body.value, priority)};
+}
+
+function getRequestHeaders(exchange: Exchange, body: Buffer | IncomingMessage) {
+  const headers = getUpstreamHeaders(exchange.request.headers);
+  if (Buffer.isBuffer(body)) headers['content-length'] = String(body.length);
+  return headers;
+}
+
+/** Collects an answer's body for repeats, up to a limit. */
+class Keeper {
+  private chunks: Buffer[] = [];
+  private size = 0;
+
+  constructor(private readonly limitBytes: number) {}
+
+  write(chunk: Buffer): void {
+    this.size += chunk.length;
+    if (this.size <= this.limitBytes) this.chunks.push(chunk);
+    else this.chunks = [];
+  }
+
+  getStored(
+    status: number,
+    headers: StoredAnswer['headers'],
+  ): StoredAnswer | null {
+    if (this.size > this.limitBytes) return null;
+    const body = Buffer.concat(this.chunks).toString('base64');
+    return {status, headers, body};
+  }
+}
+
+/** Writes with backpressure; returns at once if the caller is gone. */
+function write(response: ServerResponse, chunk: Buffer): Promise<void> {
+  if (response.destroyed || response.write(chunk)) return Promise.resolve();
+  return new Promise(resolve => {
+    const done = () => {
+      response.off('drain', done);
+      response.off('close', done);
+      resolve();
+    };
+    response.on('drain', done);
+    response.on('close', done);
+  });
+}
+
+/**
+ * An answer without length or chunks ends when its connection closes, which
+ * also happens when its sender dies; it cannot be shown to be whole.
+ */
+function isDelimited(answer: IncomingMessage): boolean {
+  return (
+    answer.headers['content-length'] !== undefined ||
+    answer.headers['transfer-encoding'] !== undefined
+  );
+}
+
+function countUsage(exchange: Exchange, observed: Observation): void {
+  const {request, usage, metrics} = exchange;
+  const window = getNumberHeader(request, HEADERS.window);
+  if (window === null || !Number.isInteger(window)) {
+    metrics.count('vc_agent_usage_without_window_total');
+    return;
+  }
+  usage.add({
+    window,
+    entryEpoch: getHeader(request, HEADERS.entryEpoch),
+    account: getHeader(request, HEADERS.account),
+    promptTokens: observed.usage.prompt,
+    generatedTokens: observed.usage.generated,
+  });
+}
+
+function getAnswerHead(
+  exchange: Exchange,
+  answer: IncomingMessage,
+): Record<string, string | string[]> {
+  const load = exchange.gate.getLoad();
+  const headers = getAnswerHeaders(answer.headers);
+  if (exchange.pool.kind === 'engine') {
+    headers[ENGINE_EPOCH_HEADER] ??= load.epoch;
+  }
+  return {...headers, [HEADERS.load]: JSON.stringify(load)};
+}
+
+/** Passes the answer on; resolves when the upstream's side has ended. */
+async function passAnswer(
+  exchange: Exchange,
+  answer: IncomingMessage,
+  started: ReturnType<AgentGate['getLive']>,
+  startedAt: number,
+): Promise<ExchangeOutcome> {
+  const {response, gate, pool, clock, metrics, limits} = exchange;
+  const status = answer.statusCode ?? 502;
+  const head = getAnswerHead(exchange, answer);
+  const observer = createObserver(
+    pool.kind,
+    status,
+    answer.headers,
+    started,
+    () => gate.getLive(),
+    () => clock.now(),
+  );
+  const keeper = new Keeper(exchange.isKeyed ? limits.maxStoredBytes : 0);
+  const isStream = String(answer.headers['content-type']).includes(
+    'text/event-stream',
+  );
+  if (isBodiless(exchange, status)) {
+    answer.resume();
+    exchange.gate.noteAnswered();
+    countUsage(exchange, observer.end());
+    sendBodiless(response, status, head);
+    return {tag: 'whole', stored: keeper.getStored(status, head)};
+  }
+  if (!response.destroyed) {
+    response.writeHead(status, {...head, trailer: TRAILER_NAMES});
+    response.flushHeaders();
+  }
+  if (pool.kind === 'plain') gate.noteFirstToken(clock.now() - startedAt);
+  let isFirst = true;
+  let isWhole = isDelimited(answer);
+  try {
+    for await (const chunk of answer as AsyncIterable<Buffer>) {
+      if (isFirst && isStream && pool.kind === 'engine') {
+        gate.noteFirstToken(clock.now() - startedAt);
+      }
+      isFirst = false;
+      observer.write(chunk);
+      if (exchange.isKeyed) keeper.write(chunk);
+      await write(response, chunk);
+    }
+    isWhole &&= answer.complete;
+  } catch {
+    isWhole = false;
+  }
+  const observed = observer.end();
+  isWhole &&= observed.isEnded;
+  if (observed.mismatches > 0) {
+    metrics.count('vc_agent_label_mismatches_total');
+  }
+  const isCallerGone = getCancelReason(exchange) === 'caller_gone';
+  if (isWhole || (isCallerGone && observed.usage.generated > 0)) {
+    countUsage(exchange, observed);
+  }
+  if (isWhole && status < 500) gate.noteAnswered();
+  if (!isWhole) metrics.count('vc_agent_cut_answers_total');
+  sendEnd(response, isWhole, observed);
+  if (!isWhole) return {tag: 'lost'};
+  return {tag: 'whole', stored: keeper.getStored(status, head)};
+}
+
+/** Node sends no trailers without a body, so the outcome is a header. */
+function sendBodiless(
+  response: ServerResponse,
+  status: number,
+  head: Record<string, string | string[]>,
+): void {
+  if (response.destroyed) return;
+  response.writeHead(status, {
+    ...head,
+    [HEADERS.outcome]: 'whole',
+    [HEADERS.spans]: '[]',
+    [HEADERS.usage]: JSON.stringify(NO_USAGE),
+  });
+  response.end();
+}
+
+function sendEnd(
+  response: ServerResponse,
+  isWhole: boolean,
+  observed: Pick<Observation, 'spans' | 'usage'>,
+): void {
+  if (response.destroyed) return;
+  response.addTrailers({
+    [HEADERS.outcome]: isWhole ? 'whole' : 'cut',
+    [HEADERS.spans]: JSON.stringify(observed.spans),
+    [HEADERS.usage]: JSON.stringify(observed.usage),
+  });
+  response.end();
+}
+
+/** Sends a stored answer to a repeat; its usage was counted before. */
+export function sendStored(
+  response: ServerResponse,
+  stored: StoredAnswer,
+  load: Load,
+): void {
+  if (response.destroyed) return;
+  const head = {...stored.headers, [HEADERS.load]: JSON.stringify(load)};
+  const body = Buffer.from(stored.body, 'base64');
+  if (stored.status === 204 || stored.status === 304) {
+    sendBodiless(response, stored.status, head);
+    return;
+  }
+  response.writeHead(stored.status, {...head, trailer: TRAILER_NAMES});
+  response.write(body);
+  sendEnd(response, true, {spans: [], usage: NO_USAGE});
+}
+
+/** Refuses a request whose upstream gave no answer. */
+function refuseFailed(exchange: Exchange, isNotRun: boolean): void {
+  const reason = getCancelReason(exchange);
+  if (reason === 'caller_gone') {
+    exchange.metrics.count('vc_agent_cancelled_total');
+    exchange.response.destroy();
+  } else if (reason === 'deadline') {
+    exchange.refuse('deadline', isNotRun);
+  } else if (reason === 'stopped') {
+    exchange.refuse('leaving', isNotRun);
+  } else {
+    exchange.refuse(
+      isNotRun ? 'upstream_refused' : 'upstream_failed',
+      isNotRun,
+    );
+  }
+}
+
+/**
+ * Runs an admitted request: sends it to the upstream, passes the answer on
+ * with trailers, and says what is known about it.
+ */
+export async function runExchange(
+  exchange: Exchange,
+): Promise<ExchangeOutcome> {
+  const {request, response, cancel, clock, gate, watcher} = exchange;
+  const finished = new AbortController();
+  const abort = (reason: CancelReason) => {
+    if (!cancel.signal.aborted) cancel.abort(reason);
+  };
+  void clock.waitUntil(exchange.deadline, finished.signal).then(() => {
+    if (!finished.signal.aborted) abort('deadline');
+  });
+  const onClose = () => {
+    if (!response.writableFinished && !exchange.isKeyed) abort('caller_gone');
+  };
+  response.on('close', onClose);
+  if (response.destroyed) onClose();
+  try {
+    const prepared = await prepareBody(exchange);
+    if (prepared.tag !== 'body') {
+      if (prepared.tag === 'too_large') exchange.refuse('too_large', true);
+      else response.destroy();
+      return {tag: 'not_run'};
+    }
+    const started = gate.getLive();
+    const startedAt = clock.now();
+    const runEpoch = watcher.getRunEpoch();
+    const noteCut = () => {
+      if (cancel.signal.aborted) return;
+      watcher.noteCut(getHeader(request, HEADERS.fingerprint), runEpoch);
+    };
+    const result = await forward({
+      base: exchange.base,
+      method: request.method ?? 'GET',
+      path: getUpstreamPath(request.url ?? '/'),
+      headers: getRequestHeaders(exchange, prepared.body),
+      body: prepared.body,
+      isFresh: exchange.isOnce,
+      agent: exchange.keepAlive,
+      signal: cancel.signal,
+    });
+    if (!result.ok) {
+      const isNotRun = result.failure.tag === 'not_run';
+      if (!isNotRun) noteCut();
+      refuseFailed(exchange, isNotRun);
+      return isNotRun ? {tag: 'not_run'} : {tag: 'lost'};
+    }
+    const epoch = result.answer.headers[ENGINE_EPOCH_HEADER];
+    // A new engine process may serve another version than the last status.
+    if (epoch !== undefined && epoch !== watcher.getRunEpoch()) {
+      await watcher.check();
+    }
+    const outcome = await passAnswer(
+      exchange,
+      result.answer,
+      started,
+      startedAt,
+    );
+    if (outcome.tag === 'lost') noteCut();
+    return outcome;
+  } finally {
+    finished.abort();
+    response.off('close', onClose);
+  }
+}
--- /dev/null
+++ b/packages/domain/src/fencing.ts
@@ -0,0 +1,80 @@
+import {LEASE_MARGIN_MS, LEASE_MS} from './constants.js';
+import type {Order, OrderOutcome} from './messages.js';
+
+/** Orders whose outcome an agent remembers. */
+const MAX_OUTCOMES = 256;
+
+/** What an agent knows for accepting orders; immutable. */
+export interface Fence {
+  agentEpoch: string;
+  /** Earliest time for the first order on the agent's clock, ms. */
+  readyAt: number;
+  /** Highest fencing number of an accepted order; -1 before the first. */
+  accepted: number;
+  /** Outcomes of finished orders by id, oldest first. */
+  outcomes: ReadonlyMap<string, OrderOutcome>;
+}
+
+/** A fence of an agent that starts now. */
+export function createFence(agentEpoch: string, nowMs: number): Fence {
+  return {
+    agentEpoch,
+    // Orders that the agent's predecessor accepted have expired by then.
+    readyAt: nowMs + LEASE_MS + LEASE_MARGIN_MS,
+    accepted: -1,
+    outcomes: new Map(),
+  };
+}
+
+/** Highest fencing number from orders and from entries. */
+export function getHighestKnown(fence: Fence, heard: number): number {
+  return Math.max(fence.accepted, heard);
+}
+
+export type OrderDecision =
+  {tag: 'accept'} | {tag: 'answer'; outcome: OrderOutcome};
+
+/**
+ * Decides on an order. `heard` is the highest fencing number that an entry
+ * named, null before the first.
+ */
+export function decideOrder(
+  fence: Fence,
+  order: Order,
+  heard: number | null,
+  nowMs: number,
+): OrderDecision {
+  const stored = fence.outcomes.get(order.orderId);
+  if (stored) return {tag: 'answer', outcome: stored};
+  const highestFencing = getHighestKnown(fence, heard ?? -1);
+  const refuse = (
+    reason: (OrderOutcome & {tag: 'refused'})['reason'],
+  ): OrderDecision => ({
+    tag: 'answer',
+    outcome: {tag: 'refused', reason, highestFencing},
+  });
+  if (order.agentEpoch !== fence.agentEpoch) return refuse('other_epoch');
+  if (heard === null || nowMs < fence.readyAt) return refuse('not_ready');
+  if (order.fencing < highestFencing) return refuse('stale_fencing');
+  if (nowMs >= order.validUntilAgentMs) return refuse('expired');
+  return {tag: 'accept'};
+}
+
+/** Raises the fence to an order that is about to be executed. */
+export function withAccepted(fence: Fence, order: Order): Fence {
+  return {...fence, accepted: Math.max(fence.accepted, order.fencing)};
+}
+
+/** Stores the outcome of an executed order for repeats of its id. */
+export function withOutcome(
+  fence: Fence,
+  orderId: string,
+  outcome: OrderOutcome,
+): Fence {
+  const outcomes = new Map(fence.outcomes).set(orderId, outcome);
+  for (const oldest of outcomes.keys()) {
+    if (outcomes.size <= MAX_OUTCOMES) break;
+    outcomes.delete(oldest);
+  }
+  return {...fence, outcomes};
+}
