--- /dev/null
+++ b/packages/domain/src/fencing.test.ts
@@ -0,0 +1,79 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {LEASE_MARGIN_MS, LEASE_MS} from './constants.js';
+import type {Fence} from './fencing.js';
+import {
+  createFence,
+  decideOrder,
+  withAccepted,
+  withOutcome,
+} from './fencing.js';
+import type {Order} from './messages.js';
+
+const READY_MS = LEASE_MS + LEASE_MARGIN_MS;
+const order: Order = {
+  orderId: 'o1',
+  fencing: 7,
+  agentEpoch: 'a1',
+  validUntilAgentMs: READY_MS + 5_000,
+  action: {type: 'activate', model: 'm', version: 2},
+};
+const fence = createFence('a1', 0);
+
+function decide(
+  changed: Partial<Order>,
+  heard: number | null = 7,
+  nowMs = READY_MS,
+  from: Fence = fence,
+): string {
+  const decision = decideOrder(from, {...order, ...changed}, heard, nowMs);
+  if (decision.tag === 'accept') return 'accept';
+  const {outcome} = decision;
+  return outcome.tag === 'refused' ? outcome.reason : outcome.tag;
+}
+
+describe('fencing of orders', () => {
+  it('accepts only orders of the controller in charge', () => {
+    // Guards against orders of two controllers that both believe they are in
+    // charge, before and after a restart of the agent.
+    const newer = withAccepted(fence, {...order, fencing: 9});
+    const cases: Array<[string, string, string]> = [
+      ['current number', decide({}), 'accept'],
+      ['newer number than heard', decide({fencing: 8}), 'accept'],
+      ['old number heard by entries', decide({}, 8), 'stale_fencing'],
+      [
+        'old number after a newer order',
+        decide({}, 7, READY_MS, newer),
+        'stale_fencing',
+      ],
+      ['expired', decide({}, 7, READY_MS + 5_000), 'expired'],
+      [
+        'written for an earlier process',
+        decide({agentEpoch: 'a0'}),
+        'other_epoch',
+      ],
+      ['agent just started', decide({}, 7, READY_MS - 1), 'not_ready'],
+      ['no entry heard', decide({}, null), 'not_ready'],
+    ];
+    for (const [name, actual, expected] of cases) {
+      assert.equal(actual, expected, name);
+    }
+  });
+
+  it('returns the stored outcome for a known order id', () => {
+    // Guards against a second execution when the first answer was lost.
+    const done = withOutcome(fence, 'o1', {tag: 'done'});
+    assert.equal(decide({}, 9, READY_MS + 9_000, done), 'done');
+  });
+
+  it('remembers a limited number of outcomes, the newest ones', () => {
+    // Guards against memory that grows with the number of orders.
+    let many = fence;
+    for (let i = 0; i < 1_000; i++) {
+      many = withOutcome(many, `o${i}`, {tag: 'done'});
+    }
+    assert.equal(many.outcomes.size, 256);
+    assert.ok(many.outcomes.has('o999'));
+  });
+});
--- /dev/null
+++ b/packages/domain/src/spans.test.ts
@@ -0,0 +1,127 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import type {LiveVersions, ObservedSpans} from './spans.js';
+import {
+  MISMATCHED_VERSION,
+  SWAP_GRACE_MS,
+  addTokens,
+  getLiveVersion,
+  noLiveVersions,
+  noSpans,
+  withConfirmed,
+  withPending,
+} from './spans.js';
+
+const first = withConfirmed(noLiveVersions, 1, 0);
+const second = withConfirmed(first, 2, 100);
+
+type Chunk = [live: LiveVersions, label: number | null, nowMs: number];
+
+function observe(chunks: readonly Chunk[]): ObservedSpans {
+  return chunks.reduce(
+    (observed, [live, label, now]) => addTokens(observed, live, label, 1, now),
+    noSpans,
+  );
+}
+
+describe('weight-version spans', () => {
+  it('checks labels against the versions that were live', () => {
+    // Guards against samples labelled with a version that did not produce
+    // them, in any order of swap, confirmation and tokens.
+    const pending = withPending(first, 2);
+    const back = withConfirmed(second, 1, 200);
+    const late = 100 + SWAP_GRACE_MS + 1;
+    const bad = MISMATCHED_VERSION;
+    const cases: Array<[string, Chunk[], Array<[number, number]>]> = [
+      [
+        'one version',
+        [
+          [first, 1, 0],
+          [first, 1, 1],
+        ],
+        [[1, 2]],
+      ],
+      [
+        'swap in mid-answer',
+        [
+          [first, 1, 0],
+          [second, 2, 101],
+        ],
+        [
+          [1, 1],
+          [2, 1],
+        ],
+      ],
+      [
+        'token before its confirmation',
+        [
+          [pending, 2, 50],
+          [second, 2, 101],
+        ],
+        [[2, 2]],
+      ],
+      [
+        'old token in flight',
+        [
+          [first, 1, 0],
+          [second, 1, 101],
+        ],
+        [[1, 2]],
+      ],
+      ['old label long after the swap', [[second, 1, late]], [[bad, 1]]],
+      [
+        'label goes back',
+        [
+          [second, 2, 101],
+          [second, 1, 102],
+        ],
+        [
+          [2, 1],
+          [bad, 1],
+        ],
+      ],
+      [
+        'rollback by order',
+        [
+          [second, 2, 101],
+          [back, 1, 201],
+        ],
+        [
+          [2, 1],
+          [1, 1],
+        ],
+      ],
+      ['version never live', [[first, 9, 0]], [[bad, 1]]],
+      ['no label', [[first, null, 0]], [[bad, 1]]],
+    ];
+    for (const [name, chunks, spans] of cases) {
+      const observed = observe(chunks);
+      assert.deepEqual(observed.spans, spans, name);
+      const isBad = spans.some(([version]) => version === bad);
+      assert.equal(observed.mismatches > 0, isBad, name);
+    }
+  });
+
+  it('changes the live version only on confirmation', () => {
+    // Guards against labels taken from an order that later failed.
+    const pending = withPending(first, 2);
+    assert.equal(getLiveVersion(pending), 1);
+    const failed = withPending(pending, null);
+    assert.equal(observe([[failed, 2, 10]]).mismatches, 1);
+    assert.equal(getLiveVersion(withConfirmed(pending, 2, 10)), 2);
+  });
+
+  it('stays correct and small over many swaps', () => {
+    // Guards against unbounded history, and against wrong positions in it.
+    let live = noLiveVersions;
+    let observed = noSpans;
+    for (let version = 1; version <= 500; version++) {
+      live = withConfirmed(live, version, version);
+      observed = addTokens(observed, live, version, 1, version);
+    }
+    assert.equal(observed.mismatches, 0);
+    assert.ok(live.periods.length <= 64);
+    assert.ok(observed.spans.length <= 64);
+  });
+});
