--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -5,4 +5,7 @@
 export * from './membership.js';
 export * from './operatorActions.js';
 export * from './peerCalls.js';
+export * from './agentLimits.js';
+export * from './agentServer.js';
+export type * from './agentUsage.js';
 export type * from './types.js';
