--- /dev/null
+++ b/packages/daemon/src/callerRequest.ts
@@ -0,0 +1,177 @@
+import type {Result} from '@vanillacross/common';
+import {fail, getSha256, ok, parseJson} from '@vanillacross/common';
+import type {
+  AccessFailure,
+  AccessTable,
+  ControlState,
+  Pool,
+  RouteEntry,
+} from '@vanillacross/domain';
+import {
+  getAccess,
+  getBody,
+  getKeyAccount,
+  getModelRoute,
+  getPathRoutes,
+  hasKeyInPath,
+  isPlainPath,
+  sanitizePath,
+} from '@vanillacross/domain';
+import {createHash} from 'node:crypto';
+import type {IncomingMessage} from 'node:http';
+import {z} from 'zod';
+
+import {createNotRun} from './refusals.js';
+import type {Refusal} from './types.js';
+
+/** The caller's key and its hash; null if the request carries none. */
+export interface CallerKey {
+  key: string;
+  hash: string;
+}
+
+/** A request whose path, method and key were checked. */
+export interface CheckedHead {
+  method: string;
+  /** Path and query without keys. */
+  path: string;
+  key: CallerKey | null;
+  routes: RouteEntry[];
+  /** True if the body must be JSON with a model. */
+  needsModel: boolean;
+}
+
+/** A request that may be dispatched. */
+export interface CheckedRequest {
+  account: string;
+  entry: RouteEntry;
+  pool: Pool;
+  fingerprint: string;
+  /** Estimated tokens; 1 for plain services. */
+  cost: number;
+  /** Prompt prefix hash; '' if none. */
+  affinity: string;
+}
+
+/** Bytes of a token of a prompt, on average; for cost estimates. */
+const BYTES_PER_TOKEN = 4;
+/** Tokens assumed for a completion that states no limit. */
+const DEFAULT_MAX_TOKENS = 256;
+/** Part of a prompt that decides where its prefix is cached, characters. */
+const PREFIX_LENGTH = 256;
+
+const completionSchema = z.looseObject({
+  model: z.string(),
+  max_tokens: z.number().positive().optional().catch(undefined),
+  prompt: z.unknown(),
+  messages: z.unknown(),
+});
+type Completion = z.infer<typeof completionSchema>;
+
+const ACCESS_MESSAGES: Record<AccessFailure, string> = {
+  unauthorized: 'no valid key was given',
+  key_withdrawn: 'the key was withdrawn',
+  forbidden: 'the key gives no access to this route',
+};
+
+/** The key of an `Authorization: Bearer` header. */
+export function getCallerKey(request: IncomingMessage): CallerKey | null {
+  const match = /^Bearer +(\S+) *$/i.exec(request.headers.authorization ?? '');
+  return match ? {key: match[1], hash: getSha256(match[1])} : null;
+}
+
+/** Checks what can be checked before the body is read. */
+export function checkHead(
+  table: AccessTable,
+  state: ControlState,
+  request: IncomingMessage,
+): Result<CheckedHead, Refusal> {
+  const key = getCallerKey(request);
+  const path = sanitizePath(request.url ?? '/', key?.key ?? null);
+  const plain = path.split('?', 1)[0];
+  if (!isPlainPath(plain) || hasKeyInPath(path, key?.key ?? null)) {
+    return fail(createNotRun('bad_request', 'the path is not acceptable'));
+  }
+  const method = request.method ?? 'GET';
+  const routes = getPathRoutes(table, method, plain);
+  if (routes.length === 0) {
+    return fail(createNotRun('route_unknown', 'no route takes this request'));
+  }
+  const isOpen = routes.some(({route}) => route.access === 'open');
+  const account = getKeyAccount(table, key?.hash ?? null);
+  if (!isOpen && !account.ok) {
+    return fail(createNotRun(account.error, ACCESS_MESSAGES[account.error]));
+  }
+  const needsModel = routes.some(
+    ({route}) =>
+      route.model !== undefined ||
+      getBody(state, 'pool', route.pool)?.kind === 'engine',
+  );
+  return ok({method, path, key, routes, needsModel});
+}
+
+function getFingerprint(method: string, path: string, body: Buffer): string {
+  const hash = createHash('sha256').update(`${method}\n${path}\n`);
+  return hash.update(body).digest('hex');
+}
+
+function getPromptText(completion: Completion): string {
+  const prompt = completion.prompt ?? completion.messages ?? '';
+  return typeof prompt === 'string' ? prompt : JSON.stringify(prompt);
+}
+
+function readCompletion(
+  head: CheckedHead,
+  body: Buffer,
+): Result<Completion | null, Refusal> {
+  if (!head.needsModel || body.length === 0) return ok(null);
+  const parsed = parseJson(body.toString('utf8'));
+  const checked = parsed.ok && completionSchema.safeParse(parsed.value);
+  if (!checked || !checked.success) {
+    const message = 'the body is not a JSON object with a model';
+    return fail(createNotRun('bad_request', message));
+  }
+  return ok(checked.data);
+}
+
+function getEstimate(
+  pool: Pool,
+  completion: Completion | null,
+  body: Buffer,
+): {cost: number; affinity: string} {
+  if (pool.kind === 'plain' || !completion) return {cost: 1, affinity: ''};
+  const promptTokens = Math.ceil(body.length / BYTES_PER_TOKEN);
+  const cost = promptTokens + (completion.max_tokens ?? DEFAULT_MAX_TOKENS);
+  const prefix = getPromptText(completion).slice(0, PREFIX_LENGTH);
+  return {cost, affinity: getSha256(`${completion.model}\n${prefix}`)};
+}
+
+/** Checks the rest once the body is there: model, access, quarantine. */
+export function checkBody(
+  table: AccessTable,
+  state: ControlState,
+  head: CheckedHead,
+  body: Buffer,
+): Result<CheckedRequest, Refusal> {
+  const completion = readCompletion(head, body);
+  if (!completion.ok) return completion;
+  const entry = getModelRoute(head.routes, completion.value?.model);
+  if (!entry) {
+    return fail(createNotRun('route_unknown', 'no route takes this model'));
+  }
+  const account = getAccess(table, entry.route, head.key?.hash ?? null);
+  if (!account.ok) {
+    return fail(createNotRun(account.error, ACCESS_MESSAGES[account.error]));
+  }
+  const pool = getBody(state, 'pool', entry.route.pool);
+  if (!pool) {
+    return fail(createNotRun('no_upstream', 'the pool is not configured', 1));
+  }
+  const fingerprint = getFingerprint(head.method, head.path, body);
+  if (state.quarantine.has(fingerprint)) {
+    const message = 'the request crashes upstreams and is not run again';
+    return fail(createNotRun('quarantined', message));
+  }
+  const estimate = getEstimate(pool, completion.value, body);
+  return ok({account: account.value, entry, pool, fingerprint, ...estimate});
+}
--- /dev/null
+++ b/packages/daemon/src/dispatcher.ts
@@ -0,0 +1,248 @@
+import type {Result} from '@vanillacross/common';
+import {fail, getDeadline, ok} from '@vanillacross/common';
+import type {
+  Account,
+  ChoicePolicy,
+  UsageCell,
+  UsageCells,
+} from '@vanillacross/domain';
+import {
+  accountSchema,
+  addUsage,
+  dropUsageBefore,
+  getBody,
+  getUsageWindow,
+  reportingSchema,
+  sanitizeAnswerHeaders,
+} from '@vanillacross/domain';
+
+import type {Grant} from './admissionPump.js';
+import {createAdmissionPump} from './admissionPump.js';
+import {createAgentConnections} from './agentConnection.js';
+import {MAX_BUFFERED_ANSWER} from './answerBuffer.js';
+import {createRequestRun} from './requestRun.js';
+import {createNotRun} from './refusals.js';
+import {createRetryBudgets} from './retryBudgets.js';
+import {createTargets} from './targets.js';
+import type {
+  AnswerEnd,
+  Context,
+  ControlFollower,
+  Dispatcher,
+  DispatchRequest,
+  Membership,
+  Refusal,
+  UpstreamAnswer,
+} from './types.js';
+import {createUpstreamBook} from './upstreamBook.js';
+
+/** Settings of a dispatcher; all have defaults. */
+export interface DispatcherOptions {
+  policy?: ChoicePolicy;
+  /** Uniform in [0, 1); tests pass a fixed sequence. */
+  random?: () => number;
+  /** Largest answer that is kept until it is whole, bytes. */
+  maxBufferedAnswer?: number;
+}
+
+/** Usage windows whose cells are kept for the controller's collection. */
+const KEPT_WINDOWS = 4;
+/** Interval at which a stop looks whether all requests have ended, ms. */
+const STOP_POLL_MS = 20;
+
+const defaultAccount: Account = accountSchema.parse({});
+const defaultReporting = reportingSchema.parse({});
+
+/** Creates the dispatcher of an entry. */
+export function createDispatcher(
+  context: Context,
+  control: ControlFollower,
+  membership: Membership,
+  options: DispatcherOptions = {},
+): Dispatcher {
+  const {clock, metrics} = context;
+  const random = options.random ?? Math.random;
+  const logger = context.logger.part('dispatcher');
+  const book = createUpstreamBook(clock, control, membership);
+  const budgets = createRetryBudgets();
+  const pump = createAdmissionPump(context);
+  const connections = createAgentConnections(() =>
+    metrics.count('vc_late_answers'),
+  );
+  const cells: UsageCells = new Map();
+  const hardStop = new AbortController();
+  let isStopping = false;
+
+  function getWindow(): number {
+    const reporting = getBody(control.getState(), 'reporting', 'default');
+    const {windowMs} = reporting ?? getAnyReporting();
+    return getUsageWindow(clock.wallNow(), windowMs);
+  }
+
+  function getAnyReporting(): {windowMs: number} {
+    for (const [key, record] of control.getState().records) {
+      if (key.startsWith('reporting/') && record.body !== null) {
+        return record.body as {windowMs: number};
+      }
+    }
+    return defaultReporting;
+  }
+
+  function countUsage(
+    request: DispatchRequest,
+    upstream: string,
+    window: number,
+    agentEpoch: string | null,
+    end: AnswerEnd,
+  ): void {
+    const epoch = agentEpoch ?? membership.getAgent(upstream)?.epoch ?? null;
+    if (epoch === null) {
+      // A cell without the agent's epoch would not merge with the agent's.
+      metrics.count('vc_usage_unattributed');
+      return;
+    }
+    const id = {
+      window,
+      entryEpoch: context.epoch,
+      agentEpoch: epoch,
+      account: request.account,
+    };
+    addUsage(cells, id, {
+      requests: 1,
+      promptTokens: end.usage.prompt,
+      generatedTokens: end.usage.generated,
+    });
+    dropUsageBefore(cells, window - KEPT_WINDOWS);
+  }
+
+  /**
+   * Aborts at the deadline, when the caller cancels, or at a hard stop.
+   * Own listeners, as `AbortSignal.any` keeps memory for signals that live
+   * as long as the process.
+   */
+  function createRequestSignal(
+    request: DispatchRequest,
+    ended: AbortSignal,
+  ): AbortSignal {
+    const controller = new AbortController();
+    const abort = () => controller.abort();
+    const sources = [request.signal, hardStop.signal];
+    if (sources.some(source => source.aborted)) abort();
+    for (const source of sources) source.addEventListener('abort', abort);
+    const release = () => {
+      for (const source of sources) source.removeEventListener('abort', abort);
+    };
+    ended.addEventListener('abort', release, {once: true});
+    void clock
+      .waitUntil(request.deadline, ended)
+      .then(() => ended.aborted || abort());
+    return controller.signal;
+  }
+
+  async function sendAdmitted(
+    request: DispatchRequest,
+    account: Account,
+    targets: ReturnType<typeof createTargets>,
+    grant: Grant,
+  ): Promise<Result<UpstreamAnswer, Refusal>> {
+    const window = getWindow();
+    const startedAt = clock.now();
+    const ended = new AbortController();
+    const run = createRequestRun({
+      context,
+      request,
+      targets,
+      book,
+      budgets,
+      connections,
+      membership,
+      random,
+      window,
+      getOffset: () => control.getState().highest,
+      maxBufferedAnswer: options.maxBufferedAnswer ?? MAX_BUFFERED_ANSWER,
+      signal: createRequestSignal(request, ended.signal),
+      onSent: () => grant.noteSent(),
+    });
+    const outcome = await run();
+    if (!outcome.ok) {
+      ended.abort();
+      grant.finish();
+      return outcome;
+    }
+    const {answer, upstream, agentEpoch, body, finished} = outcome.value;
+    metrics.observe('vc_first_byte_ms', clock.now() - startedAt);
+    void finished.then(result => {
+      ended.abort();
+      metrics.observe('vc_dispatch_ms', clock.now() - startedAt);
+      if (!result.ok) return grant.finish();
+      const {usage} = result.value;
+      budgets.credit(request.account, account.retryRatio, upstream);
+      countUsage(request, upstream, window, agentEpoch, result.value);
+      const tokens = usage.prompt + usage.generated;
+      grant.finish(tokens > 0 ? tokens : undefined);
+    });
+    const headers = sanitizeAnswerHeaders(answer.headers);
+    return ok({status: answer.status, headers, upstream, body, finished});
+  }
+
+  async function dispatch(
+    request: DispatchRequest,
+  ): Promise<Result<UpstreamAnswer, Refusal>> {
+    if (isStopping) {
+      const message = 'the entry is shutting down';
+      return fail(createNotRun('draining', message, 1));
+    }
+    const state = control.getState();
+    const account = getBody(state, 'account', request.account);
+    const limits = account ?? defaultAccount;
+    const targets = createTargets(
+      {
+        membership,
+        book,
+        policy: options.policy ?? 'score',
+        random,
+        domain: context.self.domain,
+      },
+      request,
+    );
+    if (targets.isEmpty) {
+      const message = 'the pool has no upstream';
+      return fail(createNotRun('no_upstream', message, 1));
+    }
+    const grant = await pump.admit(
+      request,
+      limits,
+      targets.queue,
+      targets.getCapacity,
+    );
+    if (!grant.ok) return grant;
+    return sendAdmitted(request, limits, targets, grant.value);
+  }
+
+  return {
+    name: 'dispatcher',
+    start: () => {
+      metrics.gauge('vc_requests_running', () => pump.getRunning());
+    },
+    stop: async signal => {
+      isStopping = true;
+      while (pump.getRunning() > 0 && !signal.aborted) {
+        const next = getDeadline(clock.now(), STOP_POLL_MS);
+        await clock.waitUntil(next, signal);
+      }
+      const cut = pump.getRunning();
+      if (cut > 0) logger.warn('stopped before all requests ended', {cut});
+      hardStop.abort();
+      pump.refuseAll(createNotRun('draining', 'the entry is shutting down', 1));
+      connections.close();
+    },
+    dispatch: async request => {
+      const result = await dispatch(request);
+      if (!result.ok) {
+        metrics.count('vc_dispatch_failures', {reason: result.error.tag});
+      }
+      return result;
+    },
+    getCells: (): readonly UsageCell[] => [...cells.values()],
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/requestRun.ts
@@ -0,0 +1,241 @@
+import type {Result} from '@vanillacross/common';
+import {fail, getDeadline, ok} from '@vanillacross/common';
+import {getBackoffMs} from '@vanillacross/domain';
+import {randomUUID} from 'node:crypto';
+
+import type {AgentConnections} from './agentConnection.js';
+import {readAnswerStart} from './answerBuffer.js';
+import type {ArrivingAnswer, AttemptOutcome} from './attempt.js';
+import {sendAttempt} from './attempt.js';
+import type {AttemptFailure} from './attemptDecision.js';
+import {decideAfterFailure, isHomeGone} from './attemptDecision.js';
+import {createMaybeRun, createNotRun} from './refusals.js';
+import type {RetryBudgets} from './retryBudgets.js';
+import type {Targets} from './targets.js';
+import type {
+  AgentPresence,
+  AnswerEnd,
+  Context,
+  DispatchRequest,
+  Membership,
+  Refusal,
+  RefusalCode,
+} from './types.js';
+import type {UpstreamBook} from './upstreamBook.js';
+
+/** What the run of one admitted request uses. */
+export interface RunInput {
+  context: Context;
+  request: DispatchRequest;
+  targets: Targets;
+  book: UpstreamBook;
+  budgets: RetryBudgets;
+  connections: AgentConnections;
+  membership: Membership;
+  random: () => number;
+  /** Usage window in which the request started. */
+  window: number;
+  getOffset: () => number;
+  maxBufferedAnswer: number;
+  /** Aborted at the deadline, by the caller or at a hard stop. */
+  signal: AbortSignal;
+  /** Called when an upstream's own in-flight count includes the request. */
+  onSent: () => void;
+}
+
+/** An answer that may be passed on. */
+export interface RunAnswer {
+  answer: ArrivingAnswer;
+  upstream: string;
+  agentEpoch: string | null;
+  body: AsyncIterable<Buffer>;
+  finished: Promise<Result<AnswerEnd, Refusal>>;
+}
+
+type Step =
+  {tag: 'answer'; value: RunAnswer} | {tag: 'failure'; failure: AttemptFailure};
+
+/** Retries of one request; waiting for room at full upstreams is not one. */
+const MAX_RETRIES = 4;
+/** Interval at which a request looks for an upstream with room, ms. */
+const ROOM_POLL_MS = 10;
+
+const MESSAGES: Partial<Record<RefusalCode, string>> = {
+  cancelled: 'the caller cancelled the request',
+  deadline: 'the deadline passed',
+  outcome_unknown: 'the request may have run; its outcome is not known',
+  quarantined: 'the request crashes upstreams',
+  retry_budget: 'the retry budget is used up',
+  upstream_failed: 'the upstream gave no whole answer',
+};
+
+async function* getSingle(body: Buffer): AsyncGenerator<Buffer> {
+  if (body.length > 0) yield body;
+}
+
+/** Creates the function that sends a request until it has an answer. */
+export function createRequestRun(
+  input: RunInput,
+): () => Promise<Result<RunAnswer, Refusal>> {
+  const {context, request, targets, book, membership, signal} = input;
+  const {clock, metrics} = context;
+  let mayHaveRun = false;
+  let retries = 0;
+  let waits = 0;
+
+  function refuse(code: RefusalCode): Result<RunAnswer, Refusal> {
+    const message = MESSAGES[code] ?? code;
+    if (!mayHaveRun) return fail(createNotRun(code, message, 1));
+    // Once sent, a request that must not be repeated has an unknown outcome.
+    if (request.repeat === 'once') {
+      const unknown = MESSAGES.outcome_unknown ?? '';
+      return fail(createMaybeRun('outcome_unknown', unknown));
+    }
+    return fail(createMaybeRun(code, message));
+  }
+
+  function getAbortCode(): RefusalCode {
+    if (request.signal.aborted) return 'cancelled';
+    return clock.now() >= request.deadline ? 'deadline' : 'draining';
+  }
+
+  async function wait(spanMs: number): Promise<void> {
+    await clock.waitUntil(getDeadline(clock.now(), spanMs), signal);
+  }
+
+  /** Waits for a target that has room; null when the request is over. */
+  async function getTarget(): Promise<AgentPresence | null> {
+    while (!signal.aborted && clock.now() < request.deadline) {
+      const target = targets.getNext();
+      if (target) return target;
+      await wait(ROOM_POLL_MS);
+    }
+    return null;
+  }
+
+  function getFinished(
+    answer: ArrivingAnswer,
+    end: () => void,
+  ): Promise<Result<AnswerEnd, Refusal>> {
+    return answer.ended.then(result => {
+      end();
+      if (result) return ok(result);
+      metrics.count('vc_answers_cut');
+      const code = signal.aborted ? getAbortCode() : 'answer_cut';
+      const message = MESSAGES[code] ?? 'the answer was cut';
+      return fail(createMaybeRun(code, message));
+    });
+  }
+
+  async function readAnswer(
+    target: AgentPresence,
+    outcome: Extract<AttemptOutcome, {tag: 'answer'}>,
+    end: () => void,
+  ): Promise<Step> {
+    const {answer, agentEpoch} = outcome;
+    const upstream = target.instance.upstream.id;
+    const start = await readAnswerStart(answer, input.maxBufferedAnswer);
+    if (start.tag === 'cut') {
+      end();
+      return {
+        tag: 'failure',
+        failure: {
+          isNotRun: false,
+          reason: 'answer_cut',
+          load: outcome.load,
+          isConnected: true,
+        },
+      };
+    }
+    const finished = getFinished(answer, end);
+    const body = start.tag === 'whole' ? getSingle(start.body) : start.body;
+    return {
+      tag: 'answer',
+      value: {answer, upstream, agentEpoch, body, finished},
+    };
+  }
+
+  async function sendTo(target: AgentPresence): Promise<Step> {
+    const upstream = target.instance.upstream.id;
+    book.begin(upstream);
+    input.onSent();
+    metrics.count('vc_sends');
+    let isEnded = false;
+    const end = () => {
+      if (!isEnded) book.end(upstream);
+      isEnded = true;
+    };
+    const outcome = await sendAttempt({
+      request,
+      attemptId: randomUUID(),
+      address: target.instance.address,
+      entryEpoch: context.epoch,
+      window: input.window,
+      offset: input.getOffset(),
+      clusterSecret: context.clusterSecret,
+      clock,
+      connections: input.connections,
+      signal,
+    });
+    if (outcome.load) {
+      book.noteLoad(upstream, outcome.load);
+      membership.noteAnswer(upstream, outcome.load);
+    }
+    if (outcome.tag === 'answer') {
+      mayHaveRun = true;
+      return readAnswer(target, outcome, end);
+    }
+    end();
+    const isNotRun = outcome.tag === 'notRun';
+    if (!isNotRun) mayHaveRun = true;
+    const {reason, load, isConnected} = outcome;
+    if (!isConnected && !signal.aborted) membership.noteFailure(upstream);
+    return {tag: 'failure', failure: {isNotRun, reason, load, isConnected}};
+  }
+
+  /** Prepares the next send, or says why there is none. */
+  async function prepareRetry(
+    target: AgentPresence,
+    failure: AttemptFailure,
+  ): Promise<Result<'wait' | 'retry', RefusalCode>> {
+    if (signal.aborted) return fail(getAbortCode());
+    const decision = decideAfterFailure(request.repeat, failure);
+    if (decision.tag === 'stop') {
+      if (!decision.notRun) mayHaveRun = true;
+      return fail(decision.code);
+    }
+    if (decision.tag === 'wait') {
+      metrics.count('vc_retries', {reason: failure.reason});
+      await wait(getBackoffMs(waits++, input.random));
+      return ok('wait');
+    }
+    retries += 1;
+    if (retries > MAX_RETRIES) return fail('upstream_failed');
+    if (!input.budgets.takeOfAccount(request.account)) {
+      return fail('retry_budget');
+    }
+    metrics.count('vc_retries', {reason: failure.reason});
+    if (request.idempotencyKey === undefined || isHomeGone(failure)) {
+      targets.exclude(target.instance.upstream.id);
+    }
+    await wait(getBackoffMs(retries - 1, input.random));
+    return ok('retry');
+  }
+
+  return async () => {
+    let isCharged = false;
+    for (;;) {
+      const target = await getTarget();
+      if (!target) return refuse(getAbortCode());
+      const upstream = target.instance.upstream.id;
+      if (isCharged && !input.budgets.takeOfUpstream(upstream)) {
+        return refuse('retry_budget');
+      }
+      const step = await sendTo(target);
+      if (step.tag === 'answer') return ok(step.value);
+      const next = await prepareRetry(target, step.failure);
+      if (!next.ok) return refuse(next.error);
+      isCharged = next.value === 'retry';
+    }
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/retryBudgets.ts
@@ -0,0 +1,62 @@
+import type {RetryBudget} from '@vanillacross/domain';
+import {
+  creditSuccess,
+  newRetryBudget,
+  takeRetry,
+  UPSTREAM_RETRY_RATIO,
+} from '@vanillacross/domain';
+
+/** Retry budgets of accounts and upstreams at one entry. */
+export interface RetryBudgets {
+  /** Credits a whole answer; `ratio` is the account's retry ratio. */
+  credit(account: string, ratio: number, upstream: string): void;
+  /** Takes a retry of the account; false if it has none left. */
+  takeOfAccount(account: string): boolean;
+  /** Takes a retry to the upstream; false if it has none left. */
+  takeOfUpstream(upstream: string): boolean;
+}
+
+/** Budgets that are kept; the least recently created go first. */
+const MAX_BUDGETS = 8_192;
+
+/** Creates the budgets of an entry. */
+export function createRetryBudgets(): RetryBudgets {
+  const accounts = new Map<string, RetryBudget>();
+  const upstreams = new Map<string, RetryBudget>();
+
+  function put(
+    budgets: Map<string, RetryBudget>,
+    id: string,
+    budget: RetryBudget,
+  ): void {
+    budgets.set(id, budget);
+    if (budgets.size <= MAX_BUDGETS) return;
+    for (const oldest of budgets.keys()) {
+      budgets.delete(oldest);
+      return;
+    }
+  }
+
+  function credit(
+    budgets: Map<string, RetryBudget>,
+    id: string,
+    ratio: number,
+  ): void {
+    put(budgets, id, creditSuccess(budgets.get(id) ?? newRetryBudget, ratio));
+  }
+
+  function take(budgets: Map<string, RetryBudget>, id: string): boolean {
+    const taken = takeRetry(budgets.get(id) ?? newRetryBudget);
+    if (taken) put(budgets, id, taken);
+    return taken !== null;
+  }
+
+  return {
+    credit: (account, ratio, upstream) => {
+      credit(accounts, account, ratio);
+      credit(upstreams, upstream, UPSTREAM_RETRY_RATIO);
+    },
+    takeOfAccount: account => take(accounts, account),
+    takeOfUpstream: upstream => take(upstreams, upstream),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/routePath.ts
@@ -0,0 +1,287 @@
+import type {Result} from '@vanillacross/common';
+import {fail, getDeadline, getSha256, ok} from '@vanillacross/common';
+import type {AccessTable} from '@vanillacross/domain';
+import {
+  getAccess,
+  getKeyAccount,
+  sanitizeRequestHeaders,
+} from '@vanillacross/domain';
+import {randomUUID} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+import {writeAnswer} from './answerWriter.js';
+import type {BodyBudget} from './callerBody.js';
+import {readCallerBody} from './callerBody.js';
+import type {CheckedHead, CheckedRequest} from './callerRequest.js';
+import {checkBody, checkHead} from './callerRequest.js';
+import type {CallerLimits} from './callerServer.js';
+import type {ConnectedCallers} from './connectedCallers.js';
+import {createMaybeRun, createNotRun, sendRefusal} from './refusals.js';
+import type {
+  Context,
+  ControlFollower,
+  Dispatcher,
+  DispatchRequest,
+  Membership,
+  Refusal,
+  RefusalCode,
+  UpstreamAnswer,
+} from './types.js';
+
+/** What the route path uses of its server. */
+export interface RouteContext {
+  context: Context;
+  control: ControlFollower;
+  membership: Membership;
+  dispatcher: Dispatcher;
+  connectedCallers: ConnectedCallers;
+  bodies: BodyBudget;
+  limits: CallerLimits;
+  getTable(): AccessTable;
+  countRefusal(code: RefusalCode): void;
+  isDraining(): boolean;
+}
+
+/** One request of a caller while it is handled. */
+interface CallerExchange {
+  request: IncomingMessage;
+  response: ServerResponse;
+  /** Aborted when the caller is gone or its key is withdrawn. */
+  controller: AbortController;
+  isWithdrawn: boolean;
+}
+
+/** Longest accepted idempotency key, characters. */
+const MAX_IDEMPOTENCY_KEY = 256;
+
+/** Time for the caller to read the error that ends its stream, ms. */
+const WITHDRAW_GRACE_MS = 2_000;
+
+/** Codes after which the rest of the request body is not read. */
+const CLOSING_CODES: ReadonlySet<RefusalCode> = new Set([
+  'too_large',
+  'key_withdrawn',
+  'draining',
+]);
+
+/** True if the route's callers must be known but cannot be checked now. */
+function lacksAuthority(server: RouteContext): boolean {
+  return (
+    !server.membership.hasAuthority() || !server.control.getState().isWhole
+  );
+}
+
+function createAuthorityLost(): Refusal {
+  const message = 'this entry cannot check keys at the moment';
+  return createNotRun('authority_lost', message, 1);
+}
+
+function checkCallerHead(
+  server: RouteContext,
+  request: IncomingMessage,
+): Result<CheckedHead, Refusal> {
+  const state = server.control.getState();
+  const head = checkHead(server.getTable(), state, request);
+  // Keys are not judged by a state that may lack them.
+  const isJudged = !head.ok && head.error.tag === 'unauthorized';
+  if (isJudged && request.headers.authorization && lacksAuthority(server)) {
+    return fail(createAuthorityLost());
+  }
+  if (!head.ok) return head;
+  const needsKey = head.value.routes.every(
+    ({route}) => route.access !== 'open',
+  );
+  if (needsKey && lacksAuthority(server)) return fail(createAuthorityLost());
+  return head;
+}
+
+function checkCallerBody(
+  server: RouteContext,
+  head: CheckedHead,
+  body: Buffer,
+): Result<CheckedRequest, Refusal> {
+  const table = server.getTable();
+  const checked = checkBody(table, server.control.getState(), head, body);
+  if (!checked.ok || !lacksAuthority(server)) return checked;
+  const {route} = checked.value.entry;
+  if (route.access !== 'open') return fail(createAuthorityLost());
+  // Open routes are served without regard to keys that cannot be checked.
+  const account = getAccess(table, route, null);
+  return account.ok ? ok({...checked.value, account: account.value}) : checked;
+}
+
+function getIdempotencyKey(
+  request: IncomingMessage,
+  checked: CheckedRequest,
+): Result<string | undefined, Refusal> {
+  const value = request.headers['idempotency-key'];
+  if (checked.entry.route.repeat !== 'once' || value === undefined) {
+    return ok(undefined);
+  }
+  const text = Array.isArray(value) ? value.join(',') : value;
+  if (text === '' || text.length > MAX_IDEMPOTENCY_KEY) {
+    const message = `an idempotency key has 1 to ${MAX_IDEMPOTENCY_KEY} characters`;
+    return fail(createNotRun('bad_request', message));
+  }
+  return ok(getSha256(`${checked.account}\n${text}`));
+}
+
+function createDispatchRequest(
+  server: RouteContext,
+  exchange: CallerExchange,
+  head: CheckedHead,
+  checked: CheckedRequest,
+  body: Buffer,
+): Result<DispatchRequest, Refusal> {
+  const {route} = checked.entry;
+  const idempotencyKey = getIdempotencyKey(exchange.request, checked);
+  if (!idempotencyKey.ok) return idempotencyKey;
+  const key = head.key?.key ?? null;
+  return ok({
+    requestId: randomUUID(),
+    account: checked.account,
+    poolId: route.pool,
+    pool: checked.pool,
+    method: head.method,
+    path: head.path,
+    headers: sanitizeRequestHeaders(exchange.request.headers, key),
+    body,
+    repeat: route.repeat,
+    idempotencyKey: idempotencyKey.value,
+    fingerprint: checked.fingerprint,
+    priority: route.priority,
+    cost: checked.cost,
+    affinity: checked.affinity,
+    deadline: getDeadline(server.context.clock.now(), route.timeoutMs),
+    signal: exchange.controller.signal,
+  });
+}
+
+/** Replaces the code when the request ended because of its key. */
+function getSeenRefusal(exchange: CallerExchange, refusal: Refusal): Refusal {
+  if (!exchange.isWithdrawn) return refusal;
+  const message = 'the key was withdrawn';
+  return refusal.notRun
+    ? createNotRun('key_withdrawn', message)
+    : createMaybeRun('key_withdrawn', message);
+}
+
+/** Ends a request whose key was withdrawn (R6). */
+function withdrawExchange(
+  server: RouteContext,
+  exchange: CallerExchange,
+): void {
+  const {clock} = server.context;
+  const closed = new AbortController();
+  exchange.isWithdrawn = true;
+  exchange.controller.abort();
+  exchange.response.once('close', () => closed.abort());
+  // A caller that does not read its last bytes must not stay connected.
+  void clock
+    .waitUntil(getDeadline(clock.now(), WITHDRAW_GRACE_MS), closed.signal)
+    .then(() => closed.signal.aborted || exchange.request.socket.destroy());
+}
+
+async function passOn(
+  server: RouteContext,
+  exchange: CallerExchange,
+  requestId: string,
+  answer: UpstreamAnswer,
+): Promise<void> {
+  const {response} = exchange;
+  const extra: Record<string, string> = {'x-request-id': requestId};
+  if (server.isDraining()) extra['connection'] = 'close';
+  const seen: UpstreamAnswer = {
+    ...answer,
+    finished: answer.finished.then(result =>
+      result.ok ? result : fail(getSeenRefusal(exchange, result.error)),
+    ),
+  };
+  const {stallMs} = server.limits;
+  const outcome = await writeAnswer(response, seen, stallMs, extra);
+  if (outcome.tag === 'cut') {
+    server.countRefusal(outcome.refusal.tag);
+    if (exchange.isWithdrawn) {
+      response.once('finish', () => exchange.request.socket.destroySoon());
+    }
+  }
+  if (outcome.tag === 'callerGone') {
+    server.context.metrics.count('vc_callers_gone');
+    exchange.controller.abort();
+  }
+}
+
+async function handleExchange(
+  server: RouteContext,
+  exchange: CallerExchange,
+  head: CheckedHead,
+): Promise<Refusal | null> {
+  const {maxBodyBytes} = server.limits;
+  const body = await readCallerBody(
+    exchange.request,
+    maxBodyBytes,
+    exchange.controller.signal,
+  );
+  if (!body.ok) return body.error;
+  const checked = checkCallerBody(server, head, body.value);
+  if (!checked.ok) return checked.error;
+  const release = server.bodies.take(checked.value.account, body.value.length);
+  if (!release) {
+    const message = 'too many bytes of requests of the account are held';
+    return createNotRun('account_limit', message, 1);
+  }
+  try {
+    const request = createDispatchRequest(
+      server,
+      exchange,
+      head,
+      checked.value,
+      body.value,
+    );
+    if (!request.ok) return request.error;
+    const answer = await server.dispatcher.dispatch(request.value);
+    if (!answer.ok) return answer.error;
+    await passOn(server, exchange, request.value.requestId, answer.value);
+    return null;
+  } finally {
+    release();
+  }
+}
+
+/** Handles a request that no action takes: checks, dispatches, passes on. */
+export async function performRoute(
+  server: RouteContext,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const exchange: CallerExchange = {
+    request,
+    response,
+    controller: new AbortController(),
+    isWithdrawn: false,
+  };
+  response.on('close', () => {
+    if (!response.writableFinished) exchange.controller.abort();
+  });
+  const refuse = (refusal: Refusal) => {
+    const seen = getSeenRefusal(exchange, refusal);
+    server.countRefusal(seen.tag);
+    const closes = CLOSING_CODES.has(seen.tag) || server.isDraining();
+    sendRefusal(response, seen, closes || !request.complete);
+  };
+  const head = checkCallerHead(server, request);
+  if (!head.ok) return refuse(head.error);
+  const {key} = head.value;
+  const isKnown = key && getKeyAccount(server.getTable(), key.hash).ok;
+  const unregister = isKnown
+    ? server.connectedCallers.add(key.hash, request.socket, {
+        withdraw: () => withdrawExchange(server, exchange),
+      })
+    : () => {};
+  try {
+    const refusal = await handleExchange(server, exchange, head.value);
+    if (refusal) refuse(refusal);
+  } finally {
+    unregister();
+  }
+}
--- /dev/null
+++ b/packages/domain/src/access.ts
@@ -0,0 +1,131 @@
+import type {Result} from '@vanillacross/common';
+import {fail, ok} from '@vanillacross/common';
+
+import type {ControlState} from './controlState.js';
+import {getBodies, getBody} from './controlState.js';
+import type {Route} from './records.js';
+
+/** Account of requests that carry no key; not a valid record id. */
+export const OPEN_ACCOUNT = '-';
+
+/** A route with its id. */
+export interface RouteEntry {
+  id: string;
+  route: Route;
+}
+
+/** What is known of one key hash. */
+export interface KeyEntry {
+  account: string;
+  isActive: boolean;
+}
+
+/** Routes and keys of one control state, prepared for look-ups. */
+export interface AccessTable {
+  /** Longest prefix first; of equal prefixes the one with a model first. */
+  routes: readonly RouteEntry[];
+  keys: ReadonlyMap<string, KeyEntry>;
+}
+
+export type AccessFailure = 'unauthorized' | 'key_withdrawn' | 'forbidden';
+
+function compareRoutes(a: RouteEntry, b: RouteEntry): number {
+  const byPrefix = b.route.pathPrefix.length - a.route.pathPrefix.length;
+  if (byPrefix !== 0) return byPrefix;
+  const byModel =
+    Number(b.route.model !== undefined) - Number(a.route.model !== undefined);
+  return byModel !== 0 ? byModel : a.id < b.id ? -1 : 1;
+}
+
+/** Prepares the routes and keys of a control state. */
+export function createAccessTable(state: ControlState): AccessTable {
+  const routes = getBodies(state, 'route')
+    .map(({id, body}) => ({id, route: body}))
+    .sort(compareRoutes);
+  const keys = new Map<string, KeyEntry>();
+  for (const {body} of getBodies(state, 'key')) {
+    // Of two records with one hash the withdrawn one counts (R6).
+    const isActive =
+      body.state === 'active' &&
+      keys.get(body.hash)?.isActive !== false &&
+      getBody(state, 'account', body.account) !== null;
+    keys.set(body.hash, {account: body.account, isActive});
+  }
+  return {routes, keys};
+}
+
+/**
+ * Says whether every reader of a path sees the same segments. Dot segments,
+ * empty segments and encoded separators would let a path match one route
+ * here and another one at the upstream.
+ */
+export function isPlainPath(path: string): boolean {
+  if (!path.startsWith('/') || path.includes('\\')) return false;
+  if (/%(2f|5c|00)/i.test(path)) return false;
+  const segments = path.slice(1).split('/');
+  return segments.every((segment, index) => {
+    const plain = segment.replace(/%2e/gi, '.');
+    if (plain === '.' || plain === '..') return false;
+    return segment !== '' || index === segments.length - 1;
+  });
+}
+
+function hasPrefix(path: string, prefix: string): boolean {
+  if (!path.startsWith(prefix)) return false;
+  return (
+    path.length === prefix.length ||
+    prefix.endsWith('/') ||
+    path[prefix.length] === '/'
+  );
+}
+
+/** Routes that a method and path can match, best first, for any model. */
+export function getPathRoutes(
+  table: AccessTable,
+  method: string,
+  path: string,
+): RouteEntry[] {
+  return table.routes.filter(
+    ({route}) =>
+      route.methods.includes(method) && hasPrefix(path, route.pathPrefix),
+  );
+}
+
+/** The first of the path's routes that takes the model; null if none does. */
+export function getModelRoute(
+  candidates: readonly RouteEntry[],
+  model: string | undefined,
+): RouteEntry | null {
+  return (
+    candidates.find(
+      ({route}) => route.model === undefined || route.model === model,
+    ) ?? null
+  );
+}
+
+/** The account of a key, given its hash; `keyHash` is null without a key. */
+export function getKeyAccount(
+  table: AccessTable,
+  keyHash: string | null,
+): Result<string, AccessFailure> {
+  const key = keyHash === null ? undefined : table.keys.get(keyHash);
+  if (!key) return fail('unauthorized');
+  return key.isActive ? ok(key.account) : fail('key_withdrawn');
+}
+
+/**
+ * The account for which a request may run on a route. On open routes an
+ * unusable key is ignored and the request runs for `OPEN_ACCOUNT`.
+ */
+export function getAccess(
+  table: AccessTable,
+  route: Route,
+  keyHash: string | null,
+): Result<string, AccessFailure> {
+  const account = getKeyAccount(table, keyHash);
+  if (route.access === 'open') {
+    return ok(account.ok ? account.value : OPEN_ACCOUNT);
+  }
+  if (!account.ok) return account;
+  return route.access.includes(account.value) ? account : fail('forbidden');
+}
--- /dev/null
+++ b/packages/domain/src/usageCells.ts
@@ -0,0 +1,72 @@
+import type {Figures} from './controlRecords.js';
+import type {UsageCell} from './messages.js';
+
+/** Usage cells by their identity. */
+export type UsageCells = Map<string, UsageCell>;
+
+/** What identifies a cell. */
+export type UsageCellId = Omit<UsageCell, keyof Figures>;
+
+function getCellKey(cell: UsageCellId): string {
+  return JSON.stringify([
+    cell.window,
+    cell.entryEpoch,
+    cell.agentEpoch,
+    cell.account,
+  ]);
+}
+
+/** Adds usage to the cumulative figures of a cell. */
+export function addUsage(
+  cells: UsageCells,
+  id: UsageCellId,
+  usage: Figures,
+): void {
+  const key = getCellKey(id);
+  const cell = cells.get(key);
+  cells.set(key, {
+    window: id.window,
+    entryEpoch: id.entryEpoch,
+    agentEpoch: id.agentEpoch,
+    account: id.account,
+    requests: (cell?.requests ?? 0) + usage.requests,
+    promptTokens: (cell?.promptTokens ?? 0) + usage.promptTokens,
+    generatedTokens: (cell?.generatedTokens ?? 0) + usage.generatedTokens,
+  });
+}
+
+/**
+ * Merges cells from elsewhere by maximum per field. Figures are cumulative,
+ * so repeats and reordering of messages change nothing.
+ */
+export function mergeUsage(
+  cells: UsageCells,
+  others: Iterable<UsageCell>,
+): void {
+  for (const other of others) {
+    const key = getCellKey(other);
+    const cell = cells.get(key);
+    if (!cell) {
+      cells.set(key, {...other});
+      continue;
+    }
+    cells.set(key, {
+      ...cell,
+      requests: Math.max(cell.requests, other.requests),
+      promptTokens: Math.max(cell.promptTokens, other.promptTokens),
+      generatedTokens: Math.max(cell.generatedTokens, other.generatedTokens),
+    });
+  }
+}
+
+/** Removes cells of windows before the given one. */
+export function dropUsageBefore(cells: UsageCells, window: number): void {
+  for (const [key, cell] of cells) {
+    if (cell.window < window) cells.delete(key);
+  }
+}
+
+/** The usage window of a wall-clock time. */
+export function getUsageWindow(wallMs: number, windowMs: number): number {
+  return Math.floor(wallMs / windowMs);
+}
