--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -8,4 +8,6 @@
 export * from './agentLimits.js';
 export * from './agentServer.js';
 export type * from './agentUsage.js';
+export * from './callerServer.js';
+export * from './dispatcher.js';
 export type * from './types.js';
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -1,6 +1,8 @@
 /** Schemas of records and pure decision functions. */
 export * from './agentView.js';
 export * from './checkpointCycle.js';
+export * from './access.js';
+export * from './admission.js';
 export * from './constants.js';
 export * from './controlRecords.js';
 export * from './controlState.js';
@@ -14,3 +16,7 @@
 export * from './settings.js';
 export * from './subset.js';
 export * from './spans.js';
+export * from './retryBudget.js';
+export * from './sanitize.js';
+export * from './upstreamChoice.js';
+export * from './usageCells.js';
