Add the pure plans of the controller

Seals may list figures that arrived late for earlier windows; a new holder needs this to report each figure once.

--- a/packages/domain/src/controlRecords.ts
+++ b/packages/domain/src/controlRecords.ts
@@ -47,6 +47,15 @@
   figures: windowFiguresSchema,
   /** Entries whose cells are in the figures, as epochs. */
   sources: z.array(z.string()),
+  /** Parts of `figures` that belong to earlier windows and arrived late. */
+  late: z
+    .array(
+      figuresSchema.extend({
+        window: z.number().int().min(0),
+        account: z.string(),
+      }),
+    )
+    .optional(),
 });
 
 /** One record carried forward so that retention does not remove it. */
--- /dev/null
+++ b/packages/domain/src/usageWindows.ts
@@ -0,0 +1,180 @@
+import type {Figures, Seal, WindowFigures} from './controlRecords.js';
+import type {UsageCell} from './messages.js';
+
+/** Usage cells that one process keeps. */
+export const MAX_USAGE_CELLS = 250_000;
+/** Sealed windows whose cells are kept, for figures that arrive late. */
+export const LATE_WINDOWS = 8;
+/** Windows between the last sealed and the newest that may be sealed. */
+const MAX_OPEN_WINDOWS = 64;
+
+const FIELDS = ['requests', 'promptTokens', 'generatedTokens'] as const;
+const noFigures: Figures = {requests: 0, promptTokens: 0, generatedTokens: 0};
+
+type Seals = ReadonlyMap<number, Seal>;
+
+/** Figures that a seal contains for an earlier, already sealed window. */
+export type LateFigures = NonNullable<Seal['late']>[number];
+
+function combine(
+  a: Figures,
+  b: Figures,
+  operation: (x: number, y: number) => number,
+): Figures {
+  return {
+    requests: operation(a.requests, b.requests),
+    promptTokens: operation(a.promptTokens, b.promptTokens),
+    generatedTokens: operation(a.generatedTokens, b.generatedTokens),
+  };
+}
+
+const add = (x: number, y: number) => x + y;
+const subtract = (x: number, y: number) => Math.max(0, x - y);
+
+function isZero(figures: Figures): boolean {
+  return FIELDS.every(field => figures[field] === 0);
+}
+
+function addFigures(
+  totals: WindowFigures,
+  account: string,
+  figures: Figures,
+): void {
+  totals[account] = combine(totals[account] ?? noFigures, figures, add);
+}
+
+function getCellKey(cell: UsageCell): string {
+  return `${cell.entryEpoch}\u0000${cell.agentEpoch}\u0000${cell.account}`;
+}
+
+/** Usage cells by window, merged by maximum. Bounded. */
+export class UsageWindows {
+  private readonly windows = new Map<number, Map<string, UsageCell>>();
+  private size = 0;
+
+  constructor(private readonly maxCells = MAX_USAGE_CELLS) {}
+
+  /** Merges cells; returns how many were dropped because memory is bounded. */
+  merge(cells: Iterable<UsageCell>): number {
+    let dropped = 0;
+    for (const cell of cells) {
+      if (!this.mergeCell(cell)) dropped++;
+    }
+    return dropped;
+  }
+
+  private mergeCell(cell: UsageCell): boolean {
+    const key = getCellKey(cell);
+    const window = this.windows.get(cell.window);
+    const known = window?.get(key);
+    if (window && known) {
+      window.set(key, {...known, ...combine(known, cell, Math.max)});
+      return true;
+    }
+    if (this.size >= this.maxCells) return false;
+    this.size++;
+    if (window) window.set(key, {...cell});
+    else this.windows.set(cell.window, new Map([[key, {...cell}]]));
+    return true;
+  }
+
+  /** Removes windows that are sealed for long. */
+  prune(lastSealed: number): void {
+    for (const [window, cells] of this.windows) {
+      if (window > lastSealed - LATE_WINDOWS) continue;
+      this.size -= cells.size;
+      this.windows.delete(window);
+    }
+  }
+
+  /** Cells of a window and the earlier ones that are kept. */
+  getCells(upTo: number): UsageCell[] {
+    return [...this.windows]
+      .filter(([window]) => window <= upTo)
+      .flatMap(([, cells]) => [...cells.values()]);
+  }
+
+  /** Windows with cells, ascending. */
+  getWindows(): number[] {
+    return [...this.windows.keys()].sort((a, b) => a - b);
+  }
+
+  /** Sum of the cells of a window by account. */
+  getTotals(window: number): WindowFigures {
+    const totals: WindowFigures = {};
+    for (const cell of this.windows.get(window)?.values() ?? []) {
+      addFigures(totals, cell.account, cell);
+    }
+    return totals;
+  }
+}
+
+/** Figures of a window that seals contain, in its own seal or as late ones. */
+function getReported(seals: Seals, window: number): WindowFigures {
+  const reported: WindowFigures = {};
+  const own = seals.get(window);
+  for (const [account, figures] of Object.entries(own?.figures ?? {})) {
+    addFigures(reported, account, figures);
+  }
+  for (const late of own?.late ?? []) {
+    const rest = reported[late.account] ?? noFigures;
+    reported[late.account] = combine(rest, late, subtract);
+  }
+  for (const seal of seals.values()) {
+    for (const late of seal.late ?? []) {
+      if (late.window === window) addFigures(reported, late.account, late);
+    }
+  }
+  return reported;
+}
+
+/** Figures of sealed windows that no seal contains yet. */
+export function getLateFigures(
+  usage: UsageWindows,
+  seals: Seals,
+  lastSealed: number,
+): LateFigures[] {
+  const found: LateFigures[] = [];
+  for (const window of usage.getWindows()) {
+    // Without the seal it is unknown what was reported of the window.
+    if (window > lastSealed || !seals.has(window)) continue;
+    const reported = getReported(seals, window);
+    for (const [account, total] of Object.entries(usage.getTotals(window))) {
+      const rest = combine(total, reported[account] ?? noFigures, subtract);
+      if (!isZero(rest)) found.push({window, account, ...rest});
+    }
+  }
+  return found;
+}
+
+/** Content of the seal of an open window. */
+export function getSealContent(
+  usage: UsageWindows,
+  seals: Seals,
+  lastSealed: number,
+  window: number,
+): {figures: WindowFigures; late: LateFigures[]} {
+  const figures = usage.getTotals(window);
+  const late = getLateFigures(usage, seals, lastSealed);
+  for (const item of late) addFigures(figures, item.account, item);
+  return {figures, late};
+}
+
+/**
+ * The window to seal next, null if none has ended. Windows are sealed in
+ * ascending order; after a long absence of all usage old empty ones are
+ * passed over.
+ */
+export function getWindowToSeal(
+  usage: UsageWindows,
+  lastSealed: number,
+  newestEnded: number,
+): number | null {
+  const firstOpen = usage.getWindows().find(window => window > lastSealed);
+  const oldest = Math.min(firstOpen ?? newestEnded, newestEnded);
+  const next =
+    lastSealed >= 0 && newestEnded - lastSealed <= MAX_OPEN_WINDOWS
+      ? lastSealed + 1
+      : Math.max(lastSealed + 1, oldest);
+  return next <= newestEnded ? next : null;
+}
