Add the controller

Claims and renews the lease, sends orders only while an exchange ends before the lease does, scales upstreams, rolls out weights, seals and reports usage windows, carries records forward and counts crashes. Ordering and report ports get an optional last check before the first byte, because a process may be paused while it connects.

--- /dev/null
+++ b/packages/daemon/src/controller.ts
@@ -0,0 +1,133 @@
+import type {RpcMethods} from '@vanillacross/common';
+import type {UsageCell} from '@vanillacross/domain';
+import type {
+  OrderingPort,
+  ReportPort,
+  WeightStorePort,
+} from '@vanillacross/platform';
+
+import {createAgentLoads} from './agentLoads.js';
+import {createCheckpointTask} from './checkpointTask.js';
+import {createCrashReports} from './crashReports.js';
+import type {Tenure} from './leaseTask.js';
+import {createLeaseTask} from './leaseTask.js';
+import type {ClientFactory} from './orderTask.js';
+import {createClientFactory, createOrderTask} from './orderTask.js';
+import {createReportTask} from './reportTask.js';
+import type {Context, ControlFollower, Membership, Part} from './types.js';
+import {createUpstreamScaling} from './upstreamScaling.js';
+import {createUsageCollection} from './usageCollection.js';
+import {createWeightRollout} from './weightRollout.js';
+
+/** Retention of the platform's log if the settings do not say, ms. */
+const DEFAULT_RETENTION_MS = 24 * 3_600_000;
+
+/** Interfaces of the platform that the controller uses. */
+export interface ControllerPorts {
+  /** By failure domain. */
+  ordering: Readonly<Record<string, OrderingPort>>;
+  reports: ReportPort;
+  weights: WeightStorePort;
+}
+
+export interface ControllerOptions {
+  /** Usage cells counted by this entry. */
+  getCells: () => readonly UsageCell[];
+  /** How long the platform's log keeps records, ms. */
+  retentionMs?: number;
+  /** Creates clients for peer listeners; tests pass their own. */
+  createClient?: ClientFactory;
+}
+
+/** Runs on every entry; acts on the one that holds the lease. */
+export interface Controller extends Part {
+  /** Null while this entry may not send orders. */
+  getTenure(): Tenure | null;
+  /** `usage.collect`, `load.collect` and `crash.report`. */
+  rpcMethods: RpcMethods;
+}
+
+/** Creates the controller of an entry. */
+export function createController(
+  context: Context,
+  control: ControlFollower,
+  membership: Membership,
+  ports: ControllerPorts,
+  options: ControllerOptions,
+): Controller {
+  const createClient = options.createClient ?? createClientFactory(context);
+  const lease = createLeaseTask(context, control, membership);
+  const orders = createOrderTask(context, lease, createClient);
+  const loads = createAgentLoads(
+    context,
+    control,
+    membership,
+    lease,
+    createClient,
+  );
+  const usage = createUsageCollection(
+    context,
+    control,
+    membership,
+    createClient,
+    options.getCells,
+  );
+  const crashes = createCrashReports(
+    context,
+    control,
+    membership,
+    lease,
+    createClient,
+  );
+  const tasks: Part[] = [
+    loads,
+    crashes,
+    createUpstreamScaling(
+      context,
+      control,
+      membership,
+      lease,
+      orders,
+      loads,
+      ports.ordering,
+    ),
+    createWeightRollout(
+      context,
+      control,
+      membership,
+      lease,
+      orders,
+      loads,
+      ports.weights,
+    ),
+    createReportTask(context, control, lease, usage, ports.reports),
+    createCheckpointTask(
+      context,
+      control,
+      lease,
+      options.retentionMs ?? DEFAULT_RETENTION_MS,
+    ),
+  ];
+  membership.onReport((cells, reports) => {
+    usage.note(cells);
+    crashes.note(reports);
+  });
+  context.metrics.gauge('vc_lease_held', () => (lease.getTenure() ? 1 : 0));
+  return {
+    name: 'controller',
+    start: async () => {
+      for (const part of [lease, ...tasks]) await part.start();
+    },
+    stop: async signal => {
+      // The release comes with the end of the tenure, which ends the tasks.
+      await lease.stop(signal);
+      await Promise.all(tasks.map(task => task.stop(signal)));
+    },
+    getTenure: lease.getTenure,
+    rpcMethods: {
+      ...loads.rpcMethods,
+      ...usage.rpcMethods,
+      ...crashes.rpcMethods,
+    },
+  };
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,2 +1,3 @@
 /** The daemon: roles entry and agent, and the controller. */
+export * from './controller.js';
 export type * from './types.js';
--- /dev/null
+++ b/packages/daemon/src/orderTask.ts
@@ -0,0 +1,245 @@
+import * as http from 'node:http';
+
+import type {Result, RpcClient} from '@vanillacross/common';
+import {createRpcClient, fail, getDeadline, ok} from '@vanillacross/common';
+import type {
+  AgentInstance,
+  OrderAction,
+  OrderOutcome,
+  OrderPreparation,
+} from '@vanillacross/domain';
+import {orderOutcomeSchema, orderPreparationSchema} from '@vanillacross/domain';
+import type {OrderingPort, UpstreamOrder} from '@vanillacross/platform';
+
+import type {LeaseTask, Tenure} from './leaseTask.js';
+import type {Context} from './types.js';
+
+/** Longest exchange of an order; the successor's margin covers it, ms. */
+export const ORDER_TIMEOUT_MS = 2_000;
+/** First wait before an order is sent again; doubles, ms. */
+const RESEND_MS = 500;
+const MAX_RESEND_MS = 4_000;
+/** How long an order is resent until it has an outcome, ms. */
+const ORDER_EFFORT_MS = 60_000;
+
+export type OrderFailure =
+  /** The lease is lost or too short; nothing was sent by the last attempt. */
+  | {tag: 'not_holder'}
+  /** No attempt can have had an effect. */
+  | {tag: 'unavailable'; detail: string}
+  /** The receiver refused or failed. */
+  | {tag: 'rejected'; detail: string}
+  /** Some attempt may have had an effect. */
+  | {tag: 'unknown'; detail: string};
+
+export type ClientFactory = (address: string) => RpcClient;
+
+/** Sends orders to agents and to the platform while the lease is held. */
+export interface OrderTask {
+  /** Orders an agent; the same id is sent again until there is an outcome. */
+  orderAgent(
+    agent: AgentInstance,
+    planStep: string,
+    action: OrderAction,
+  ): Promise<Result<null, OrderFailure>>;
+  /** Orders upstreams; a lost answer is queried before the id is resent. */
+  orderPlatform(
+    port: OrderingPort,
+    planStep: string,
+    order: Omit<UpstreamOrder, 'orderId' | 'fencing'>,
+  ): Promise<Result<{status: string}, OrderFailure>>;
+}
+
+/** Id of an order; the same in all attempts of one tenure. */
+export function getOrderId(
+  fencing: number,
+  pool: string,
+  planStep: string,
+): string {
+  return `${fencing}.${pool}.${planStep}`;
+}
+
+/** Creates clients that share connections. */
+export function createClientFactory(context: Context): ClientFactory {
+  const agent = new http.Agent({keepAlive: true});
+  return address => createRpcClient(context.clusterSecret, address, agent);
+}
+
+/** One attempt: an outcome, or a failure after which it is sent again. */
+type Attempt<Value> =
+  | {isFinal: true; result: Result<Value, OrderFailure>}
+  | {isFinal: false; mayHaveRun: boolean; detail: string; waitMs?: number};
+
+function settle<Value>(result: Result<Value, OrderFailure>): Attempt<Value> {
+  return {isFinal: true, result};
+}
+
+function retry(
+  detail: string,
+  mayHaveRun: boolean,
+  waitMs?: number,
+): Attempt<never> {
+  return {isFinal: false, mayHaveRun, detail, waitMs};
+}
+
+/** Creates the task. */
+export function createOrderTask(
+  context: Context,
+  lease: LeaseTask,
+  createClient: ClientFactory,
+): OrderTask {
+  const {clock, metrics} = context;
+
+  /** Repeats an attempt under one fencing number until it is final. */
+  async function repeat<Value>(
+    fencing: number,
+    attempt: (index: number) => Promise<Attempt<Value>>,
+  ): Promise<Result<Value, OrderFailure>> {
+    const until = getDeadline(clock.now(), ORDER_EFFORT_MS);
+    let mayHaveRun = false;
+    for (let index = 0; ; index++) {
+      if (lease.getTenure()?.fencing !== fencing) {
+        return fail({tag: 'not_holder'});
+      }
+      const outcome = await attempt(index);
+      if (outcome.isFinal) return outcome.result;
+      metrics.count('vc_order_resends');
+      mayHaveRun ||= outcome.mayHaveRun;
+      if (clock.now() >= until) {
+        const tag = mayHaveRun ? 'unknown' : 'unavailable';
+        return fail({tag, detail: outcome.detail});
+      }
+      const backoffMs = Math.min(MAX_RESEND_MS, RESEND_MS * 2 ** index);
+      const waitMs = outcome.waitMs ?? backoffMs;
+      await clock.waitUntil(getDeadline(clock.now(), waitMs));
+    }
+  }
+
+  async function prepare(
+    client: RpcClient,
+  ): Promise<Result<OrderPreparation, string>> {
+    const answer = await client.call('order.prepare', {}, ORDER_TIMEOUT_MS);
+    if (!answer.ok) return fail(answer.error.detail);
+    const parsed = orderPreparationSchema.safeParse(answer.value);
+    return parsed.success ? ok(parsed.data) : fail(parsed.error.message);
+  }
+
+  function getOutcome(outcome: OrderOutcome): Attempt<null> {
+    if (outcome.tag === 'done') return settle(ok(null));
+    if (outcome.tag === 'failed') {
+      return settle(fail({tag: 'rejected', detail: outcome.detail}));
+    }
+    metrics.count('vc_order_refusals', {reason: outcome.reason});
+    if (outcome.reason === 'stale_fencing') {
+      lease.noteFencing(outcome.highestFencing);
+      return settle(fail({tag: 'not_holder'}));
+    }
+    return retry(outcome.reason, false);
+  }
+
+  async function execute(
+    client: RpcClient,
+    orderId: string,
+    fencing: number,
+    prepared: OrderPreparation,
+    action: OrderAction,
+  ): Promise<Attempt<null>> {
+    const sent = await lease.runFenced(ORDER_TIMEOUT_MS, tenure => {
+      if (tenure.fencing !== fencing) return Promise.resolve(null);
+      // The agent read its clock before now, so the expiry is never late.
+      const restMs = tenure.deadline - clock.now();
+      const order = {
+        orderId,
+        fencing,
+        agentEpoch: prepared.agentEpoch,
+        validUntilAgentMs: prepared.monotonicMs + restMs,
+        action,
+      };
+      return client.call('order.execute', order, ORDER_TIMEOUT_MS);
+    });
+    if (!sent.ok || sent.value === null) {
+      return settle(fail({tag: 'not_holder'}));
+    }
+    if (!sent.value.ok) {
+      const {tag, detail} = sent.value.error;
+      return retry(detail, tag === 'unknown');
+    }
+    const outcome = orderOutcomeSchema.safeParse(sent.value.value);
+    if (!outcome.success) return retry(outcome.error.message, true);
+    return getOutcome(outcome.data);
+  }
+
+  async function orderAgent(
+    agent: AgentInstance,
+    planStep: string,
+    action: OrderAction,
+  ): Promise<Result<null, OrderFailure>> {
+    const tenure = lease.getTenure();
+    if (!tenure) return fail({tag: 'not_holder'});
+    const {fencing} = tenure;
+    const orderId = getOrderId(fencing, agent.upstream.pool, planStep);
+    const client = createClient(agent.peerAddress);
+    metrics.count('vc_orders', {action: action.type});
+    return repeat<null>(fencing, async () => {
+      const prepared = await prepare(client);
+      if (!prepared.ok) return retry(prepared.error, false);
+      if (prepared.value.highestFencing > fencing) {
+        lease.noteFencing(prepared.value.highestFencing);
+        return settle(fail({tag: 'not_holder'}));
+      }
+      return execute(client, orderId, fencing, prepared.value, action);
+    });
+  }
+
+  async function sendToPlatform(
+    port: OrderingPort,
+    order: UpstreamOrder,
+  ): Promise<Attempt<{status: string}>> {
+    const sent = await lease.runFenced<Awaited<
+      ReturnType<OrderingPort['order']>
+    > | null>(ORDER_TIMEOUT_MS, (tenure: Tenure, mayWrite) =>
+      tenure.fencing === order.fencing
+        ? port.order(order, ORDER_TIMEOUT_MS, mayWrite)
+        : Promise.resolve(null),
+    );
+    if (!sent.ok || sent.value === null) {
+      return settle(fail({tag: 'not_holder'}));
+    }
+    if (sent.value.ok) return settle(ok(sent.value.value));
+    const {error} = sent.value;
+    switch (error.tag) {
+      case 'stale_fencing':
+        metrics.count('vc_order_refusals', {reason: 'stale_fencing'});
+        lease.noteFencing(error.highest);
+        return settle(fail({tag: 'not_holder'}));
+      case 'rejected':
+        return settle(fail({tag: 'rejected', detail: error.detail}));
+      case 'unavailable':
+        return retry(error.detail, false, error.retryAfterMs);
+      case 'unknown':
+        return retry(error.detail, true);
+    }
+  }
+
+  async function orderPlatform(
+    port: OrderingPort,
+    planStep: string,
+    content: Omit<UpstreamOrder, 'orderId' | 'fencing'>,
+  ): Promise<Result<{status: string}, OrderFailure>> {
+    const tenure = lease.getTenure();
+    if (!tenure) return fail({tag: 'not_holder'});
+    const {fencing} = tenure;
+    const orderId = getOrderId(fencing, content.pool, planStep);
+    metrics.count('vc_orders', {action: content.action});
+    return repeat<{status: string}>(fencing, async index => {
+      if (index > 0) {
+        const known = await port.getOrder(orderId);
+        if (!known.ok) return retry(known.error.tag, true);
+        if (known.value) return settle(ok(known.value));
+      }
+      return sendToPlatform(port, {...content, orderId, fencing});
+    });
+  }
+
+  return {orderAgent, orderPlatform};
+}
--- /dev/null
+++ b/packages/daemon/src/reportTask.ts
@@ -0,0 +1,151 @@
+import type {MonotonicMs} from '@vanillacross/common';
+import {getDeadline} from '@vanillacross/common';
+import type {ControlState, Reporting, Seal} from '@vanillacross/domain';
+import {
+  UsageWindows,
+  getBodies,
+  getSealContent,
+  getWindowToSeal,
+  reportingSchema,
+} from '@vanillacross/domain';
+import type {ReportPort} from '@vanillacross/platform';
+
+import type {LeaseTask} from './leaseTask.js';
+import type {Loop} from './loop.js';
+import {createLoop} from './loop.js';
+import type {Context, ControlFollower} from './types.js';
+import type {UsageCollection} from './usageCollection.js';
+
+const INTERVAL_MS = 1_000;
+/** Time for the last cells of a window to arrive, ms. */
+const SEAL_GRACE_MS = 15_000;
+/** How long entries that do not answer delay a seal, ms. */
+const COLLECT_EFFORT_MS = 30_000;
+/** Longest exchange of a report; the successor's margin covers it, ms. */
+const REPORT_TIMEOUT_MS = 2_000;
+/** Reports sent in one step, so that a new holder's resends are paced. */
+const REPORTS_PER_STEP = 8;
+
+/** Settings of usage reports; defaults if there is no record. */
+export function getReporting(state: ControlState): Reporting {
+  return getBodies(state, 'reporting')[0]?.body ?? reportingSchema.parse({});
+}
+
+/** Seals ended windows and reports the sealed figures. */
+export function createReportTask(
+  context: Context,
+  control: ControlFollower,
+  lease: LeaseTask,
+  usage: UsageCollection,
+  port: ReportPort,
+): Loop {
+  const {clock, metrics} = context;
+  const logger = context.logger.part('reports');
+  let tenureFencing = -1;
+  let collected = new UsageWindows();
+  let confirmed = new Set<number>();
+  let collectUntil: {window: number; deadline: MonotonicMs} | null = null;
+
+  function reset(fencing: number): void {
+    tenureFencing = fencing;
+    collected = new UsageWindows();
+    confirmed = new Set();
+    collectUntil = null;
+  }
+
+  function getNewestEnded(state: ControlState): number {
+    const {windowMs} = getReporting(state);
+    return Math.floor((clock.wallNow() - SEAL_GRACE_MS) / windowMs) - 1;
+  }
+
+  /** Says whether all entries answered or were waited for long enough. */
+  async function collect(window: number): Promise<string[] | null> {
+    if (collectUntil?.window !== window) {
+      const deadline = getDeadline(clock.now(), COLLECT_EFFORT_MS);
+      collectUntil = {window, deadline};
+    }
+    const {deadline} = collectUntil;
+    const {cells, sources, isComplete} = await usage.collect(window);
+    const dropped = collected.merge(cells);
+    if (dropped > 0) metrics.count('vc_usage_cells_dropped', {}, dropped);
+    if (isComplete || clock.now() >= deadline) return sources;
+    return null;
+  }
+
+  async function seal(window: number, sources: string[]): Promise<void> {
+    const {seals, lastSealed} = control.getState();
+    const tenure = lease.getTenure();
+    if (tenure?.fencing !== tenureFencing || lastSealed >= window) return;
+    const content = getSealContent(collected, seals, lastSealed, window);
+    const result = await control.append({
+      type: 'seal',
+      window,
+      fencing: tenureFencing,
+      figures: content.figures,
+      sources,
+      late: content.late,
+    });
+    // After a lost answer the log shows whether the window is sealed.
+    if (!result.ok) {
+      metrics.count('vc_seal_failures', {reason: result.error.tag});
+    } else if (result.value.tag === 'accepted') {
+      metrics.count('vc_seals');
+      logger.info('window sealed', {window});
+    } else {
+      metrics.count('vc_seal_failures', {reason: 'lost_race'});
+    }
+  }
+
+  async function sealNext(): Promise<void> {
+    const state = control.getState();
+    const newest = getNewestEnded(state);
+    const window = getWindowToSeal(collected, state.lastSealed, newest);
+    if (window === null) return;
+    const sources = await collect(window);
+    // Collection may have shown an older open window.
+    const {lastSealed} = control.getState();
+    const still = getWindowToSeal(collected, lastSealed, newest);
+    if (sources && still === window) await seal(window, sources);
+    collected.prune(control.getState().lastSealed);
+  }
+
+  async function report(item: Seal & {offset: number}): Promise<void> {
+    const {window, figures, offset} = item;
+    const sent = await lease.runFenced(REPORT_TIMEOUT_MS, (_, mayWrite) =>
+      port.report(window, figures, offset, REPORT_TIMEOUT_MS, mayWrite),
+    );
+    if (!sent.ok) return;
+    if (sent.value.ok) {
+      confirmed.add(window);
+      metrics.count('vc_reports');
+      return;
+    }
+    const {tag} = sent.value.error;
+    metrics.count('vc_report_failures', {reason: tag});
+    if (tag !== 'rejected') return;
+    // Sending again cannot help: the platform has other figures.
+    confirmed.add(window);
+    logger.error('report rejected', {window});
+  }
+
+  /** Sends sealed figures, always as they are in the log. */
+  async function reportSealed(): Promise<void> {
+    const open = [...control.getState().seals.values()]
+      .filter(item => !confirmed.has(item.window))
+      .sort((a, b) => a.window - b.window)
+      .slice(0, REPORTS_PER_STEP);
+    for (const item of open) await report(item);
+  }
+
+  async function step(): Promise<MonotonicMs> {
+    const tenure = lease.getTenure();
+    if (tenure) {
+      if (tenure.fencing !== tenureFencing) reset(tenure.fencing);
+      await sealNext();
+      await reportSealed();
+    }
+    return getDeadline(clock.now(), INTERVAL_MS);
+  }
+
+  return createLoop(context, 'reports', step);
+}
--- a/packages/platform/src/types.ts
+++ b/packages/platform/src/types.ts
@@ -75,6 +75,13 @@
   getChanges(since: number): Promise<Result<InstanceChanges, PlatformFailure>>;
 }
 
+/**
+ * Asked once more when the connection is open, immediately before the first
+ * byte is written. If it says no, nothing is written and the call fails as
+ * `unavailable`.
+ */
+export type MayWrite = () => boolean;
+
 /** An order to start or stop upstreams of a failure domain. */
 export interface UpstreamOrder {
   orderId: string;
@@ -99,6 +106,7 @@
   order(
     order: UpstreamOrder,
     timeoutMs: number,
+    mayWrite?: MayWrite,
   ): Promise<Result<{status: string}, PlatformFailure>>;
   /** The status of an order; null if the platform does not know it. */
   getOrder(
@@ -122,6 +130,7 @@
     figures: Record<string, ReportFigures>,
     sealOffset: number,
     timeoutMs: number,
+    mayWrite?: MayWrite,
   ): Promise<Result<null, PlatformFailure>>;
 }
 
