--- /dev/null
+++ b/packages/daemon/src/controller.test.ts
@@ -0,0 +1,704 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import type {Epoch, Result, RpcClient, RpcMethods} from '@vanillacross/common';
+import {
+  ManualClock,
+  Metrics,
+  createLogger,
+  fail,
+  ok,
+} from '@vanillacross/common';
+import type {
+  AppendOutcome,
+  ControlPayload,
+  ControlState,
+  CrashReport,
+  Instance,
+  LogRecord,
+  Order,
+  OrderOutcome,
+  UsageCell,
+} from '@vanillacross/domain';
+import {applyControlRecords, emptyControlState} from '@vanillacross/domain';
+import type {
+  MayWrite,
+  OrderingPort,
+  PlatformFailure,
+  UpstreamOrder,
+} from '@vanillacross/platform';
+
+import type {Controller, ControllerPorts} from './controller.js';
+import {createController} from './controller.js';
+import type {LeaseTask} from './leaseTask.js';
+import {createLeaseTask} from './leaseTask.js';
+import type {OrderTask} from './orderTask.js';
+import {createOrderTask} from './orderTask.js';
+import type {
+  AgentPresence,
+  AppendFailure,
+  Context,
+  ControlFollower,
+  Membership,
+} from './types.js';
+
+const TAKEOVER_MS = 15_000;
+
+async function settle(): Promise<void> {
+  for (let i = 0; i < 5; i++) await new Promise(setImmediate);
+}
+
+class FakeLog {
+  readonly records: LogRecord[] = [];
+  readonly tails: FakeFollower[] = [];
+  isDown = false;
+  /** Types of payloads whose next answer is lost. */
+  readonly lost = new Set<string>();
+
+  append(payload: ControlPayload): string {
+    const offset = this.records.length;
+    const appendId = `append-${offset}`;
+    this.records.push({offset, appendId, payload});
+    for (const tail of this.tails) tail.sync();
+    return appendId;
+  }
+}
+
+class FakeFollower implements ControlFollower {
+  readonly name = 'control';
+  readonly rpcMethods = {};
+  isPaused = false;
+  private state: ControlState = {...emptyControlState, isWhole: true};
+  private readonly listeners = new Set<
+    (state: ControlState, previous: ControlState) => void
+  >();
+
+  constructor(private readonly log: FakeLog) {
+    log.tails.push(this);
+    this.sync();
+  }
+
+  sync(): void {
+    if (this.isPaused || this.log.isDown) return;
+    const previous = this.state;
+    this.state = applyControlRecords(previous, this.log.records);
+    for (const listener of this.listeners) listener(this.state, previous);
+  }
+
+  start(): void {}
+  async stop(): Promise<void> {}
+  getState = () => this.state;
+  getLogContact = () => null;
+  noteHighest(): void {}
+
+  subscribe(listener: (s: ControlState, p: ControlState) => void) {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  async append(
+    payload: ControlPayload,
+  ): Promise<Result<AppendOutcome, AppendFailure>> {
+    if (this.log.isDown) return fail({tag: 'log_unavailable', detail: 'down'});
+    const appendId = this.log.append(payload);
+    if (this.log.lost.delete(payload.type)) {
+      return fail({tag: 'append_unknown', detail: 'lost', appendId});
+    }
+    return ok(this.state.outcomes.get(appendId) as AppendOutcome);
+  }
+}
+
+function createInstance(id: string, pool?: string): Instance {
+  return {
+    id,
+    role: pool ? 'agent' : 'entry',
+    domain: 'd1',
+    address: `${id}-data`,
+    peerAddress: id,
+    state: 'live',
+    ...(pool ? {upstream: {id, pool}} : {}),
+  };
+}
+
+/** An entry with its own clock, so that it can be paused. */
+class FakeEntry {
+  readonly clock = new ManualClock();
+  readonly metrics = new Metrics();
+  readonly control: FakeFollower;
+  readonly context: Context;
+  readonly membership: Membership;
+  isPaused = false;
+  report: (cells: UsageCell[], crashes: CrashReport[]) => void = () => {};
+
+  constructor(id: string, log: FakeLog, peers: string[], agents: Instance[]) {
+    this.control = new FakeFollower(log);
+    this.context = {
+      self: createInstance(id),
+      epoch: `epoch-${id}` as Epoch,
+      clock: this.clock,
+      logger: createLogger(id, 'silent'),
+      metrics: this.metrics,
+      clusterSecret: 'secret',
+    };
+    const others = peers
+      .filter(peer => peer !== id)
+      .map(p => createInstance(p));
+    const presences = () =>
+      agents.map(instance => ({
+        instance,
+        epoch: 'e',
+        load: {
+          running: 0,
+          limit: 4,
+          waiting: 0,
+          epoch: '',
+          version: 0,
+          cold: false,
+        },
+        offset: 0,
+        heardAt: this.clock.now(),
+        isLeaving: false,
+      })) as unknown as AgentPresence[];
+    this.membership = {
+      name: 'membership',
+      start: () => {},
+      stop: async () => {},
+      getInstances: () => [this.context.self, ...others],
+      getPeers: () => others,
+      getPoolMembers: () => presences(),
+      getCandidates: () => presences(),
+      getAgent: upstream =>
+        presences().find(p => p.instance.upstream.id === upstream) ?? null,
+      noteAnswer: () => {},
+      noteFailure: () => {},
+      onReport: listener => {
+        this.report = listener;
+      },
+      hasAuthority: () => true,
+      rpcMethods: {},
+    };
+  }
+
+  pause(): void {
+    this.isPaused = this.control.isPaused = true;
+  }
+}
+
+async function advance(entries: FakeEntry[], spanMs: number): Promise<void> {
+  for (let passed = 0; passed < spanMs; passed += 250) {
+    for (const entry of entries) if (!entry.isPaused) entry.clock.advance(250);
+    await settle();
+  }
+}
+
+/** Blocks one await of the paused process until it is opened. */
+class Gate {
+  private open: () => void = () => {};
+  isReached = false;
+  constructor(private readonly point: string) {}
+
+  async pass(point: string): Promise<void> {
+    if (point !== this.point || this.isReached) return;
+    this.isReached = true;
+    await new Promise<void>(resolve => (this.open = resolve));
+  }
+
+  release = () => this.open();
+}
+
+/** An ordering interface that records the fencing of what takes effect. */
+class FakePlatform {
+  readonly effects: number[] = [];
+  readonly orders = new Map<string, {status: string}>();
+  lostAnswers = 0;
+  dropped = 0;
+  private highest = -1;
+
+  constructor(private readonly checksFencing: boolean) {}
+
+  getPort(gate?: Gate): OrderingPort {
+    return {
+      order: async (order, _timeoutMs, mayWrite) => {
+        await gate?.pass('connect');
+        const result = this.write(order, mayWrite);
+        await gate?.pass('answer');
+        return result;
+      },
+      getOrder: async orderId => {
+        await gate?.pass('query');
+        const known = this.orders.get(orderId) ?? null;
+        await gate?.pass('query answer');
+        return ok(known);
+      },
+      getUpstreams: async () => ok([]),
+    };
+  }
+
+  private write(
+    order: UpstreamOrder,
+    mayWrite?: MayWrite,
+  ): Result<{status: string}, PlatformFailure> {
+    if (mayWrite && !mayWrite()) {
+      return fail({tag: 'unavailable', detail: 'no'});
+    }
+    if (this.dropped-- > 0) return fail({tag: 'unknown', detail: 'dropped'});
+    if (this.checksFencing && order.fencing < this.highest) {
+      return fail({tag: 'stale_fencing', highest: this.highest});
+    }
+    this.highest = Math.max(this.highest, order.fencing);
+    if (!this.orders.has(order.orderId)) this.effects.push(order.fencing);
+    this.orders.set(order.orderId, {status: 'started'});
+    if (this.lostAnswers-- > 0) return fail({tag: 'unknown', detail: 'lost'});
+    return ok({status: 'started'});
+  }
+}
+
+/** An agent that fences; its clock runs with that of an entry. */
+class FakeAgent {
+  readonly effects: number[] = [];
+  lostAnswers = 0;
+  private readonly outcomes = new Map<string, OrderOutcome>();
+  private highest = -1;
+
+  constructor(private readonly clock: ManualClock) {}
+
+  getClient(gate?: Gate): RpcClient {
+    return {
+      call: async (method, params) => {
+        if (method === 'order.prepare') {
+          const answer = {
+            agentEpoch: 'a',
+            monotonicMs: this.clock.now() + 5_000_000,
+            highestFencing: this.highest,
+            load: {
+              running: 0,
+              limit: 1,
+              waiting: 0,
+              epoch: '',
+              version: 0,
+              cold: false,
+            },
+          };
+          await gate?.pass('prepared');
+          return ok(answer);
+        }
+        await gate?.pass('write');
+        const outcome = this.execute(params as Order);
+        if (this.lostAnswers-- > 0) {
+          return fail({tag: 'unknown', detail: 'lost'});
+        }
+        await gate?.pass('answer');
+        return ok(outcome);
+      },
+    };
+  }
+
+  private execute(order: Order): OrderOutcome {
+    const known = this.outcomes.get(order.orderId);
+    if (known) return known;
+    const highestFencing = this.highest;
+    const refuse = (reason: 'stale_fencing' | 'expired'): OrderOutcome => ({
+      tag: 'refused',
+      reason,
+      highestFencing,
+    });
+    if (order.fencing < this.highest) return refuse('stale_fencing');
+    if (this.clock.now() + 5_000_000 >= order.validUntilAgentMs) {
+      return refuse('expired');
+    }
+    this.highest = order.fencing;
+    this.effects.push(order.fencing);
+    this.outcomes.set(order.orderId, {tag: 'done'});
+    return {tag: 'done'};
+  }
+}
+
+interface Pair {
+  log: FakeLog;
+  entries: FakeEntry[];
+  leases: LeaseTask[];
+  getHolder(): number;
+  createOrders(index: number, client?: RpcClient): OrderTask;
+}
+
+const agent = createInstance('u1', 'p') as AgentPresence['instance'];
+
+async function createPair(): Promise<Pair> {
+  const log = new FakeLog();
+  const ids = ['e1', 'e2'];
+  const entries = ids.map(id => new FakeEntry(id, log, ids, []));
+  const leases = entries.map(entry =>
+    createLeaseTask(entry.context, entry.control, entry.membership),
+  );
+  for (const lease of leases) await lease.start();
+  await advance(entries, 1_000);
+  return {
+    log,
+    entries,
+    leases,
+    getHolder: () => leases.findIndex(lease => lease.getTenure() !== null),
+    createOrders: (index, client) =>
+      createOrderTask(
+        entries[index].context,
+        leases[index],
+        () => client ?? new FakeAgent(entries[index].clock).getClient(),
+      ),
+  };
+}
+
+/** Pauses the holder until the other entry has taken over and acted. */
+async function runPause(
+  gate: Gate,
+  send: (pair: Pair, index: number, gate?: Gate) => Promise<unknown>,
+): Promise<unknown> {
+  const pair = await createPair();
+  const old = pair.getHolder();
+  const other = 1 - old;
+  const {entries} = pair;
+  const outcome = send(pair, old, gate);
+  await advance(entries, 2_000);
+  assert.ok(gate.isReached, 'the order must reach the pause');
+  entries[old].pause();
+  await advance(entries, TAKEOVER_MS);
+  assert.notEqual(pair.leases[other].getTenure(), null);
+  const sent = send(pair, other);
+  await advance(entries, 2_000);
+  assert.deepEqual(await sent, ok(await getValue(sent)));
+  // The paused order continues before any timer of its process runs.
+  gate.release();
+  entries[old].clock.advance(TAKEOVER_MS + 2_000);
+  await settle();
+  entries[old].isPaused = entries[old].control.isPaused = false;
+  entries[old].control.sync();
+  await advance(entries, 70_000);
+  return outcome;
+}
+
+async function getValue(sent: Promise<unknown>): Promise<unknown> {
+  return ((await sent) as {value: unknown}).value;
+}
+
+function assertAscending(effects: number[]): void {
+  assert.deepEqual(
+    effects,
+    [...effects].sort((a, b) => a - b),
+    'an old holder must not act after its successor',
+  );
+  assert.equal(new Set(effects).size, effects.length, 'no order acts twice');
+}
+
+describe('controller lease', () => {
+  it('is held by one of two racing entries', async () => {
+    // Guards against two holders after simultaneous claims.
+    const {leases, log, entries} = await createPair();
+    await advance(entries, 30_000);
+    assert.equal(leases.filter(lease => lease.getTenure()).length, 1);
+    const claims = log.records.filter(
+      ({payload}) => (payload as ControlPayload).type === 'claim',
+    );
+    assert.equal(claims.length, 1);
+  });
+
+  it('ends while the log is down and orders stop', async () => {
+    // Guards against a holder that trusts an unconfirmed renewal.
+    const pair = await createPair();
+    const old = pair.getHolder();
+    pair.log.isDown = true;
+    await advance(pair.entries, 11_000);
+    assert.equal(pair.getHolder(), -1);
+    const refused = await pair.leases[old].runFenced(1, async () => 1);
+    assert.deepEqual(refused, fail({tag: 'not_holder'}));
+    pair.log.isDown = false;
+    for (const tail of pair.log.tails) tail.sync();
+    await advance(pair.entries, TAKEOVER_MS);
+    assert.notEqual(pair.getHolder(), -1);
+  });
+
+  it('learns of a claim and a renewal whose answers were lost', async () => {
+    // Guards against waiting out an own lease after a lost answer.
+    const log = new FakeLog();
+    log.lost.add('claim').add('renew');
+    const entry = new FakeEntry('e1', log, ['e1'], []);
+    entry.control.isPaused = true;
+    const {context, control, membership} = entry;
+    const lease = createLeaseTask(context, control, membership);
+    lease.start();
+    await advance([entry], 750);
+    assert.equal(lease.getTenure(), null);
+    control.isPaused = false;
+    control.sync();
+    await settle();
+    assert.equal(lease.getTenure()?.deadline, 10_000);
+    await advance([entry], 750);
+    assert.equal(log.lost.size, 0);
+    assert.ok((lease.getTenure()?.deadline ?? 0) > 10_500);
+  });
+
+  it('is released only after running orders have ended', async () => {
+    // Guards against a successor that acts beside an order on its way.
+    const pair = await createPair();
+    const old = pair.getHolder();
+    let end = () => {};
+    const blocked = new Promise<void>(resolve => (end = resolve));
+    const order = pair.leases[old].runFenced(2_000, () => blocked);
+    const stopped = pair.leases[old].stop(new AbortController().signal);
+    await advance(pair.entries, 1_000);
+    assert.equal(pair.getHolder(), -1);
+    end();
+    await Promise.all([order, stopped]);
+    await advance(pair.entries, 1_000);
+    assert.equal(pair.getHolder(), 1 - old);
+  });
+});
+
+describe('orders of a paused holder', () => {
+  const points: Array<[string, Partial<FakePlatform>]> = [
+    ['connect', {}],
+    ['answer', {}],
+    ['answer', {lostAnswers: 1}],
+    ['query', {dropped: 1}],
+    ['query answer', {dropped: 1}],
+  ];
+  for (const checksFencing of [true, false]) {
+    for (const [point, faults] of points) {
+      it(`${point}, fencing checked: ${checksFencing}`, async () => {
+        // Guards against platform orders of two holders (R7).
+        const platform = new FakePlatform(checksFencing);
+        Object.assign(platform, faults);
+        await runPause(new Gate(point), (pair, index, gate) =>
+          pair
+            .createOrders(index)
+            .orderPlatform(platform.getPort(gate), `s${index}`, {
+              pool: 'p',
+              action: 'start',
+              count: 1,
+            }),
+        );
+        assertAscending(platform.effects);
+        assert.ok(platform.effects.length > 0);
+      });
+    }
+  }
+
+  for (const point of ['prepared', 'write', 'answer']) {
+    it(`to an agent, paused at ${point}`, async () => {
+      // Guards against agent orders of two holders (R7).
+      const agents: FakeAgent[] = [];
+      await runPause(new Gate(point), (pair, index, gate) => {
+        agents[0] ??= new FakeAgent(pair.entries[1 - index].clock);
+        const client = agents[0].getClient(gate);
+        const orders = pair.createOrders(index, client);
+        return orders.orderAgent(agent, `s${index}`, {type: 'drain'});
+      });
+      assertAscending(agents[0].effects);
+    });
+  }
+
+  it('expires at an agent that has not heard of the successor', async () => {
+    // Guards against relying on fencing numbers alone.
+    const pair = await createPair();
+    const old = pair.getHolder();
+    const gate = new Gate('write');
+    const fake = new FakeAgent(pair.entries[1 - old].clock);
+    const orders = pair.createOrders(old, fake.getClient(gate));
+    void orders.orderAgent(agent, 's', {type: 'drain'});
+    await settle();
+    pair.entries[old].pause();
+    await advance(pair.entries, TAKEOVER_MS);
+    gate.release();
+    await settle();
+    assert.deepEqual(fake.effects, []);
+  });
+});
+
+describe('lost answers to orders', () => {
+  it('are queried, and resent with the same id', async () => {
+    // Guards against starting upstreams twice.
+    const pair = await createPair();
+    const platform = new FakePlatform(false);
+    Object.assign(platform, {lostAnswers: 1, dropped: 1});
+    const fake = new FakeAgent(pair.entries[pair.getHolder()].clock);
+    fake.lostAnswers = 2;
+    const orders = pair.createOrders(pair.getHolder(), fake.getClient());
+    const content = {pool: 'p', action: 'start', count: 2} as const;
+    const sent = Promise.all([
+      orders.orderPlatform(platform.getPort(), 's', content),
+      orders.orderAgent(agent, 's', {type: 'drain'}),
+    ]);
+    await advance(pair.entries, 10_000);
+    assert.deepEqual(
+      (await sent).map(result => result.ok),
+      [true, true],
+    );
+    assert.equal(platform.effects.length, 1);
+    assert.equal(fake.effects.length, 1);
+  });
+});
+
+class FakeReports {
+  readonly received: string[] = [];
+  lostAnswers = 0;
+  private readonly known = new Map<number, string>();
+
+  port = {
+    report: async (window: number, figures: unknown, sealOffset: number) => {
+      const text = JSON.stringify({window, figures, sealOffset});
+      this.received.push(text);
+      const first = this.known.get(window) ?? text;
+      this.known.set(window, first);
+      if (this.lostAnswers-- > 0) {
+        return fail({tag: 'unknown' as const, detail: 'lost'});
+      }
+      if (first === text) return ok(null);
+      return fail({tag: 'rejected' as const, detail: 'other figures'});
+    },
+  };
+}
+
+async function createControllers(
+  reports: FakeReports,
+  agents: Instance[] = [],
+) {
+  const log = new FakeLog();
+  const ids = ['e1', 'e2'];
+  const entries = ids.map(id => new FakeEntry(id, log, ids, agents));
+  const methods = new Map<string, RpcMethods>();
+  const createClient = (address: string): RpcClient => ({
+    call: async (name, params) => {
+      const index = ids.indexOf(address);
+      const method = methods.get(address)?.[name];
+      if (!method || entries[index].isPaused) {
+        return fail({tag: 'unknown', detail: 'no answer'});
+      }
+      const parsed = method.params.parse(params) as never;
+      const answer = await method.perform(parsed);
+      return ok(JSON.parse(JSON.stringify(answer)) as unknown);
+    },
+  });
+  const platform = new FakePlatform(false);
+  const ports: ControllerPorts = {
+    ordering: {d1: platform.getPort()},
+    reports: reports.port,
+    weights: {getVersions: async () => ok([])},
+  };
+  const controllers: Controller[] = entries.map((entry, index) => {
+    const controller = createController(
+      entry.context,
+      entry.control,
+      entry.membership,
+      ports,
+      {getCells: () => [], retentionMs: 600_000, createClient},
+    );
+    methods.set(ids[index], controller.rpcMethods);
+    return controller;
+  });
+  for (const controller of controllers) await controller.start();
+  await advance(entries, 1_000);
+  const getHolder = () => controllers.findIndex(c => c.getTenure() !== null);
+  return {log, entries, controllers, platform, getHolder};
+}
+
+function createCell(window: number, requests: number, agentEpoch = 'a') {
+  const tokens = {promptTokens: 0, generatedTokens: 0};
+  return {
+    window,
+    entryEpoch: 'x',
+    agentEpoch,
+    account: 'c',
+    requests,
+    ...tokens,
+  };
+}
+
+describe('usage reports', () => {
+  it('resend sealed figures until confirmed, also by a successor', async () => {
+    // Guards against other figures for a window after lost answers (R8).
+    const reports = new FakeReports();
+    const {log, entries, getHolder} = await createControllers(reports);
+    log.append({
+      type: 'put',
+      key: 'reporting/main',
+      baseRevision: 0,
+      schemaVersion: 1,
+      body: {windowMs: 10_000},
+      operator: 'o',
+    });
+    log.lost.add('seal');
+    reports.lostAnswers = 3;
+    entries[0].report([createCell(0, 5)], []);
+    // An agent sends its cells to several entries.
+    entries[1].report([createCell(0, 3), createCell(0, 4, 'b')], []);
+    entries[0].report([createCell(0, 2, 'b')], []);
+    await advance(entries, 28_000);
+    const first = reports.received[0];
+    assert.match(first, /"window":0,"figures":\{"c":\{"requests":9/);
+    // Late cells belong to a later window, whoever holds the lease then.
+    const late = [createCell(0, 7), createCell(0, 4, 'b')];
+    entries[1 - getHolder()].report(late, []);
+    entries[getHolder()].pause();
+    await advance(entries, 60_000);
+    const texts = new Set(reports.received);
+    const windows = [...texts].map(
+      text => (JSON.parse(text) as {window: number}).window,
+    );
+    assert.equal(new Set(windows).size, windows.length);
+    assert.ok(reports.received.filter(text => text === first).length > 1);
+    const sum = [...texts].reduce((total, text) => {
+      const {figures} = JSON.parse(text) as {
+        figures: Record<string, {requests: number}>;
+      };
+      return total + (figures['c']?.requests ?? 0);
+    }, 0);
+    assert.equal(sum, 11);
+    assert.deepEqual(
+      entries.map(e =>
+        e.metrics.getCount('vc_report_failures', {reason: 'rejected'}),
+      ),
+      [0, 0],
+    );
+  });
+});
+
+describe('crash reports', () => {
+  it('reach the holder and quarantine after two upstreams', async () => {
+    // Guards against a request that crashes one upstream after the other.
+    const {entries, getHolder} = await createControllers(new FakeReports());
+    const other = entries[1 - getHolder()];
+    const crash = {epoch: 'e', fingerprints: ['f', 'g']};
+    other.report([], [{...crash, upstream: 'u1'}]);
+    other.report([], [{...crash, upstream: 'u1'}]);
+    await advance(entries, 3_000);
+    assert.equal(other.control.getState().quarantine.size, 0);
+    other.report([], [{epoch: 'e', fingerprints: ['f'], upstream: 'u2'}]);
+    await advance(entries, 3_000);
+    const {quarantine} = other.control.getState();
+    assert.deepEqual([...quarantine.keys()], ['f']);
+  });
+});
+
+describe('scaling and checkpoints of the controller', () => {
+  it('orders missing upstreams once and carries records forward', async () => {
+    // Guards against repeated starts while the list lags, and lost records.
+    const {log, entries, platform} = await createControllers(new FakeReports());
+    const put = {type: 'put', baseRevision: 0, schemaVersion: 1} as const;
+    const domain = {region: 'r'};
+    log.append({...put, key: 'domain/d1', body: domain, operator: 'o'});
+    const pool = {kind: 'plain', minUpstreams: 2};
+    log.append({...put, key: 'pool/p', body: pool, operator: 'o'});
+    await advance(entries, 20_000);
+    assert.equal(platform.effects.length, 1);
+    await advance(entries, 110_000);
+    const last = log.records
+      .map(({payload}) => payload as ControlPayload)
+      .filter(payload => payload.type === 'checkpoint')
+      .at(-1);
+    assert.deepEqual(
+      last?.entries.map(({key, offset}) => [key, offset]),
+      [...entries[0].control.getState().records.values()].map(r => [
+        r.key,
+        r.offset,
+      ]),
+    );
+    assert.ok(last?.cycleStart !== undefined);
+  });
+});
