--- /dev/null
+++ b/packages/standins/src/faultProxy.ts
@@ -0,0 +1,201 @@
+import {parseAddress} from '@vanillacross/common';
+import * as net from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {z} from 'zod';
+
+import type {Service, ServiceOptions} from './service.js';
+import {createRoute, createService} from './service.js';
+
+const linkFaultSchema = z.strictObject({
+  /** Delays each part of the data, ms. */
+  delayMs: z.number().min(0).optional(),
+  /** Closes both sides of a connection after so many bytes. */
+  cutAfterBytes: z.number().int().min(0).optional(),
+  /** Like `cutAfterBytes`, with a reset instead of an orderly end. */
+  resetAfterBytes: z.number().int().min(0).optional(),
+  /** Drops all data; the connection stays open. */
+  blackHole: z.boolean().optional(),
+  /**
+   * Holds the data of the oldest open connection until the fault is cleared
+   * while later connections pass.
+   */
+  holdOldest: z.boolean().optional(),
+});
+/** Faults of the data in one direction. */
+export type LinkFault = z.infer<typeof linkFaultSchema>;
+
+const proxyFaultSchema = z.strictObject({
+  /** From the client to the target. */
+  forward: linkFaultSchema.optional(),
+  /** From the target to the client. */
+  backward: linkFaultSchema.optional(),
+  /** Accepts connections and never connects to the target. */
+  halfOpen: z.boolean().optional(),
+  /** Resets new connections at once. */
+  refuse: z.boolean().optional(),
+});
+export type ProxyFault = z.infer<typeof proxyFaultSchema>;
+type Direction = 'forward' | 'backward';
+
+export interface FaultProxyOptions extends ServiceOptions {
+  /** `ip:port` that the proxy forwards to. */
+  target: string;
+}
+
+export interface ProxyCounts {
+  connections: number;
+  open: number;
+  forwardBytes: number;
+  backwardBytes: number;
+  dropped: number;
+}
+
+/** A TCP proxy with faults that tests set. `PUT /fault` on `controlUrl` also. */
+export interface FaultProxy {
+  /** `ip:port` of the proxied listener. */
+  address: string;
+  url: string;
+  controlUrl: string;
+  setFault(fault: ProxyFault): void;
+  clear(): void;
+  getCounts(): ProxyCounts;
+  /** Resets all open connections. */
+  resetConnections(): void;
+  close(): Promise<void>;
+}
+
+/** How often held data is tried again, ms. */
+const HOLD_STEP_MS = 5;
+
+interface Link {
+  client: net.Socket;
+  target: net.Socket;
+}
+
+export async function createFaultProxy(
+  options: FaultProxyOptions,
+): Promise<FaultProxy> {
+  const to = parseAddress(options.target);
+  const at = parseAddress(options.listen ?? '127.0.0.1:0');
+  if (!to || !at) throw new Error('expected ip:port as target and listen');
+  const counts = {
+    connections: 0,
+    forwardBytes: 0,
+    backwardBytes: 0,
+    dropped: 0,
+  };
+  const links = new Set<Link>();
+  const halfOpen = new Set<net.Socket>();
+  let fault: ProxyFault = {};
+
+  const closeLink = (link: Link, isReset: boolean) => {
+    for (const socket of [link.client, link.target]) {
+      if (isReset) socket.resetAndDestroy();
+      else socket.destroySoon();
+    }
+    links.delete(link);
+  };
+  const isHeld = (link: Link, direction: Direction) => {
+    const [oldest] = links;
+    return Boolean(fault[direction]?.holdOldest) && link === oldest;
+  };
+  /** Passes data on in order; faults are read anew for each part. */
+  const pass = (link: Link, direction: Direction) => {
+    const isForward = direction === 'forward';
+    const from = isForward ? link.client : link.target;
+    const into = isForward ? link.target : link.client;
+    let passed = 0;
+    let order = Promise.resolve();
+
+    const limit = (chunk: Buffer): Buffer => {
+      const {cutAfterBytes = Infinity, resetAfterBytes = Infinity} =
+        fault[direction] ?? {};
+      const room = Math.min(cutAfterBytes, resetAfterBytes) - passed;
+      return chunk.subarray(0, Math.max(0, room));
+    };
+    const send = async (chunk: Buffer) => {
+      const delayMs = fault[direction]?.delayMs ?? 0;
+      if (delayMs > 0) await sleep(delayMs);
+      while (isHeld(link, direction)) await sleep(HOLD_STEP_MS);
+      if (fault[direction]?.blackHole) {
+        counts.dropped += chunk.length;
+        return;
+      }
+      const allowed = limit(chunk);
+      passed += allowed.length;
+      counts[isForward ? 'forwardBytes' : 'backwardBytes'] += allowed.length;
+      if (into.writable) into.write(allowed);
+      if (allowed.length === chunk.length) return;
+      counts.dropped += chunk.length - allowed.length;
+      closeLink(link, fault[direction]?.resetAfterBytes !== undefined);
+    };
+    from.on('data', chunk => {
+      from.pause();
+      order = order.then(() => send(chunk)).then(() => void from.resume());
+    });
+    // A black hole also hides the end of the connection.
+    from.on('end', () => {
+      order = order.then(() => {
+        if (!fault[direction]?.blackHole) into.end();
+      });
+    });
+    from.on('error', () => closeLink(link, true));
+    from.on('close', () => {
+      order = order.then(() => {
+        if (!fault[direction]?.blackHole) closeLink(link, false);
+      });
+    });
+  };
+  const accept = (client: net.Socket) => {
+    counts.connections++;
+    if (fault.refuse) return void client.resetAndDestroy();
+    if (fault.halfOpen) {
+      halfOpen.add(client);
+      client.on('error', () => client.destroy());
+      client.on('close', () => halfOpen.delete(client));
+      client.resume();
+      return;
+    }
+    const target = net.connect({...to, allowHalfOpen: true});
+    const link = {client, target};
+    links.add(link);
+    pass(link, 'forward');
+    pass(link, 'backward');
+  };
+  const server = net.createServer({allowHalfOpen: true}, accept);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(at.port, at.host, resolve);
+  });
+  const address = `${at.host}:${(server.address() as net.AddressInfo).port}`;
+  const setFault = (value: ProxyFault) => {
+    fault = proxyFaultSchema.parse(value);
+  };
+  const getCounts = () => ({...counts, open: links.size + halfOpen.size});
+  const resetConnections = () => {
+    for (const link of [...links]) closeLink(link, true);
+    for (const client of halfOpen) client.resetAndDestroy();
+  };
+  const control: Service = await createService([
+    createRoute('PUT /fault', ({parse}) => {
+      setFault(parse(proxyFaultSchema));
+      return {status: 200, body: fault};
+    }),
+    createRoute('GET /counts', () => ({status: 200, body: getCounts()})),
+  ]);
+  return {
+    address,
+    url: `http://${address}`,
+    controlUrl: control.url,
+    setFault,
+    clear: () => setFault({}),
+    getCounts,
+    resetConnections,
+    close: async () => {
+      setFault({});
+      resetConnections();
+      await control.close();
+      await new Promise(resolve => server.close(resolve));
+    },
+  };
+}
--- /dev/null
+++ b/packages/standins/src/faults.ts
@@ -0,0 +1,135 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {z} from 'zod';
+
+/**
+ * One fault of a stand-in. The first fault that matches a request applies;
+ * one with `times` applies to that many requests.
+ */
+export const faultSchema = z.strictObject({
+  match: z.strictObject({
+    method: z.string().optional(),
+    /** Start of the request path; `*` or nothing matches all. */
+    path: z.string().optional(),
+  }),
+  effect: z.enum([
+    /** Resets the connection before the request takes effect. */
+    'refuse',
+    /** Answers `status` without taking effect. */
+    'status',
+    /** Waits `delayMs` before the request takes effect. */
+    'delay',
+    /** Takes effect, then resets the connection without an answer. */
+    'lose_answer',
+    /** Takes effect, then resets the connection inside the body. */
+    'cut_body',
+    /** Neither takes effect nor answers. */
+    'black_hole',
+  ]),
+  times: z.number().int().positive().optional(),
+  delayMs: z.number().min(0).default(0),
+  status: z.number().int().default(503),
+});
+export type Fault = z.input<typeof faultSchema>;
+type ActiveFault = z.output<typeof faultSchema>;
+
+/** Writes of a streamed answer that pass before `cut_body` cuts it. */
+const WRITES_BEFORE_CUT = 2;
+
+/** Says whether the handler of a request should run. */
+type FaultHandler = (
+  fault: ActiveFault,
+  request: IncomingMessage,
+  response: ServerResponse,
+) => Promise<boolean> | boolean;
+
+function reset(response: ServerResponse): void {
+  response.socket?.resetAndDestroy();
+}
+
+function loseAnswer(response: ServerResponse): void {
+  Object.assign(response, {
+    writeHead: () => response,
+    flushHeaders: () => {},
+    write: (_chunk: unknown, done?: () => void) => {
+      done?.();
+      return true;
+    },
+    end: () => reset(response),
+  });
+}
+
+function cutBody(response: ServerResponse): void {
+  const write = response.write.bind(response) as (
+    chunk: string | Buffer,
+    done?: () => void,
+  ) => boolean;
+  let writes = 0;
+  const cutIn = (chunk: string | Buffer) =>
+    write(chunk.slice(0, Math.ceil(chunk.length / 2)), () => reset(response));
+  Object.assign(response, {
+    write: (chunk: string | Buffer, done?: () => void) =>
+      ++writes > WRITES_BEFORE_CUT ? cutIn(chunk) : write(chunk, done),
+    end: (chunk?: string | Buffer) =>
+      chunk?.length ? cutIn(chunk) : reset(response),
+  });
+}
+
+const faultHandlers: Record<ActiveFault['effect'], FaultHandler> = {
+  refuse: (_fault, _request, response) => {
+    reset(response);
+    return false;
+  },
+  status: (fault, request, response) => {
+    request.resume();
+    response.writeHead(fault.status, {'content-type': 'application/json'});
+    response.end(JSON.stringify({error: 'fault', retryAfterMs: fault.delayMs}));
+    return false;
+  },
+  delay: async fault => {
+    await sleep(fault.delayMs);
+    return true;
+  },
+  lose_answer: (_fault, _request, response) => {
+    loseAnswer(response);
+    return true;
+  },
+  cut_body: (_fault, _request, response) => {
+    cutBody(response);
+    return true;
+  },
+  black_hole: () => false,
+};
+
+/** The faults that tests set on a stand-in. */
+export interface FaultTable {
+  set(faults: unknown): void;
+  get(): readonly ActiveFault[];
+  /** Applies the first matching fault; true if the handler should run. */
+  apply(request: IncomingMessage, response: ServerResponse): Promise<boolean>;
+}
+
+export function createFaultTable(): FaultTable {
+  let faults: ActiveFault[] = [];
+  const isMatch = (fault: ActiveFault, method: string, path: string) =>
+    (!fault.match.method || fault.match.method === method) &&
+    (!fault.match.path ||
+      fault.match.path === '*' ||
+      path.startsWith(fault.match.path));
+  return {
+    set: list => {
+      faults = z.array(faultSchema).parse(list);
+    },
+    get: () => faults,
+    apply: async (request, response) => {
+      const fault = faults.find(candidate =>
+        isMatch(candidate, request.method ?? '', request.url ?? ''),
+      );
+      if (!fault) return true;
+      if (fault.times !== undefined && --fault.times === 0) {
+        faults = faults.filter(other => other !== fault);
+      }
+      return faultHandlers[fault.effect](fault, request, response);
+    },
+  };
+}
--- /dev/null
+++ b/packages/standins/src/ordering.ts
@@ -0,0 +1,110 @@
+import {z} from 'zod';
+
+import type {Exchange, Reply, Service, ServiceOptions} from './service.js';
+import {createRoute, createService} from './service.js';
+
+const orderSchema = z.object({
+  fencing: z.number(),
+  pool: z.string(),
+  action: z.enum(['start', 'stop']),
+  upstream: z.string().optional(),
+  count: z.number().int().positive().optional(),
+});
+export type PlatformOrder = z.infer<typeof orderSchema> & {orderId: string};
+
+export interface OrderedUpstream {
+  id: string;
+  pool: string;
+  state: string;
+}
+
+export interface OrderingOptions extends ServiceOptions {
+  checksFencing?: boolean;
+  /** Prefix of the ids of started upstreams. */
+  domain?: string;
+  /** Starts and stops real upstreams, for example processes. */
+  onStart?: (pool: string, id: string) => Promise<void> | void;
+  onStop?: (id: string) => Promise<void> | void;
+}
+
+/** One arrival of an order, refused ones included. */
+export interface OrderArrival extends PlatformOrder {
+  atMs: number;
+  result: 'executed' | 'repeated' | 'stale';
+}
+
+/** The platform's interface for ordering upstreams of one failure domain. */
+export interface OrderingStandIn extends Service {
+  getAudit(): readonly OrderArrival[];
+  getUpstreams(): readonly OrderedUpstream[];
+  addUpstream(upstream: OrderedUpstream): void;
+}
+
+export async function createOrdering(
+  options: OrderingOptions = {},
+): Promise<OrderingStandIn> {
+  const audit: OrderArrival[] = [];
+  const statuses = new Map<string, string>();
+  const upstreams = new Map<string, OrderedUpstream>();
+  let highest = -1;
+  let started = 0;
+
+  const start = async ({pool, count}: PlatformOrder) => {
+    for (let i = 0; i < (count ?? 1); i++) {
+      const id = `${options.domain ?? 'domain'}-${pool}-${++started}`;
+      upstreams.set(id, {id, pool, state: 'running'});
+      await options.onStart?.(pool, id);
+    }
+    return 'done';
+  };
+  const stop = async ({upstream}: PlatformOrder) => {
+    if (!upstream || !upstreams.delete(upstream)) return 'unknown_upstream';
+    await options.onStop?.(upstream);
+    return 'done';
+  };
+  const execute = async (order: PlatformOrder): Promise<void> => {
+    statuses.set(order.orderId, 'running');
+    const perform = {start, stop}[order.action];
+    statuses.set(order.orderId, await perform(order));
+  };
+  const receive = async ({params, parse}: Exchange): Promise<Reply> => {
+    const order = {...parse(orderSchema), orderId: params[0]};
+    const note = (result: OrderArrival['result']) =>
+      audit.push({...order, atMs: Date.now(), result});
+    if (statuses.has(order.orderId)) {
+      note('repeated');
+      return {status: 200, body: {status: statuses.get(order.orderId)}};
+    }
+    if (options.checksFencing && order.fencing < highest) {
+      note('stale');
+      return {status: 409, body: {highest}};
+    }
+    highest = Math.max(highest, order.fencing);
+    note('executed');
+    await execute(order);
+    return {status: 200, body: {status: statuses.get(order.orderId)}};
+  };
+  const service = await createService(
+    [
+      createRoute('PUT /v1/orders/:order', receive),
+      createRoute('GET /v1/orders/:order', ({params}) => {
+        const status = statuses.get(params[0]);
+        return status
+          ? {status: 200, body: {status}}
+          : {status: 404, body: {error: 'unknown order'}};
+      }),
+      createRoute('GET /v1/upstreams', () => ({
+        status: 200,
+        body: {upstreams: [...upstreams.values()]},
+      })),
+      createRoute('GET /audit', () => ({status: 200, body: audit})),
+    ],
+    options,
+  );
+  return {
+    ...service,
+    getAudit: () => audit,
+    getUpstreams: () => [...upstreams.values()],
+    addUpstream: upstream => void upstreams.set(upstream.id, upstream),
+  };
+}
--- /dev/null
+++ b/packages/standins/src/plainService.ts
@@ -0,0 +1,109 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import PQueue from 'p-queue';
+import {z} from 'zod';
+
+import type {Exchange, Reply, Service, ServiceOptions} from './service.js';
+import {createRoute, createService} from './service.js';
+import type {ColdStartOptions, UpstreamState} from './upstreamState.js';
+import {createUpstreamState} from './upstreamState.js';
+
+export interface PlainServiceOptions extends ServiceOptions, ColdStartOptions {
+  /** Time that one request takes, ms. */
+  serviceMs?: number;
+  /** Requests that run at the same time; others wait. */
+  concurrency?: number;
+  /** Name in answers, to tell replicas apart. */
+  name?: string;
+}
+
+/** A plain service with lookups (`GET`) and calls that must not be repeated. */
+export interface PlainServiceStandIn extends Service {
+  /** Executions of the `POST` calls, by the `id` of their bodies. */
+  getExecutions(): Record<string, number>;
+  getAudit: UpstreamState['getAudit'];
+  setServiceMs(serviceMs: number): void;
+  crash(): void;
+}
+
+const callSchema = z.looseObject({id: z.string()});
+
+export async function createPlainService(
+  options: PlainServiceOptions = {},
+): Promise<PlainServiceStandIn> {
+  const executions = new Map<string, number>();
+  const queue = new PQueue({concurrency: options.concurrency ?? 16});
+  const name = options.name ?? 'plain';
+  let serviceMs = options.serviceMs ?? 5;
+  const state = createUpstreamState(options, () => service.resetConnections());
+
+  const getExecutions = () => Object.fromEntries(executions);
+  // The answer repeats the request, so that a crossed answer shows.
+  const lookUp = ({request, query}: Exchange): Reply => ({
+    status: 200,
+    body: {
+      path: request.url,
+      from: name,
+      padding: 'x'.repeat(Number(query.get('bytes') ?? 0)),
+    },
+  });
+  // Counted before the service time: a call whose answer is lost has run.
+  const call = (exchange: Exchange): Reply => {
+    const body = exchange.parse(callSchema);
+    const count = (executions.get(body.id) ?? 0) + 1;
+    executions.set(body.id, count);
+    return {
+      status: 200,
+      body: {id: body.id, execution: count, from: name, received: body},
+    };
+  };
+  const run = async (
+    exchange: Exchange,
+    perform: (exchange: Exchange) => Reply,
+  ): Promise<Reply> => {
+    if (state.isDown()) return void exchange.response.socket?.destroy();
+    try {
+      if (!state.begin(exchange)) return;
+      return await queue.add(async () => {
+        if (exchange.signal.aborted) return;
+        const reply = perform(exchange);
+        await sleep(serviceMs);
+        while (state.isStalled() && !exchange.signal.aborted) await sleep(10);
+        return reply;
+      });
+    } finally {
+      state.end();
+    }
+  };
+  const service = await createService(
+    [
+      createRoute('GET /audit', () => ({
+        status: 200,
+        body: {...state.getAudit(), executions: getExecutions()},
+      })),
+      createRoute('POST /control/crash', () => {
+        setImmediate(state.crash);
+        return {status: 200, body: {}};
+      }),
+      createRoute('PUT /control/service-time', ({parse}) => {
+        serviceMs = parse(z.object({serviceMs: z.number().min(0)})).serviceMs;
+        return {status: 200, body: {serviceMs}};
+      }),
+      createRoute('GET /health', () => ({
+        status: 200,
+        body: {epoch: state.getEpoch(), cold: state.isCold()},
+      })),
+      createRoute('GET /*', exchange => run(exchange, lookUp)),
+      createRoute('* /*', exchange => run(exchange, call)),
+    ],
+    options,
+  );
+  return {
+    ...service,
+    getExecutions,
+    getAudit: state.getAudit,
+    setServiceMs: value => {
+      serviceMs = value;
+    },
+    crash: state.crash,
+  };
+}
--- /dev/null
+++ b/packages/standins/src/reports.ts
@@ -0,0 +1,61 @@
+import {isDeepStrictEqual} from 'node:util';
+import {z} from 'zod';
+
+import type {Exchange, Reply, Service, ServiceOptions} from './service.js';
+import {createRoute, createService} from './service.js';
+
+const reportSchema = z.object({
+  figures: z.record(z.string(), z.unknown()),
+  sealOffset: z.number(),
+});
+export type UsageReport = z.infer<typeof reportSchema>;
+
+/** One arrival of a report, repeats and refused ones included. */
+export interface ReportArrival extends UsageReport {
+  window: number;
+  atMs: number;
+  result: 'accepted' | 'repeated' | 'conflict';
+}
+
+/** The platform's interface for usage reports. */
+export interface ReportsStandIn extends Service {
+  getAudit(): readonly ReportArrival[];
+  getReports(): ReadonlyMap<number, UsageReport>;
+}
+
+export async function createReports(
+  options: ServiceOptions = {},
+): Promise<ReportsStandIn> {
+  const audit: ReportArrival[] = [];
+  const reports = new Map<number, UsageReport>();
+
+  const receive = ({params, parse}: Exchange): Reply => {
+    const window = z.coerce.number().int().parse(params[0]);
+    const report = parse(reportSchema);
+    const first = reports.get(window);
+    const isSame = isDeepStrictEqual(first?.figures, report.figures);
+    const result = !first ? 'accepted' : isSame ? 'repeated' : 'conflict';
+    audit.push({...report, window, atMs: Date.now(), result});
+    if (!first) reports.set(window, report);
+    return result === 'conflict'
+      ? {status: 409, body: {error: 'other figures are reported'}}
+      : {status: 200, body: {window}};
+  };
+  const service = await createService(
+    [
+      createRoute('PUT /v1/reports/:window', receive),
+      createRoute('GET /v1/reports', () => ({
+        status: 200,
+        body: {
+          reports: [...reports].map(([window, report]) => ({
+            window,
+            ...report,
+          })),
+        },
+      })),
+      createRoute('GET /audit', () => ({status: 200, body: audit})),
+    ],
+    options,
+  );
+  return {...service, getAudit: () => audit, getReports: () => reports};
+}
--- /dev/null
+++ b/packages/standins/src/tokenClock.ts
@@ -0,0 +1,101 @@
+export interface TokenClockOptions {
+  /** Time of one token of a request that runs alone, ms. */
+  tokenMs?: number;
+  /** Batch size at which each request is half as fast as alone. */
+  halfSpeedBatch?: number;
+  /** Requests that generate at the same time; others wait. */
+  maxBatch?: number;
+}
+
+/** A generation on the token clock. */
+export interface Generation {
+  /** Higher runs first. */
+  priority: number;
+  /** End of prompt processing on the monotonic clock, ms. */
+  readyAt: number;
+  /** Makes one token; false if it was the last. */
+  step(): boolean;
+}
+
+/** Generates tokens for all running requests in common steps. */
+export interface TokenClock {
+  add(generation: Generation): void;
+  remove(generation: Generation): void;
+  clear(): void;
+  /** Makes no tokens while paused. */
+  setPaused(isPaused: boolean): void;
+  getCounts(): {running: number; waiting: number};
+  stop(): void;
+}
+
+/** Steps made up for in one timer tick after the process was busy. */
+const MAX_STEPS_PER_TICK = 64;
+
+/** `isStalled` is asked before each step; a stalled engine makes no tokens. */
+export function createTokenClock(
+  options: TokenClockOptions,
+  isStalled: () => boolean,
+): TokenClock {
+  const tokenMs = options.tokenMs ?? 2;
+  const halfSpeedBatch = options.halfSpeedBatch ?? 16;
+  const maxBatch = options.maxBatch ?? 32;
+  const running = new Set<Generation>();
+  let waiting: Generation[] = [];
+  let isPaused = false;
+  let timer: NodeJS.Timeout | undefined;
+  let steppedAt = 0;
+
+  const admit = () => {
+    while (waiting.length > 0 && running.size < maxBatch) {
+      const priority = Math.max(...waiting.map(g => g.priority));
+      const index = waiting.findIndex(g => g.priority === priority);
+      running.add(waiting.splice(index, 1)[0]);
+    }
+  };
+  const step = (now: number) => {
+    for (const generation of running) {
+      if (generation.readyAt > now) continue;
+      if (!generation.step()) running.delete(generation);
+    }
+    admit();
+  };
+  const getStepMs = () => tokenMs * (1 + running.size / halfSpeedBatch);
+  const tick = () => {
+    timer = undefined;
+    const now = performance.now();
+    const stepMs = getStepMs();
+    const due = stepMs > 0 ? Math.floor((now - steppedAt) / stepMs) : 1;
+    const isIdle = isPaused || isStalled();
+    for (let i = 0; !isIdle && i < Math.min(due, MAX_STEPS_PER_TICK); i++) {
+      step(now);
+    }
+    steppedAt = due > MAX_STEPS_PER_TICK ? now : steppedAt + due * stepMs;
+    schedule();
+  };
+  const schedule = () => {
+    if (timer || running.size === 0) return;
+    timer = setTimeout(tick, Math.max(1, getStepMs()));
+  };
+  return {
+    add: generation => {
+      if (running.size === 0) steppedAt = performance.now();
+      waiting.push(generation);
+      admit();
+      schedule();
+    },
+    remove: generation => {
+      running.delete(generation);
+      waiting = waiting.filter(other => other !== generation);
+      admit();
+    },
+    clear: () => {
+      running.clear();
+      waiting = [];
+    },
+    setPaused: value => {
+      isPaused = value;
+    },
+    getCounts: () => ({running: running.size, waiting: waiting.length}),
+    stop: () => clearTimeout(timer),
+  };
+}
--- /dev/null
+++ b/packages/standins/src/upstreamState.ts
@@ -0,0 +1,115 @@
+import {randomUUID} from 'node:crypto';
+
+import {MAX_AUDIT_BODY_CHARS, MAX_AUDIT_ENTRIES} from './constants.js';
+import type {Exchange} from './service.js';
+
+export interface ColdStartOptions {
+  /** Time from start to warm, ms. */
+  coldMs?: number;
+  /** Concurrency that a cold upstream can handle. */
+  coldConcurrency?: number;
+  /** What a cold upstream does above that concurrency. */
+  coldOverload?: 'crash' | 'stall';
+  /** Crashes the upstream when a request body contains it. */
+  crashMarker?: string;
+  /** Time after a crash in which each connection is reset, ms. */
+  restartMs?: number;
+}
+
+/** One request as an upstream received it. */
+export interface AuditEntry {
+  method: string;
+  /** Path with the query as received. */
+  path: string;
+  headers: Record<string, string | string[] | undefined>;
+  body: string;
+  epoch: string;
+  atMs: number;
+}
+
+/** Cold start, crashes and the audit list of one upstream. */
+export interface UpstreamState {
+  getEpoch(): string;
+  isCold(): boolean;
+  isDown(): boolean;
+  /** True while a cold upstream has more requests than it can handle. */
+  isStalled(): boolean;
+  /** Records a request; false if it crashed the upstream. */
+  begin(exchange: Exchange): boolean;
+  end(): void;
+  crash(): void;
+  makeCold(): void;
+  getAudit(): {
+    requests: readonly AuditEntry[];
+    peak: number;
+    peakWhileCold: number;
+    crashes: number;
+    epoch: string;
+  };
+}
+
+/** `reset` drops all connections and all running work. */
+export function createUpstreamState(
+  options: ColdStartOptions,
+  reset: () => void,
+): UpstreamState {
+  const requests: AuditEntry[] = [];
+  const coldMs = options.coldMs ?? 0;
+  const coldConcurrency = options.coldConcurrency ?? 2;
+  let epoch = randomUUID();
+  let warmAt = performance.now() + coldMs;
+  let upAt = 0;
+  let running = 0;
+  let peak = 0;
+  let peakWhileCold = 0;
+  let crashes = 0;
+
+  const isCold = () => performance.now() < warmAt;
+  const isOverloaded = () => isCold() && running > coldConcurrency;
+  const makeCold = () => {
+    warmAt = performance.now() + coldMs;
+  };
+  const crash = () => {
+    crashes++;
+    epoch = randomUUID();
+    upAt = performance.now() + (options.restartMs ?? 0);
+    warmAt = upAt + coldMs;
+    reset();
+  };
+  const record = ({request, body}: Exchange) => {
+    if (requests.length >= MAX_AUDIT_ENTRIES) requests.shift();
+    requests.push({
+      method: request.method ?? '',
+      path: request.url ?? '',
+      headers: request.headers,
+      body: body.toString('utf8').slice(0, MAX_AUDIT_BODY_CHARS),
+      epoch,
+      atMs: Date.now(),
+    });
+  };
+  return {
+    getEpoch: () => epoch,
+    isCold,
+    isDown: () => performance.now() < upAt,
+    isStalled: isOverloaded,
+    begin: exchange => {
+      record(exchange);
+      running++;
+      peak = Math.max(peak, running);
+      if (isCold()) peakWhileCold = Math.max(peakWhileCold, running);
+      const isMarked =
+        options.crashMarker !== undefined &&
+        exchange.body.includes(options.crashMarker);
+      const isCrash =
+        isMarked || (isOverloaded() && options.coldOverload !== 'stall');
+      if (isCrash) crash();
+      return !isCrash;
+    },
+    end: () => {
+      running--;
+    },
+    crash,
+    makeCold,
+    getAudit: () => ({requests, peak, peakWhileCold, crashes, epoch}),
+  };
+}
