--- /dev/null
+++ b/packages/daemon/src/agent.ts
@@ -0,0 +1,93 @@
+import type {AgentInstance, AgentSettings} from '@vanillacross/domain';
+import {createInstanceListPort} from '@vanillacross/platform';
+
+import {createAdminServer} from './adminServer.js';
+import type {AgentLink} from './agentLink.js';
+import {createAgentLink} from './agentLink.js';
+import {createAgentServer} from './agentServer.js';
+import {
+  createInstanceDirectory,
+  createSeedInstance,
+} from './instanceDirectory.js';
+import {createPeerServer} from './peerServer.js';
+import type {RunningDaemon} from './process.js';
+import {
+  createContext,
+  formatAddress,
+  registerProcessMetrics,
+  startParts,
+  stopParts,
+} from './process.js';
+import type {Part} from './types.js';
+
+function createSelf(settings: AgentSettings): AgentInstance {
+  const {id, pool} = settings.upstream;
+  return {
+    id: settings.instance.id,
+    role: 'agent',
+    domain: settings.instance.domain,
+    address: formatAddress(settings.listen.data),
+    peerAddress: formatAddress(settings.listen.peer),
+    state: 'live',
+    upstream: {id, pool},
+  };
+}
+
+/** Starts an agent. */
+export async function startAgent(
+  settings: AgentSettings,
+): Promise<RunningDaemon> {
+  const self = createSelf(settings);
+  const context = createContext(settings, self);
+  registerProcessMetrics(context);
+  const peerServer = createPeerServer(context, settings.listen.peer);
+  await peerServer.start();
+  self.peerAddress = peerServer.getAddress();
+
+  const directory = createInstanceDirectory(
+    context,
+    createInstanceListPort(settings.platform.instances),
+    {seeds: settings.cluster.seeds.map(createSeedInstance)},
+  );
+  const server = createAgentServer(context, {
+    upstream: settings.upstream,
+    getView: () => link.getView(),
+    getHighestFencing: () => link.getHighestFencing(),
+    limits: {maxBodyBytes: settings.limits.maxBodyBytes},
+  });
+  const link: AgentLink = createAgentLink(context, {
+    entries: () =>
+      directory
+        .getInstances()
+        .filter(i => i.role === 'entry' && i.state === 'live'),
+    getReport: entry => server.getReport(entry.id),
+    onReportDelivered: (report, entry) => server.markReported(report, entry.id),
+    instance: self,
+  });
+  const admin = createAdminServer(
+    context,
+    settings.listen.admin,
+    () => server.isReady() && !server.isLeaving() && link.getView() !== null,
+  );
+  peerServer.addMethods(server.rpcMethods);
+  peerServer.addMethods(link.rpcMethods);
+  await startParts([admin, server]);
+  self.address = server.getAddress();
+  await startParts([directory, link]);
+
+  // The link stays up while answers end, so that entries hear of the leave.
+  const stopOrder: Part[] = [server, link, directory, peerServer, admin];
+  return {
+    addresses: {
+      data: server.getAddress(),
+      peer: peerServer.getAddress(),
+      admin: admin.getAddress(),
+    },
+    stop: async signal => {
+      const announced = link.announceLeaving();
+      await stopParts(context, [server], signal);
+      await announced;
+      await stopParts(context, stopOrder.slice(1), signal);
+    },
+  };
+}
--- a/packages/daemon/src/agentLink.ts
+++ b/packages/daemon/src/agentLink.ts
@@ -23,13 +23,13 @@
   crashes: CrashReport[];
 }
 
-export interface AgentLinkOptions {
+export interface AgentLinkOptions<Report extends AgentReport = AgentReport> {
   /** Entries that are known and not leaving. */
   entries: () => readonly Instance[];
   /** The report for one entry; called once per poll. */
-  getReport: (entry: Instance) => AgentReport;
+  getReport: (entry: Instance) => Report;
   /** Called when an entry has answered the poll that carried a report. */
-  onReportDelivered: (report: AgentReport, entry: Instance) => void;
+  onReportDelivered: (report: Report, entry: Instance) => void;
   instance: AgentInstance;
   callPeer?: CallPeer;
 }
@@ -81,9 +81,9 @@
 const LEAVING_WAIT_MS = 2_000;
 
 /** Creates the agent's side of configuration distribution. */
-export function createAgentLink(
+export function createAgentLink<Report extends AgentReport>(
   context: Context,
-  options: AgentLinkOptions,
+  options: AgentLinkOptions<Report>,
 ): AgentLink {
   const {clock, metrics} = context;
   const logger = context.logger.part('agent link');
--- /dev/null
+++ b/packages/daemon/src/entry.ts
@@ -0,0 +1,154 @@
+import {ok} from '@vanillacross/common';
+import type {EntrySettings, Instance} from '@vanillacross/domain';
+import type {WeightStorePort} from '@vanillacross/platform';
+import {
+  createInstanceListPort,
+  createLogClient,
+  createLogPort,
+  createOrderingPort,
+  createReportPort,
+  createWeightStorePort,
+} from '@vanillacross/platform';
+
+import {createAdminServer} from './adminServer.js';
+import {createCallerServer, defaultCallerLimits} from './callerServer.js';
+import {createControlFollower} from './controlFollower.js';
+import {createController} from './controller.js';
+import type {ControllerPorts} from './controller.js';
+import {createDispatcher} from './dispatcher.js';
+import {createSeedInstance} from './instanceDirectory.js';
+import {createMembership} from './membership.js';
+import {createOperatorActions} from './operatorActions.js';
+import {createPeerServer} from './peerServer.js';
+import type {RunningDaemon} from './process.js';
+import {
+  createContext,
+  formatAddress,
+  registerProcessMetrics,
+  startParts,
+  stopParts,
+} from './process.js';
+import type {Part} from './types.js';
+
+/** Stands for the weight store where the settings name none. */
+const noWeightStore: WeightStorePort = {
+  getVersions: () => Promise.resolve(ok([])),
+};
+
+function createControllerPorts(settings: EntrySettings): ControllerPorts {
+  const {ordering, reports, weights} = settings.platform;
+  return {
+    ordering: Object.fromEntries(
+      Object.entries(ordering).map(([id, url]) => [
+        id,
+        createOrderingPort(url),
+      ]),
+    ),
+    reports: createReportPort(reports),
+    weights: weights ? createWeightStorePort(weights) : noWeightStore,
+  };
+}
+
+function createSelf(settings: EntrySettings): Instance {
+  return {
+    id: settings.instance.id,
+    role: 'entry',
+    domain: settings.instance.domain,
+    address: formatAddress(settings.listen.caller),
+    peerAddress: formatAddress(settings.listen.peer),
+    state: 'live',
+  };
+}
+
+/** Starts an entry. */
+export async function startEntry(
+  settings: EntrySettings,
+): Promise<RunningDaemon> {
+  const context = createContext(settings, createSelf(settings));
+  registerProcessMetrics(context);
+  const peerServer = createPeerServer(context, settings.listen.peer);
+  await peerServer.start();
+  context.self.peerAddress = peerServer.getAddress();
+
+  const seeds = settings.cluster.seeds
+    .filter(seed => seed !== context.self.peerAddress)
+    .map(createSeedInstance);
+  const logPort = createLogPort(settings.platform.log);
+  const logClient = createLogClient(logPort, context.clock, {
+    appendsPerSecond: settings.limits.appendsPerSecond,
+  });
+  const control = createControlFollower(context, logPort, {
+    logClient,
+    getPeers: () => {
+      const peers = membership.getPeers();
+      return peers.length > 0 ? peers : seeds;
+    },
+  });
+  const membership = createMembership(
+    context,
+    control,
+    createInstanceListPort(settings.platform.instances),
+    {seeds},
+  );
+  const dispatcher = createDispatcher(context, control, membership);
+  const controller = createController(
+    context,
+    control,
+    membership,
+    createControllerPorts(settings),
+    {
+      getCells: () => dispatcher.getCells(),
+      retentionMs: settings.controller.retentionMs,
+    },
+  );
+  const actions = createOperatorActions(context, control, membership, {
+    tokenHash: settings.operator.tokenHash,
+  });
+  const callerServer = createCallerServer(
+    context,
+    control,
+    membership,
+    dispatcher,
+    actions,
+    {
+      ...defaultCallerLimits,
+      maxBodyBytes: settings.limits.maxBodyBytes,
+      bodyTimeoutMs: settings.limits.callerTimeoutMs,
+    },
+  );
+  for (const part of [control, membership, controller]) {
+    peerServer.addMethods(part.rpcMethods);
+  }
+  let isDraining = false;
+  const admin = createAdminServer(
+    context,
+    settings.listen.admin,
+    () => !isDraining && control.getState().isWhole,
+  );
+  await startParts([admin, control, membership, dispatcher, callerServer]);
+  context.self.address = callerServer.getAddress();
+  await controller.start();
+
+  // Callers drain first while control still works; listeners close last.
+  const stopOrder: Part[] = [
+    callerServer,
+    controller,
+    dispatcher,
+    membership,
+    control,
+    peerServer,
+    admin,
+  ];
+  return {
+    addresses: {
+      caller: callerServer.getAddress(),
+      peer: peerServer.getAddress(),
+      admin: admin.getAddress(),
+    },
+    stop: signal => {
+      isDraining = true;
+      membership.setLeaving();
+      return stopParts(context, stopOrder, signal);
+    },
+  };
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -7,7 +7,6 @@
 export * from './peerCalls.js';
 export * from './agentLimits.js';
 export * from './agentServer.js';
-export type * from './agentUsage.js';
 export * from './callerServer.js';
 export * from './dispatcher.js';
 export * from './controller.js';
--- /dev/null
+++ b/packages/daemon/src/process.ts
@@ -0,0 +1,65 @@
+import {randomUUID} from 'node:crypto';
+
+import type {Epoch, ListenAddress} from '@vanillacross/common';
+import {Metrics, createLogger, systemClock} from '@vanillacross/common';
+import type {Instance, Settings} from '@vanillacross/domain';
+
+import type {Context, Part} from './types.js';
+
+/** A started daemon of either role. */
+export interface RunningDaemon {
+  /** Bound addresses by listener, as `ip:port`. */
+  addresses: Record<string, string>;
+  /** Ends all parts; at once when the signal is aborted. */
+  stop(signal: AbortSignal): Promise<void>;
+}
+
+/** Text form of a listen address. */
+export function formatAddress(address: ListenAddress): string {
+  return `${address.host}:${address.port}`;
+}
+
+/** Creates what all parts of a process share. */
+export function createContext(settings: Settings, self: Instance): Context {
+  const {id, role, domain} = settings.instance;
+  return {
+    self,
+    epoch: randomUUID() as Epoch,
+    clock: systemClock,
+    logger: createLogger(role, settings.log.level, {instance: id, domain}),
+    metrics: new Metrics(),
+    clusterSecret: settings.cluster.secret,
+  };
+}
+
+/** Starts parts in order. */
+export async function startParts(parts: readonly Part[]): Promise<void> {
+  for (const part of parts) await part.start();
+}
+
+/** Stops parts in the given order; a failing part does not keep the others. */
+export async function stopParts(
+  context: Context,
+  parts: readonly Part[],
+  signal: AbortSignal,
+): Promise<void> {
+  for (const part of parts) {
+    try {
+      await part.stop(signal);
+    } catch (error) {
+      const detail = (error as Error).message;
+      context.logger.error(`stopping ${part.name} failed`, {detail});
+    }
+  }
+}
+
+/** Adds gauges of the process that every role has. */
+export function registerProcessMetrics(context: Context): void {
+  const {metrics} = context;
+  metrics.gauge('vc_process_memory_bytes', () => process.memoryUsage.rss());
+  metrics.gauge('vc_process_heap_bytes', () => process.memoryUsage().heapUsed);
+  metrics.gauge('vc_process_cpu_ms', () => {
+    const {user, system} = process.cpuUsage();
+    return (user + system) / 1_000;
+  });
+}
--- a/packages/domain/src/access.ts
+++ b/packages/domain/src/access.ts
@@ -15,7 +15,7 @@
 }
 
 /** What is known of one key hash. */
-export interface KeyEntry {
+export interface KeyGrant {
   account: string;
   isActive: boolean;
 }
@@ -24,7 +24,7 @@
 export interface AccessTable {
   /** Longest prefix first; of equal prefixes the one with a model first. */
   routes: readonly RouteEntry[];
-  keys: ReadonlyMap<string, KeyEntry>;
+  keys: ReadonlyMap<string, KeyGrant>;
 }
 
 export type AccessFailure = 'unauthorized' | 'key_withdrawn' | 'forbidden';
@@ -42,7 +42,7 @@
   const routes = getBodies(state, 'route')
     .map(({id, body}) => ({id, route: body}))
     .sort(compareRoutes);
-  const keys = new Map<string, KeyEntry>();
+  const keys = new Map<string, KeyGrant>();
   for (const {body} of getBodies(state, 'key')) {
     // Of two records with one hash the withdrawn one counts (R6).
     const isActive =
--- a/packages/domain/src/settings.test.ts
+++ b/packages/domain/src/settings.test.ts
@@ -17,6 +17,7 @@
 [platform]
 log=http://127.0.0.1:9001
 instances=http://127.0.0.1:9002
+reports=http://127.0.0.1:9004
 [platform.ordering]
 fd-a=http://127.0.0.1:9003
 [cluster]
--- a/packages/domain/src/settings.ts
+++ b/packages/domain/src/settings.ts
@@ -87,8 +87,6 @@
   id,
   domain: id,
   region: id.default('default'),
-  /** Address that others use, where it differs from the listener. */
-  advertise: z.string().optional(),
 };
 
 /** Settings of an entry. */
@@ -98,7 +96,7 @@
   platform: z.strictObject({
     log: url,
     instances: url,
-    reports: url.optional(),
+    reports: url,
     weights: url.optional(),
     scoring: url.optional(),
     /** Ordering interface by failure domain. */
