Add fault proxy fixes, process harness, deployments and contract tests

Integration tests and the demo need real daemon processes against the stand-ins, and each platform interface needs one table of rules and faults that another implementation can be put to by its address.

The proxy resets 20 ms after the last data, because libuv reports a reset that arrives together with data as an orderly end. Ordering hooks run in the background, since starting an upstream outlasts the request.

--- /dev/null
+++ b/packages/integration/src/engineContract.ts
@@ -0,0 +1,180 @@
+import * as assert from 'node:assert/strict';
+import {randomUUID} from 'node:crypto';
+import OpenAI from 'openai';
+
+import {call, callOk, describeContract} from './contract.js';
+import type {ContractCase, EffectfulCall, GetAddress} from './contract.js';
+import type {ContractOptions} from './platformContracts.js';
+
+interface Status {
+  epoch: string;
+  weightVersion: number;
+  running: number;
+  adapters: string[];
+}
+const FENCING = 7;
+
+async function getStatus(url: string): Promise<Status> {
+  return (await callOk<Status>('GET', `${url}/v1/engine/status`)).body;
+}
+const sendOrder = (url: string, fields: object) =>
+  callOk<{status: string; highest?: number}>(
+    'POST',
+    `${url}/v1/engine/orders`,
+    {orderId: randomUUID(), fencing: FENCING, ...fields},
+  );
+const createClient = (url: string) =>
+  new OpenAI({baseURL: `${url}/v1`, apiKey: 'unused', maxRetries: 0});
+
+const engineCases: ContractCase[] = [
+  {
+    name: 'labels each event of a completion stream (guards: R1 without a source)',
+    run: async url => {
+      const {weightVersion, epoch} = await getStatus(url);
+      const {data: stream, response} = await createClient(url)
+        .completions.create({
+          model: 'model',
+          prompt: 'p',
+          max_tokens: 5,
+          stream: true,
+        })
+        .withResponse();
+      assert.equal(response.headers.get('x-engine-epoch'), epoch);
+      const chunks = [];
+      for await (const chunk of stream) chunks.push(chunk);
+      for (const chunk of chunks) {
+        const label = (chunk as {weight_version?: number}).weight_version;
+        assert.equal(label, weightVersion);
+      }
+      assert.equal(chunks.at(-1)?.usage?.completion_tokens, 5);
+      assert.ok(chunks.some(c => c.choices[0]?.finish_reason === 'length'));
+    },
+  },
+  {
+    name: 'gives the same chat text whole and streamed (guards: answers lost in one of the forms)',
+    run: async url => {
+      const client = createClient(url);
+      const request = {
+        model: 'model',
+        messages: [{role: 'user' as const, content: 'hello'}],
+        max_tokens: 6,
+      };
+      const whole = await client.chat.completions.create(request);
+      let streamed = '';
+      const stream = await client.chat.completions.create({
+        ...request,
+        stream: true,
+      });
+      for await (const chunk of stream) {
+        streamed += chunk.choices[0]?.delta.content ?? '';
+      }
+      assert.equal(whole.choices[0].message.content, streamed);
+      assert.equal(whole.usage?.completion_tokens, 6);
+    },
+  },
+  {
+    name: 'loads a staged version and refuses one that is not staged (guards: swaps that skip the transfer)',
+    run: async url => {
+      const version = (await getStatus(url)).weightVersion + 1;
+      const early = await sendOrder(url, {action: 'activate', version});
+      assert.equal(early.body.status, 'failed');
+      await sendOrder(url, {action: 'stage', version});
+      const late = await sendOrder(url, {action: 'activate', version});
+      assert.equal(late.body.status, 'done');
+      assert.equal((await getStatus(url)).weightVersion, version);
+    },
+  },
+  {
+    name: 'exports and imports KV state (guards: resumption that starts over)',
+    run: async url => {
+      const requestId = randomUUID();
+      const path = `${url}/v1/engine/kv/${requestId}`;
+      assert.equal((await callOk('GET', path)).status, 404);
+      const body = {prompt: 'p', max_tokens: 3, request_id: requestId};
+      await callOk('POST', `${url}/v1/completions`, body);
+      const kv = await callOk<{prompt: string; tokens: object[]}>('GET', path);
+      assert.equal(kv.body.tokens.length, 3);
+      assert.equal((await callOk('POST', path, kv.body)).status, 200);
+    },
+  },
+  {
+    name: 'publishes cache events in order (guards: affinity to evicted prefixes)',
+    run: async url => {
+      const prompt = randomUUID().repeat(20);
+      await callOk('POST', `${url}/v1/completions`, {prompt, max_tokens: 1});
+      const path = `${url}/v1/engine/cache-events?since=`;
+      type Events = {events: Array<{sequence: number}>; next: number};
+      let body: Events = {events: [], next: 0};
+      while (body.events.length === 0) {
+        body = (await callOk<Events>('GET', `${path}0`)).body;
+      }
+      const sequences = body.events.map(({sequence}) => sequence);
+      assert.deepEqual(
+        sequences,
+        [...sequences].sort((a, b) => a - b),
+      );
+      assert.equal(body.next, sequences.at(-1));
+    },
+  },
+];
+function createFencingCase(checksFencing: boolean): ContractCase {
+  return {
+    name: `${checksFencing ? 'refuses' : 'accepts'} an old fencing number (guards: R7 tests against the other kind)`,
+    run: async url => {
+      await sendOrder(url, {action: 'role', role: 'a'});
+      const old = {action: 'role', role: 'b', fencing: FENCING - 1};
+      const answer = await sendOrder(url, old);
+      assert.equal(answer.status, checksFencing ? 409 : 200);
+      if (checksFencing) assert.equal(answer.body.highest, FENCING);
+    },
+  };
+}
+const adapterOrder: EffectfulCall = {
+  send: (url, key, timeoutMs) => {
+    const order = {action: 'adapter', adapter: key, orderId: key};
+    const body = {...order, fencing: FENCING};
+    return call('POST', `${url}/v1/engine/orders`, body, timeoutMs);
+  },
+  countEffects: async (url, key) =>
+    (await getStatus(url)).adapters.filter(adapter => adapter === key).length,
+  isIdempotent: true,
+};
+
+export function describeEngineContract(
+  getAddress: GetAddress,
+  checksFencing: boolean,
+  {hasFaults = false}: ContractOptions = {},
+): void {
+  const cases = [...engineCases, createFencingCase(checksFencing)];
+  const effectful = hasFaults ? adapterOrder : undefined;
+  const name = `engine, ${checksFencing ? 'checks' : 'ignores'} fencing`;
+  describeContract(name, getAddress, cases, effectful);
+}
+
+const plainCases: ContractCase[] = [
+  {
+    name: 'answers with the path that was asked for (guards: crossed answers that go unseen)',
+    run: async url => {
+      const {body} = await callOk<{path: string}>('GET', `${url}/seats/4?x=1`);
+      assert.equal(body.path, '/seats/4?x=1');
+    },
+  },
+];
+const plainCall: EffectfulCall = {
+  send: (url, key, timeoutMs) =>
+    call('POST', `${url}/holds`, {id: key}, timeoutMs),
+  countEffects: async (url, key) => {
+    type Audit = {executions: Record<string, number>};
+    const {body} = await callOk<Audit>('GET', `${url}/audit`);
+    return body.executions[key] ?? 0;
+  },
+  isIdempotent: false,
+};
+
+export function describePlainServiceContract(
+  getAddress: GetAddress,
+  {hasFaults = false}: ContractOptions = {},
+): void {
+  const effectful = hasFaults ? plainCall : undefined;
+  describeContract('plain service', getAddress, plainCases, effectful);
+}
--- a/packages/integration/src/index.ts
+++ b/packages/integration/src/index.ts
@@ -1,1 +1,6 @@
-export {};
+/** Process harness, deployments and contract tests. */
+export * from './contract.js';
+export * from './deployment.js';
+export * from './engineContract.js';
+export * from './platformContracts.js';
+export * from './processHarness.js';
--- /dev/null
+++ b/packages/integration/src/platformContracts.ts
@@ -0,0 +1,415 @@
+import * as assert from 'node:assert/strict';
+import {randomUUID} from 'node:crypto';
+
+import {call, callOk, describeContract} from './contract.js';
+import type {ContractCase, EffectfulCall, GetAddress} from './contract.js';
+
+interface Range {
+  records: Array<{offset: number; appendId: string; payload: unknown}>;
+  earliest: number;
+  next: number;
+}
+interface Changes {
+  version: number;
+  full: boolean;
+  instances: Array<{id: string; state: string}>;
+  removed: string[];
+}
+
+/** Appends sent to meet a limit or the retention; well above the defaults. */
+const MANY_APPENDS = 1_000;
+
+function getStreamUrl(url: string, stream: string): string {
+  return `${url}/v1/streams/${stream}/records`;
+}
+function append(streamUrl: string, payloads: unknown[]) {
+  const records = payloads.map(payload => ({appendId: randomUUID(), payload}));
+  return callOk<{offsets: number[]; retryAfterMs?: number}>('POST', streamUrl, {
+    records,
+  });
+}
+function read(streamUrl: string, query: string) {
+  return callOk<Range>('GET', `${streamUrl}?${query}`);
+}
+
+const logCases: ContractCase[] = [
+  {
+    name: 'gives consecutive offsets from 0 per stream (guards: fencing numbers that repeat)',
+    run: async url => {
+      const stream = getStreamUrl(url, randomUUID());
+      assert.deepEqual((await append(stream, ['a', 'b'])).body.offsets, [0, 1]);
+      assert.deepEqual((await append(stream, ['c'])).body.offsets, [2]);
+      const {records, earliest, next} = (await read(stream, 'from=1')).body;
+      assert.deepEqual(
+        records.map(({offset, payload}) => [offset, payload]),
+        [
+          [1, 'b'],
+          [2, 'c'],
+        ],
+      );
+      assert.deepEqual([earliest, next], [0, 3]);
+    },
+  },
+  {
+    name: 'reads at most max records (guards: unbounded answers)',
+    run: async url => {
+      const stream = getStreamUrl(url, randomUUID());
+      await append(stream, ['a', 'b', 'c']);
+      const {records} = (await read(stream, 'from=0&max=2')).body;
+      assert.equal(records.length, 2);
+    },
+  },
+  {
+    name: 'answers a long poll when a record arrives (guards: late configuration)',
+    run: async url => {
+      const stream = getStreamUrl(url, randomUUID());
+      const poll = read(stream, 'from=0&waitMs=15000');
+      await append(stream, ['a']);
+      assert.equal((await poll).body.records.length, 1);
+    },
+  },
+  {
+    name: 'answers an idle long poll with no records (guards: readers that hang)',
+    run: async url => {
+      const stream = getStreamUrl(url, randomUUID());
+      const {records, next} = (await read(stream, 'from=0&waitMs=10')).body;
+      assert.deepEqual([records.length, next], [0, 0]);
+    },
+  },
+  {
+    name: 'refuses a malformed append as a whole (guards: half of a batch)',
+    run: async url => {
+      const stream = getStreamUrl(url, randomUUID());
+      const records = [{appendId: 'a', payload: 1}, {payload: 2}];
+      const answer = await callOk('POST', stream, {records});
+      assert.equal(answer.status, 400);
+      assert.equal((await read(stream, 'from=0')).body.next, 0);
+    },
+  },
+];
+
+const retentionCase: ContractCase = {
+  name: 'answers 410 below the earliest record (guards: gaps read as complete)',
+  run: async url => {
+    const stream = getStreamUrl(url, randomUUID());
+    await append(stream, Array(MANY_APPENDS).fill('x'));
+    const gap = await read(stream, 'from=0');
+    assert.equal(gap.status, 410);
+    assert.equal(gap.body.next, MANY_APPENDS);
+    const rest = await read(stream, `from=${gap.body.earliest}`);
+    assert.equal(rest.body.records[0].offset, gap.body.earliest);
+  },
+};
+const rateCase: ContractCase = {
+  name: 'limits the rate of appends without effect (guards: a limit that never shows)',
+  run: async url => {
+    const stream = getStreamUrl(url, randomUUID());
+    const sends = Array.from({length: MANY_APPENDS}, () => append(stream, [0]));
+    const answers = await Promise.all(sends);
+    const limited = answers.filter(({status}) => status === 429);
+    assert.ok(limited.length > 0);
+    assert.ok(limited.every(({body}) => body.retryAfterMs! > 0));
+    const {next} = (await read(stream, 'from=0&max=1')).body;
+    assert.equal(next, MANY_APPENDS - limited.length);
+  },
+};
+const outageCase: ContractCase = {
+  name: 'keeps its records through an outage (guards: an outage that loses state)',
+  run: async url => {
+    const stream = getStreamUrl(url, randomUUID());
+    await append(stream, ['a']);
+    const poll = read(stream, 'from=1&waitMs=15000');
+    await callOk('PUT', `${url}/outage`, {isDown: true});
+    assert.equal((await append(stream, ['b'])).status, 503);
+    assert.equal((await poll).status, 503);
+    await callOk('PUT', `${url}/outage`, {isDown: false});
+    assert.deepEqual((await append(stream, ['c'])).body.offsets, [1]);
+  },
+};
+
+const logAppend: EffectfulCall = {
+  send: (url, key, timeoutMs) => {
+    const records = [{appendId: key, payload: key}];
+    return call('POST', getStreamUrl(url, key), {records}, timeoutMs);
+  },
+  countEffects: async (url, key) =>
+    (await read(getStreamUrl(url, key), 'from=0')).body.next,
+  isIdempotent: false,
+};
+
+/** Parts of a contract that only a stand-in can be put to. */
+export interface ContractOptions {
+  /** The implementation takes `PUT /faults` and the other test settings. */
+  hasFaults?: boolean;
+}
+
+/** Needs an append rate and a retention by count below 1,000 records. */
+export function describeLogContract(
+  getAddress: GetAddress,
+  {hasFaults = false}: ContractOptions = {},
+): void {
+  const cases = [...logCases, retentionCase];
+  if (hasFaults) cases.push(outageCase);
+  const effectful = hasFaults ? logAppend : undefined;
+  describeContract('log', getAddress, cases, effectful);
+}
+
+/** Uses up the append rate of the log, so it needs a log of its own. */
+export function describeLogRateContract(getAddress: GetAddress): void {
+  describeContract('log rate', getAddress, [rateCase]);
+}
+
+function getInstance(id: string, state = 'live') {
+  const address = '127.0.0.1:1';
+  return {id, role: 'entry', domain: 'a', address, peerAddress: address, state};
+}
+async function getChanges(url: string, since: number): Promise<Changes> {
+  const path = `/v1/instances?since=${since}`;
+  return (await callOk<Changes>('GET', url + path)).body;
+}
+const putInstance = (url: string, id: string, state?: string) =>
+  callOk('PUT', `${url}/v1/instances/${id}`, getInstance(id, state));
+
+const instanceCases: ContractCase[] = [
+  {
+    name: 'lists all at first and changes later (guards: instances missed between polls)',
+    run: async url => {
+      const [a, b] = [randomUUID(), randomUUID()];
+      await putInstance(url, a);
+      const first = await getChanges(url, 0);
+      assert.ok(first.full && first.instances.some(({id}) => id === a));
+      await putInstance(url, b, 'leaving');
+      await callOk('DELETE', `${url}/v1/instances/${a}`);
+      const second = await getChanges(url, first.version);
+      assert.equal(second.full, false);
+      assert.deepEqual(
+        second.instances.map(({id, state}) => [id, state]),
+        [[b, 'leaving']],
+      );
+      assert.deepEqual(second.removed, [a]);
+      const third = await getChanges(url, second.version);
+      assert.deepEqual([third.instances, third.removed], [[], []]);
+    },
+  },
+  {
+    name: 'lists all to a reader ahead of it (guards: a restarted list that looks unchanged)',
+    run: async url => {
+      await putInstance(url, randomUUID());
+      assert.equal((await getChanges(url, 1_000_000)).full, true);
+    },
+  },
+];
+const lagCase: ContractCase = {
+  name: 'hides a change for its lag (guards: tests against a list that is always right)',
+  run: async url => {
+    const id = randomUUID();
+    const {version} = await getChanges(url, 0);
+    await callOk('PUT', `${url}/lag`, {lagMs: 3_600_000});
+    await putInstance(url, id);
+    const lagging = await getChanges(url, 0);
+    assert.ok(lagging.instances.every(listed => listed.id !== id));
+    await callOk('PUT', `${url}/lag`, {lagMs: 0});
+    const current = await getChanges(url, version);
+    assert.ok(current.instances.some(listed => listed.id === id));
+  },
+};
+const instancePut: EffectfulCall = {
+  send: (url, key, timeoutMs) =>
+    call('PUT', `${url}/v1/instances/${key}`, getInstance(key), timeoutMs),
+  countEffects: async (url, key) =>
+    (await getChanges(url, 0)).instances.filter(({id}) => id === key).length,
+  isIdempotent: true,
+};
+
+export function describeInstanceListContract(
+  getAddress: GetAddress,
+  {hasFaults = false}: ContractOptions = {},
+): void {
+  const cases = hasFaults ? [...instanceCases, lagCase] : instanceCases;
+  const effectful = hasFaults ? instancePut : undefined;
+  describeContract('instance list', getAddress, cases, effectful);
+}
+
+type Upstreams = {upstreams: Array<{id: string; pool: string}>};
+const FENCING = 7;
+
+async function getPoolUpstreams(url: string, pool: string) {
+  const {body} = await callOk<Upstreams>('GET', `${url}/v1/upstreams`);
+  return body.upstreams.filter(upstream => upstream.pool === pool);
+}
+const putOrder = (url: string, id: string, fields: object) =>
+  callOk<{status?: string; highest?: number}>('PUT', `${url}/v1/orders/${id}`, {
+    fencing: FENCING,
+    action: 'start',
+    ...fields,
+  });
+
+const orderingCases: ContractCase[] = [
+  {
+    name: 'starts and stops upstreams (guards: orders without effect)',
+    run: async url => {
+      const pool = randomUUID();
+      await putOrder(url, randomUUID(), {pool, count: 2});
+      const [first, second] = await getPoolUpstreams(url, pool);
+      const stop = {pool, action: 'stop', upstream: first.id};
+      await putOrder(url, randomUUID(), stop);
+      assert.deepEqual(await getPoolUpstreams(url, pool), [second]);
+    },
+  },
+  {
+    name: 'answers 404 for an unknown order (guards: a lost order taken as done)',
+    run: async url => {
+      const path = `/v1/orders/${randomUUID()}`;
+      assert.equal((await callOk('GET', url + path)).status, 404);
+    },
+  },
+];
+function createFencingCase(checksFencing: boolean): ContractCase {
+  return {
+    name: `${checksFencing ? 'refuses' : 'accepts'} an old fencing number (guards: R7 tests against the other kind)`,
+    run: async url => {
+      const pool = randomUUID();
+      await putOrder(url, randomUUID(), {pool});
+      const old = {pool, fencing: FENCING - 1};
+      const answer = await putOrder(url, randomUUID(), old);
+      assert.equal(answer.status, checksFencing ? 409 : 200);
+      if (checksFencing) assert.equal(answer.body.highest, FENCING);
+      const expected = checksFencing ? 1 : 2;
+      assert.equal((await getPoolUpstreams(url, pool)).length, expected);
+    },
+  };
+}
+const orderCall: EffectfulCall = {
+  send: (url, key, timeoutMs) => {
+    const order = {fencing: FENCING, pool: key, action: 'start'};
+    return call('PUT', `${url}/v1/orders/${key}`, order, timeoutMs);
+  },
+  countEffects: async (url, key) => (await getPoolUpstreams(url, key)).length,
+  isIdempotent: true,
+};
+
+export function describeOrderingContract(
+  getAddress: GetAddress,
+  checksFencing: boolean,
+  {hasFaults = false}: ContractOptions = {},
+): void {
+  const cases = [...orderingCases, createFencingCase(checksFencing)];
+  const effectful = hasFaults ? orderCall : undefined;
+  const name = `ordering, ${checksFencing ? 'checks' : 'ignores'} fencing`;
+  describeContract(name, getAddress, cases, effectful);
+}
+
+let lastWindow = 0;
+/** Windows are numbers; each key of the fault table gets one. */
+const windowOfKey = new Map<string, number>();
+
+function getWindow(key: string): number {
+  const window = windowOfKey.get(key) ?? ++lastWindow;
+  windowOfKey.set(key, window);
+  return window;
+}
+function getReport(requests: number) {
+  const figures = {a: {requests, promptTokens: 0, generatedTokens: 0}};
+  return {figures, sealOffset: 1};
+}
+const putReport = (url: string, window: number, requests: number) =>
+  callOk('PUT', `${url}/v1/reports/${window}`, getReport(requests));
+
+const reportCases: ContractCase[] = [
+  {
+    name: 'takes the same figures again and refuses others (guards: R8)',
+    run: async url => {
+      const window = getWindow(randomUUID());
+      assert.equal((await putReport(url, window, 1)).status, 200);
+      assert.equal((await putReport(url, window, 1)).status, 200);
+      assert.equal((await putReport(url, window, 2)).status, 409);
+      const {body} = await callOk<{reports: Array<{window: number}>}>(
+        'GET',
+        `${url}/v1/reports`,
+      );
+      const kept = body.reports.filter(report => report.window === window);
+      assert.deepEqual(kept, [{window, ...getReport(1)}]);
+    },
+  },
+];
+const reportCall: EffectfulCall = {
+  send: (url, key, timeoutMs) => {
+    const path = `/v1/reports/${getWindow(key)}`;
+    return call('PUT', url + path, getReport(1), timeoutMs);
+  },
+  countEffects: async (url, key) => {
+    const path = `${url}/v1/reports`;
+    const {body} = await callOk<{reports: Array<{window: number}>}>(
+      'GET',
+      path,
+    );
+    return body.reports.filter(({window}) => window === getWindow(key)).length;
+  },
+  isIdempotent: true,
+};
+
+export function describeReportsContract(
+  getAddress: GetAddress,
+  {hasFaults = false}: ContractOptions = {},
+): void {
+  const effectful = hasFaults ? reportCall : undefined;
+  describeContract('reports', getAddress, reportCases, effectful);
+}
+
+type Versions = {versions: Array<{version: number; bytes: number}>};
+const WEIGHT_BYTES = 200_000;
+
+async function getVersions(url: string, model: string) {
+  const path = `/v1/weights/${model}`;
+  return (await callOk<Versions>('GET', url + path)).body.versions;
+}
+const publication = {version: 3, bytes: WEIGHT_BYTES, trainer: 'trainer'};
+
+const weightCases: ContractCase[] = [
+  {
+    name: 'serves the bytes of a published version (guards: swaps without weights)',
+    run: async url => {
+      const model = randomUUID();
+      const path = `${url}/v1/weights/${model}`;
+      await callOk('POST', path, publication);
+      const [{version, bytes}] = await getVersions(url, model);
+      assert.deepEqual([version, bytes], [3, WEIGHT_BYTES]);
+      const body = await (await fetch(`${path}/3`)).arrayBuffer();
+      assert.equal(body.byteLength, WEIGHT_BYTES);
+      assert.equal((await callOk('GET', `${path}/4`)).status, 404);
+    },
+  },
+];
+const publishCall: EffectfulCall = {
+  send: (url, key, timeoutMs) =>
+    call('POST', `${url}/v1/weights/${key}`, publication, timeoutMs),
+  countEffects: async (url, key) => (await getVersions(url, key)).length,
+  isIdempotent: true,
+};
+
+export function describeWeightStoreContract(
+  getAddress: GetAddress,
+  {hasFaults = false}: ContractOptions = {},
+): void {
+  const effectful = hasFaults ? publishCall : undefined;
+  describeContract('weight store', getAddress, weightCases, effectful);
+}
+
+const scoringCases: ContractCase[] = [
+  {
+    name: 'gives one text one score (guards: samples whose score changes on a repeat)',
+    run: async url => {
+      const sample = {sampleId: randomUUID(), prompt: 'p', text: 't'};
+      const score = async () =>
+        (await callOk<{score: number}>('POST', `${url}/v1/score`, sample)).body
+          .score;
+      const first = await score();
+      assert.ok(first >= 0 && first <= 1);
+      assert.equal(await score(), first);
+    },
+  },
+];
+
+export function describeScoringContract(getAddress: GetAddress): void {
+  describeContract('scoring', getAddress, scoringCases);
+}
--- a/packages/standins/src/constants.ts
+++ b/packages/standins/src/constants.ts
@@ -9,7 +9,7 @@
 /** Entries that an audit list keeps; older ones are dropped. */
 export const MAX_AUDIT_ENTRIES = 20_000;
 /** Characters of a request body that an audit entry keeps. */
-export const MAX_AUDIT_BODY_CHARS = 2_000;
+export const MAX_AUDIT_BODY_CHARS = 500;
 /** Characters of prompt in one block of the engine's prefix cache. */
 export const CACHE_BLOCK_CHARS = 64;
 /** Characters of prompt counted as one token. */
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -44,7 +44,7 @@
   /** Resets all connections; the engine is cold again under a new epoch. */
   crash(): void;
   /** Makes the engine cold again without a crash. */
-  makeCold(): void;
+  makeCold(spanMs?: number): void;
   setFailingSwaps(count: number): void;
 }
 
@@ -295,11 +295,7 @@
     cancelled,
     completed,
   });
-  const answerWithStatus = (change: () => void): Reply => {
-    // After the answer has left, because a crash resets its connection too.
-    setImmediate(change);
-    return {status: 200, body: {}};
-  };
+  const coldSchema = z.object({coldMs: z.number().min(0).optional()});
   const controlSchema = z.object({failingSwaps: z.number().int().min(0)});
 
   const service = await createService(
@@ -345,8 +341,15 @@
         return sendZeros(exchange, bytes);
       }),
       createRoute('GET /audit', () => ({status: 200, body: getAudit()})),
-      createRoute('POST /control/crash', () => answerWithStatus(state.crash)),
-      createRoute('POST /control/cold', () => answerWithStatus(state.makeCold)),
+      createRoute('POST /control/crash', () => {
+        // After the answer has left, because a crash resets its connection.
+        setImmediate(state.crash);
+        return {status: 200, body: {}};
+      }),
+      createRoute('POST /control/cold', ({parse}) => {
+        state.makeCold(parse(coldSchema).coldMs);
+        return {status: 200, body: {}};
+      }),
       createRoute('PUT /control/failing-swaps', ({parse}) => {
         const {failingSwaps} = parse(controlSchema);
         orders.setFailingSwaps(failingSwaps);
--- a/packages/standins/src/faultProxy.ts
+++ b/packages/standins/src/faultProxy.ts
@@ -67,6 +67,14 @@
 /** How often held data is tried again, ms. */
 const HOLD_STEP_MS = 5;
 
+/**
+ * Time between the last data and a reset, ms. libuv reports a reset that
+ * arrives together with data as an orderly end.
+ */
+const RESET_DELAY_MS = 20;
+/** Data held in one direction before the sender is slowed down, bytes. */
+const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
+
 interface Link {
   client: net.Socket;
   target: net.Socket;
@@ -105,6 +113,7 @@
     const from = isForward ? link.client : link.target;
     const into = isForward ? link.target : link.client;
     let passed = 0;
+    let buffered = 0;
     let order = Promise.resolve();
 
     const limit = (chunk: Buffer): Buffer => {
@@ -113,8 +122,8 @@
       const room = Math.min(cutAfterBytes, resetAfterBytes) - passed;
       return chunk.subarray(0, Math.max(0, room));
     };
-    const send = async (chunk: Buffer) => {
-      const delayMs = fault[direction]?.delayMs ?? 0;
+    const send = async (chunk: Buffer, releaseAt: number) => {
+      const delayMs = releaseAt - performance.now();
       if (delayMs > 0) await sleep(delayMs);
       while (isHeld(link, direction)) await sleep(HOLD_STEP_MS);
       if (fault[direction]?.blackHole) {
@@ -127,11 +136,21 @@
       if (into.writable) into.write(allowed);
       if (allowed.length === chunk.length) return;
       counts.dropped += chunk.length - allowed.length;
-      closeLink(link, fault[direction]?.resetAfterBytes !== undefined);
+      const isReset = fault[direction]?.resetAfterBytes !== undefined;
+      if (isReset) await sleep(RESET_DELAY_MS);
+      closeLink(link, isReset);
     };
-    from.on('data', chunk => {
-      from.pause();
-      order = order.then(() => send(chunk)).then(() => void from.resume());
+    from.on('data', (chunk: Buffer) => {
+      // Counted from arrival, so that a delay does not lower the rate.
+      const releaseAt = performance.now() + (fault[direction]?.delayMs ?? 0);
+      buffered += chunk.length;
+      if (buffered > MAX_BUFFERED_BYTES) from.pause();
+      order = order
+        .then(() => send(chunk, releaseAt))
+        .then(() => {
+          buffered -= chunk.length;
+          from.resume();
+        });
     });
     // A black hole also hides the end of the connection.
     from.on('end', () => {
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -16,7 +16,12 @@
 interface StandInCommand {
   description: string;
   flags: Record<string, FlagKind>;
-  create(options: never): Promise<{address: string; close(): Promise<void>}>;
+  create(options: never): Promise<{
+    address: string;
+    /** Where the faults of a proxy are set. */
+    controlUrl?: string;
+    close(): Promise<void>;
+  }>;
 }
 
 const coldStartFlags = {
@@ -113,7 +118,8 @@
 
 async function run(command: StandInCommand, options: object): Promise<void> {
   const service = await command.create(options as never);
-  console.log(JSON.stringify({ready: true, address: service.address}));
+  const {address, controlUrl} = service;
+  console.log(JSON.stringify({ready: true, address, controlUrl}));
   for (const signal of ['SIGTERM', 'SIGINT'] as const) {
     process.once(signal, () => void service.close().then(() => process.exit()));
   }
--- a/packages/standins/src/ordering.ts
+++ b/packages/standins/src/ordering.ts
@@ -52,8 +52,9 @@
   const start = async ({pool, count}: PlatformOrder) => {
     for (let i = 0; i < (count ?? 1); i++) {
       const id = `${options.domain ?? 'domain'}-${pool}-${++started}`;
-      upstreams.set(id, {id, pool, state: 'running'});
+      upstreams.set(id, {id, pool, state: 'starting'});
       await options.onStart?.(pool, id);
+      upstreams.set(id, {id, pool, state: 'running'});
     }
     return 'done';
   };
@@ -62,12 +63,16 @@
     await options.onStop?.(upstream);
     return 'done';
   };
+  /** Runs in the background: starting an upstream outlasts the request. */
   const execute = async (order: PlatformOrder): Promise<void> => {
-    statuses.set(order.orderId, 'running');
+    statuses.set(order.orderId, 'accepted');
     const perform = {start, stop}[order.action];
-    statuses.set(order.orderId, await perform(order));
+    const status = await perform(order).catch((error: Error) => {
+      return `failed: ${error.message}`;
+    });
+    statuses.set(order.orderId, status);
   };
-  const receive = async ({params, parse}: Exchange): Promise<Reply> => {
+  const receive = ({params, parse}: Exchange): Reply => {
     const order = {...parse(orderSchema), orderId: params[0]};
     const note = (result: OrderArrival['result']) =>
       audit.push({...order, atMs: Date.now(), result});
@@ -81,8 +86,8 @@
     }
     highest = Math.max(highest, order.fencing);
     note('executed');
-    await execute(order);
-    return {status: 200, body: {status: statuses.get(order.orderId)}};
+    void execute(order);
+    return {status: 200, body: {status: 'accepted'}};
   };
   const service = await createService(
     [
--- a/packages/standins/src/upstreamState.ts
+++ b/packages/standins/src/upstreamState.ts
@@ -38,7 +38,8 @@
   begin(exchange: Exchange): boolean;
   end(): void;
   crash(): void;
-  makeCold(): void;
+  /** Makes the upstream cold for a span, `coldMs` by default. */
+  makeCold(spanMs?: number): void;
   getAudit(): {
     requests: readonly AuditEntry[];
     peak: number;
@@ -66,8 +67,8 @@
 
   const isCold = () => performance.now() < warmAt;
   const isOverloaded = () => isCold() && running > coldConcurrency;
-  const makeCold = () => {
-    warmAt = performance.now() + coldMs;
+  const makeCold = (spanMs = coldMs) => {
+    warmAt = performance.now() + spanMs;
   };
   const crash = () => {
     crashes++;
