--- a/packages/domain/src/settings.ts
+++ b/packages/domain/src/settings.ts
@@ -124,7 +124,7 @@
 export const agentSettingsSchema = z.strictObject({
   instance: z.strictObject({role: z.literal('agent'), ...instanceKeys}),
   listen: z.strictObject({data: address, peer: address, admin: address}),
-  platform: z.strictObject({instances: url}),
+  platform: z.object({instances: url}),
   cluster,
   upstream: z.strictObject({id, pool: id, url}),
   limits,
--- a/packages/integration/src/deployment.ts
+++ b/packages/integration/src/deployment.ts
@@ -2,6 +2,10 @@
 import type {RecordBodies, RecordKey, RecordKind} from '@vanillacross/domain';
 import {
   createEngine,
+<<<<<<< HEAD
+=======
+  createFaultProxy,
+>>>>>>> standins
   createInstanceList,
   createLog,
   createOrdering,
@@ -13,6 +17,11 @@
 import type {
   EngineOptions,
   EngineStandIn,
+<<<<<<< HEAD
+=======
+  FaultProxy,
+  InstanceInput,
+>>>>>>> standins
   InstanceListOptions,
   InstanceListStandIn,
   LogOptions,
@@ -70,12 +79,32 @@
   instances?: InstanceListOptions;
   weights?: WeightStoreOptions;
   orderingChecksFencing?: boolean;
+<<<<<<< HEAD
+=======
+  /** Links that get a fault proxy of their own in each member. */
+  proxied?: ProxiedLink[];
+  /** The daemon to start, the built one by default. */
+  daemonFile?: string;
+>>>>>>> standins
   env?: Record<string, string>;
   nodeArgs?: string[];
 }
 
+<<<<<<< HEAD
 interface Member {
   id: string;
+=======
+/** A link of a member that a fault proxy can sit in. */
+export type ProxiedLink =
+  'log' | 'instances' | 'reports' | 'weights' | 'scoring' | 'upstream';
+
+interface Member {
+  id: string;
+  /** The member as the instance list has it. */
+  listed: InstanceInput;
+  /** The proxies of this member's links, as asked for in `proxied`. */
+  proxies: Partial<Record<ProxiedLink, FaultProxy>>;
+>>>>>>> standins
   domain: string;
   process: RunningProcess;
   peer: string;
@@ -113,8 +142,19 @@
   addEntry(domain: string): Promise<EntryMember>;
   /** Starts an upstream and its agent. */
   addUpstream(pool: string, domain: string, id?: string): Promise<AgentMember>;
+<<<<<<< HEAD
   /** Kills a member and takes it off the instance list. */
   remove(member: EntryMember | AgentMember): Promise<void>;
+=======
+  /**
+   * Ends a member, by SIGKILL or as asked, and takes it off the instance list.
+   * With SIGTERM it is listed as leaving until its process has ended.
+   */
+  remove(
+    member: EntryMember | AgentMember,
+    signal?: NodeJS.Signals,
+  ): Promise<void>;
+>>>>>>> standins
   /** Puts records through an entry; returns the JSON answer. */
   publish(records: RecordInput[], entry?: EntryMember): Promise<unknown>;
   stop(): Promise<void>;
@@ -226,8 +266,18 @@
   const directory = await mkdtemp(join(tmpdir(), 'vanillacross-'));
   const entries: EntryMember[] = [];
   const agents: AgentMember[] = [];
+<<<<<<< HEAD
   const upstreams = new Set<{close(): Promise<void>}>();
   let count = 0;
+=======
+  const closables = new Set<{close(): Promise<void>}>();
+  const counts = new Map<string, number>();
+  const getNextId = (prefix: string) => {
+    const count = (counts.get(prefix) ?? 0) + 1;
+    counts.set(prefix, count);
+    return `${prefix}-${count}`;
+  };
+>>>>>>> standins
 
   const platform = await createPlatform(
     spec,
@@ -239,11 +289,46 @@
     },
   );
 
+<<<<<<< HEAD
+=======
+  /** Puts a proxy in front of a URL if the link should have one. */
+  const getLinkUrl = async (
+    link: ProxiedLink,
+    url: string,
+    proxies: Member['proxies'],
+  ): Promise<string> => {
+    if (!spec.proxied?.includes(link)) return url;
+    const proxy = await createFaultProxy({target: new URL(url).host});
+    closables.add(proxy);
+    proxies[link] = proxy;
+    return proxy.url;
+  };
+  const getPlatformUrls = async (proxies: Member['proxies']) => {
+    const links = [
+      'log',
+      'instances',
+      'reports',
+      'weights',
+      'scoring',
+    ] as const;
+    const urls: Record<string, unknown> = {};
+    for (const link of links) {
+      urls[link] = await getLinkUrl(link, platform[link].url, proxies);
+    }
+    const ordering = Object.entries(platform.ordering);
+    urls.ordering = Object.fromEntries(
+      ordering.map(([domain, service]) => [domain, service.url]),
+    );
+    return urls;
+  };
+
+>>>>>>> standins
   /** Writes a settings file and starts the daemon with it. */
   const startDaemon = async (
     id: string,
     role: 'entry' | 'agent',
     domain: string,
+<<<<<<< HEAD
     sections: Record<string, Record<string, unknown>>,
   ) => {
     const {log, instances, reports, weights, scoring, ordering} = platform;
@@ -262,23 +347,41 @@
         scoring: scoring.url,
         ordering: orderingUrls,
       },
+=======
+    proxies: Member['proxies'],
+    {listen, ...sections}: Record<string, Record<string, unknown>>,
+  ) => {
+    const settings = {
+      instance: {id, role, domain, region: spec.region ?? 'region-1'},
+      listen: {...listen, peer: LOOPBACK, admin: LOOPBACK},
+      platform: await getPlatformUrls(proxies),
+>>>>>>> standins
       cluster: {
         secret: CLUSTER_SECRET,
         seeds: entries.map(entry => entry.peer).join(','),
       },
       limits: spec.limits ?? {},
+<<<<<<< HEAD
       ...others,
+=======
+      ...sections,
+>>>>>>> standins
     };
     const file = join(directory, `${id}.ini`);
     await writeFile(file, ini.stringify(settings));
     const running = await harness.startProcess({
       name: id,
+<<<<<<< HEAD
       file: DAEMON_FILE,
+=======
+      file: spec.daemonFile ?? DAEMON_FILE,
+>>>>>>> standins
       args: ['--settings', file],
       env: spec.env,
       nodeArgs: spec.nodeArgs,
     });
     const {peer, admin} = running.ready as unknown as Member;
+<<<<<<< HEAD
     return {id, domain, process: running, peer, admin};
   };
 
@@ -292,11 +395,42 @@
     const entry = {...member, url: `http://${address}`};
     const peerAddress = member.peer;
     platform.instances.put({id, role: 'entry', domain, address, peerAddress});
+=======
+    return {id, domain, process: running, peer, admin, proxies};
+  };
+
+  const addEntry = async (domain: string): Promise<EntryMember> => {
+    const id = getNextId('entry');
+    const member = await startDaemon(
+      id,
+      'entry',
+      domain,
+      {},
+      {
+        listen: {caller: LOOPBACK},
+        operator: {tokenHash: getSha256(OPERATOR_TOKEN)},
+      },
+    );
+    const address = String(member.process.ready.caller);
+    const listed: InstanceInput = {
+      id,
+      role: 'entry',
+      domain,
+      address,
+      peerAddress: member.peer,
+    };
+    platform.instances.put(listed);
+    const entry = {...member, listed, url: `http://${address}`};
+>>>>>>> standins
     entries.push(entry);
     return entry;
   };
 
+<<<<<<< HEAD
   const startUpstream = async (pool: PoolSpec, name: string) => {
+=======
+  const startService = async (pool: PoolSpec, name: string) => {
+>>>>>>> standins
     const {checksFencing, engine: options} = pool;
     if (pool.body.kind === 'plain') {
       return {plain: await createPlainService({name, ...pool.plain})};
@@ -311,6 +445,7 @@
   ): Promise<AgentMember> => {
     const pool = spec.pools?.find(({id}) => id === poolId);
     if (!pool) throw new Error(`the deployment has no pool ${poolId}`);
+<<<<<<< HEAD
     const upstream = wantedId ?? `${poolId}-${++count}`;
     const id = `agent-${upstream}`;
     const services = await startUpstream(pool, upstream);
@@ -322,12 +457,28 @@
     });
     const data = String(member.process.ready.data);
     platform.instances.put({
+=======
+    const upstream = wantedId ?? getNextId(poolId);
+    const id = `agent-${upstream}`;
+    const services = await startService(pool, upstream);
+    const service = (services.engine ?? services.plain)!;
+    closables.add(service);
+    const proxies: Member['proxies'] = {};
+    const url = await getLinkUrl('upstream', service.url, proxies);
+    const member = await startDaemon(id, 'agent', domain, proxies, {
+      listen: {data: LOOPBACK},
+      upstream: {id: upstream, pool: poolId, url},
+    });
+    const data = String(member.process.ready.data);
+    const listed: InstanceInput = {
+>>>>>>> standins
       id,
       role: 'agent',
       domain,
       address: data,
       peerAddress: member.peer,
       upstream: {id: upstream, pool: poolId},
+<<<<<<< HEAD
     });
     const known = platform.ordering[domain]?.getUpstreams() ?? [];
     if (!known.some(other => other.id === upstream)) {
@@ -335,6 +486,22 @@
       platform.ordering[domain]?.addUpstream(listed);
     }
     const agent = {...member, ...services, pool: poolId, upstream, data};
+=======
+    };
+    platform.instances.put(listed);
+    const ordering = platform.ordering[domain];
+    if (!ordering.getUpstreams().some(other => other.id === upstream)) {
+      ordering.addUpstream({id: upstream, pool: poolId, state: 'running'});
+    }
+    const agent = {
+      ...member,
+      ...services,
+      listed,
+      pool: poolId,
+      upstream,
+      data,
+    };
+>>>>>>> standins
     agents.push(agent);
     return agent;
   };
@@ -343,6 +510,12 @@
     member: EntryMember | AgentMember,
     signal: NodeJS.Signals = 'SIGKILL',
   ): Promise<void> => {
+<<<<<<< HEAD
+=======
+    if (signal === 'SIGTERM') {
+      platform.instances.put({...member.listed, state: 'leaving'});
+    }
+>>>>>>> standins
     await member.process.kill(signal);
     platform.instances.remove(member.id);
     if (!('upstream' in member)) {
@@ -380,7 +553,11 @@
     await harness.stopAll();
     const {ordering, ...services} = platform;
     const all = [
+<<<<<<< HEAD
       ...upstreams,
+=======
+      ...closables,
+>>>>>>> standins
       ...Object.values(services),
       ...Object.values(ordering),
     ];
@@ -398,7 +575,15 @@
         addUpstream(pool.id, getDomain(index)),
       ),
     );
+<<<<<<< HEAD
     await Promise.all(starts);
+=======
+    const results = await Promise.allSettled(starts);
+    const failed = results.find(result => result.status === 'rejected');
+    if (failed) throw failed.reason;
+    // Tests pick agents by index, whichever process was ready first.
+    agents.sort((a, b) => a.id.localeCompare(b.id, 'en', {numeric: true}));
+>>>>>>> standins
     await publish(getDeploymentRecords(spec, domains, agents));
     for (const member of [...entries, ...agents]) {
       await waitUntil(`${member.id} is ready`, () => isReady(member));
