--- a/packages/integration/src/deployment.ts
+++ b/packages/integration/src/deployment.ts
@@ -2,10 +2,7 @@
 import type {RecordBodies, RecordKey, RecordKind} from '@vanillacross/domain';
 import {
   createEngine,
-<<<<<<< HEAD
-=======
   createFaultProxy,
->>>>>>> standins
   createInstanceList,
   createLog,
   createOrdering,
@@ -17,11 +14,8 @@
 import type {
   EngineOptions,
   EngineStandIn,
-<<<<<<< HEAD
-=======
   FaultProxy,
   InstanceInput,
->>>>>>> standins
   InstanceListOptions,
   InstanceListStandIn,
   LogOptions,
@@ -79,21 +73,14 @@
   instances?: InstanceListOptions;
   weights?: WeightStoreOptions;
   orderingChecksFencing?: boolean;
-<<<<<<< HEAD
-=======
   /** Links that get a fault proxy of their own in each member. */
   proxied?: ProxiedLink[];
   /** The daemon to start, the built one by default. */
   daemonFile?: string;
->>>>>>> standins
   env?: Record<string, string>;
   nodeArgs?: string[];
 }
 
-<<<<<<< HEAD
-interface Member {
-  id: string;
-=======
 /** A link of a member that a fault proxy can sit in. */
 export type ProxiedLink =
   'log' | 'instances' | 'reports' | 'weights' | 'scoring' | 'upstream';
@@ -104,7 +91,6 @@
   listed: InstanceInput;
   /** The proxies of this member's links, as asked for in `proxied`. */
   proxies: Partial<Record<ProxiedLink, FaultProxy>>;
->>>>>>> standins
   domain: string;
   process: RunningProcess;
   peer: string;
@@ -142,10 +128,6 @@
   addEntry(domain: string): Promise<EntryMember>;
   /** Starts an upstream and its agent. */
   addUpstream(pool: string, domain: string, id?: string): Promise<AgentMember>;
-<<<<<<< HEAD
-  /** Kills a member and takes it off the instance list. */
-  remove(member: EntryMember | AgentMember): Promise<void>;
-=======
   /**
    * Ends a member, by SIGKILL or as asked, and takes it off the instance list.
    * With SIGTERM it is listed as leaving until its process has ended.
@@ -154,7 +136,6 @@
     member: EntryMember | AgentMember,
     signal?: NodeJS.Signals,
   ): Promise<void>;
->>>>>>> standins
   /** Puts records through an entry; returns the JSON answer. */
   publish(records: RecordInput[], entry?: EntryMember): Promise<unknown>;
   stop(): Promise<void>;
@@ -266,10 +247,6 @@
   const directory = await mkdtemp(join(tmpdir(), 'vanillacross-'));
   const entries: EntryMember[] = [];
   const agents: AgentMember[] = [];
-<<<<<<< HEAD
-  const upstreams = new Set<{close(): Promise<void>}>();
-  let count = 0;
-=======
   const closables = new Set<{close(): Promise<void>}>();
   const counts = new Map<string, number>();
   const getNextId = (prefix: string) => {
@@ -277,7 +254,6 @@
     counts.set(prefix, count);
     return `${prefix}-${count}`;
   };
->>>>>>> standins
 
   const platform = await createPlatform(
     spec,
@@ -289,8 +265,6 @@
     },
   );
 
-<<<<<<< HEAD
-=======
   /** Puts a proxy in front of a URL if the link should have one. */
   const getLinkUrl = async (
     link: ProxiedLink,
@@ -322,32 +296,11 @@
     return urls;
   };
 
->>>>>>> standins
   /** Writes a settings file and starts the daemon with it. */
   const startDaemon = async (
     id: string,
     role: 'entry' | 'agent',
     domain: string,
-<<<<<<< HEAD
-    sections: Record<string, Record<string, unknown>>,
-  ) => {
-    const {log, instances, reports, weights, scoring, ordering} = platform;
-    const orderingUrls = Object.fromEntries(
-      Object.entries(ordering).map(([name, service]) => [name, service.url]),
-    );
-    const {listen, ...others} = sections;
-    const settings = {
-      instance: {id, role, domain, region: spec.region ?? 'region-1'},
-      listen: {...listen, peer: LOOPBACK, admin: LOOPBACK},
-      platform: {
-        log: log.url,
-        instances: instances.url,
-        reports: reports.url,
-        weights: weights.url,
-        scoring: scoring.url,
-        ordering: orderingUrls,
-      },
-=======
     proxies: Member['proxies'],
     {listen, ...sections}: Record<string, Record<string, unknown>>,
   ) => {
@@ -355,47 +308,23 @@
       instance: {id, role, domain, region: spec.region ?? 'region-1'},
       listen: {...listen, peer: LOOPBACK, admin: LOOPBACK},
       platform: await getPlatformUrls(proxies),
->>>>>>> standins
       cluster: {
         secret: CLUSTER_SECRET,
         seeds: entries.map(entry => entry.peer).join(','),
       },
       limits: spec.limits ?? {},
-<<<<<<< HEAD
-      ...others,
-=======
       ...sections,
->>>>>>> standins
     };
     const file = join(directory, `${id}.ini`);
     await writeFile(file, ini.stringify(settings));
     const running = await harness.startProcess({
       name: id,
-<<<<<<< HEAD
-      file: DAEMON_FILE,
-=======
       file: spec.daemonFile ?? DAEMON_FILE,
->>>>>>> standins
       args: ['--settings', file],
       env: spec.env,
       nodeArgs: spec.nodeArgs,
     });
     const {peer, admin} = running.ready as unknown as Member;
-<<<<<<< HEAD
-    return {id, domain, process: running, peer, admin};
-  };
-
-  const addEntry = async (domain: string): Promise<EntryMember> => {
-    const id = `entry-${++count}`;
-    const member = await startDaemon(id, 'entry', domain, {
-      listen: {caller: LOOPBACK},
-      operator: {tokenHash: getSha256(OPERATOR_TOKEN)},
-    });
-    const address = String(member.process.ready.caller);
-    const entry = {...member, url: `http://${address}`};
-    const peerAddress = member.peer;
-    platform.instances.put({id, role: 'entry', domain, address, peerAddress});
-=======
     return {id, domain, process: running, peer, admin, proxies};
   };
 
@@ -421,16 +350,11 @@
     };
     platform.instances.put(listed);
     const entry = {...member, listed, url: `http://${address}`};
->>>>>>> standins
     entries.push(entry);
     return entry;
   };
 
-<<<<<<< HEAD
-  const startUpstream = async (pool: PoolSpec, name: string) => {
-=======
   const startService = async (pool: PoolSpec, name: string) => {
->>>>>>> standins
     const {checksFencing, engine: options} = pool;
     if (pool.body.kind === 'plain') {
       return {plain: await createPlainService({name, ...pool.plain})};
@@ -445,19 +369,6 @@
   ): Promise<AgentMember> => {
     const pool = spec.pools?.find(({id}) => id === poolId);
     if (!pool) throw new Error(`the deployment has no pool ${poolId}`);
-<<<<<<< HEAD
-    const upstream = wantedId ?? `${poolId}-${++count}`;
-    const id = `agent-${upstream}`;
-    const services = await startUpstream(pool, upstream);
-    const service = (services.engine ?? services.plain)!;
-    upstreams.add(service);
-    const member = await startDaemon(id, 'agent', domain, {
-      listen: {data: LOOPBACK},
-      upstream: {id: upstream, pool: poolId, url: service.url},
-    });
-    const data = String(member.process.ready.data);
-    platform.instances.put({
-=======
     const upstream = wantedId ?? getNextId(poolId);
     const id = `agent-${upstream}`;
     const services = await startService(pool, upstream);
@@ -471,22 +382,12 @@
     });
     const data = String(member.process.ready.data);
     const listed: InstanceInput = {
->>>>>>> standins
       id,
       role: 'agent',
       domain,
       address: data,
       peerAddress: member.peer,
       upstream: {id: upstream, pool: poolId},
-<<<<<<< HEAD
-    });
-    const known = platform.ordering[domain]?.getUpstreams() ?? [];
-    if (!known.some(other => other.id === upstream)) {
-      const listed = {id: upstream, pool: poolId, state: 'running'};
-      platform.ordering[domain]?.addUpstream(listed);
-    }
-    const agent = {...member, ...services, pool: poolId, upstream, data};
-=======
     };
     platform.instances.put(listed);
     const ordering = platform.ordering[domain];
@@ -501,7 +402,6 @@
       upstream,
       data,
     };
->>>>>>> standins
     agents.push(agent);
     return agent;
   };
@@ -510,12 +410,9 @@
     member: EntryMember | AgentMember,
     signal: NodeJS.Signals = 'SIGKILL',
   ): Promise<void> => {
-<<<<<<< HEAD
-=======
     if (signal === 'SIGTERM') {
       platform.instances.put({...member.listed, state: 'leaving'});
     }
->>>>>>> standins
     await member.process.kill(signal);
     platform.instances.remove(member.id);
     if (!('upstream' in member)) {
@@ -553,11 +450,7 @@
     await harness.stopAll();
     const {ordering, ...services} = platform;
     const all = [
-<<<<<<< HEAD
-      ...upstreams,
-=======
       ...closables,
->>>>>>> standins
       ...Object.values(services),
       ...Object.values(ordering),
     ];
@@ -575,15 +468,11 @@
         addUpstream(pool.id, getDomain(index)),
       ),
     );
-<<<<<<< HEAD
-    await Promise.all(starts);
-=======
     const results = await Promise.allSettled(starts);
     const failed = results.find(result => result.status === 'rejected');
     if (failed) throw failed.reason;
     // Tests pick agents by index, whichever process was ready first.
     agents.sort((a, b) => a.id.localeCompare(b.id, 'en', {numeric: true}));
->>>>>>> standins
     await publish(getDeploymentRecords(spec, domains, agents));
     for (const member of [...entries, ...agents]) {
       await waitUntil(`${member.id} is ready`, () => isReady(member));
--- a/packages/standins/src/faultProxy.test.ts
+++ b/packages/standins/src/faultProxy.test.ts
@@ -25,22 +25,15 @@
     echo.close();
   });
 
-<<<<<<< HEAD
-  const connect = async () => {
-=======
   const open = () => {
->>>>>>> standins
     const port = Number(proxy.address.split(':')[1]);
     const socket = net.connect(port, '127.0.0.1');
     sockets.push(socket);
     socket.on('error', () => {});
-<<<<<<< HEAD
-=======
     return socket;
   };
   const connect = async () => {
     const socket = open();
->>>>>>> standins
     await once(socket, 'connect');
     return socket;
   };
@@ -67,21 +60,13 @@
   for (const [name, fault, error] of endings) {
     it(`${name} (guards: truncation tests without truncation)`, async () => {
       proxy.setFault(fault);
-<<<<<<< HEAD
-      const socket = await connect();
-=======
       const socket = open();
->>>>>>> standins
       let received = '';
       let failure = '';
       socket.on('data', data => (received += data.toString()));
       socket.on('error', ({message}) => (failure = message));
       socket.write('hello');
-<<<<<<< HEAD
-      if (!socket.closed) await once(socket, 'close').catch(() => {});
-=======
       await until(() => socket.closed);
->>>>>>> standins
       proxy.clear();
       assert.ok('he'.startsWith(received));
       if (error) assert.match(failure, error);
--- a/packages/standins/src/faultProxy.ts
+++ b/packages/standins/src/faultProxy.ts
@@ -67,14 +67,11 @@
 /** How often held data is tried again, ms. */
 const HOLD_STEP_MS = 5;
 
-<<<<<<< HEAD
-=======
 /**
  * Time between the last data and a reset, ms. libuv reports a reset that
  * arrives together with data as an orderly end.
  */
 const RESET_DELAY_MS = 20;
->>>>>>> standins
 /** Data held in one direction before the sender is slowed down, bytes. */
 const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
 
