Publish a test deployment's records once its entries are ready

Cause: records sent before the control state was complete were refused and the start timed out. Change: wait for each entry, and fail on any outcome that is not accepted.

--- a/packages/integration/src/deployment.ts
+++ b/packages/integration/src/deployment.ts
@@ -193,6 +193,14 @@
   return answer?.status === 200;
 }
 
+function waitReady(member: Member): Promise<void> {
+  return waitUntil(`${member.id} is ready`, () => isReady(member));
+}
+
+function isAccepted(outcome: {tag: string}): boolean {
+  return outcome.tag === 'accepted';
+}
+
 async function createPlatform(
   spec: DeploymentSpec,
   domains: string[],
@@ -443,6 +451,10 @@
     if (!answer.ok || answer.value.status >= 300) {
       throw new Error(`records not published: ${JSON.stringify(answer)}`);
     }
+    const {outcomes} = answer.value.body as {outcomes: Array<{tag: string}>};
+    if (!outcomes.every(isAccepted)) {
+      throw new Error(`records not accepted: ${JSON.stringify(outcomes)}`);
+    }
     return answer.value.body;
   };
 
@@ -463,6 +475,8 @@
     for (let i = 0; i < (spec.entries ?? domains.length); i++) {
       await addEntry(getDomain(i));
     }
+    // An entry takes no records before its control state is complete.
+    for (const entry of entries) await waitReady(entry);
     const starts = (spec.pools ?? []).flatMap(pool =>
       Array.from({length: pool.upstreams}, (_, index) =>
         addUpstream(pool.id, getDomain(index)),
@@ -474,9 +488,7 @@
     // Tests pick agents by index, whichever process was ready first.
     agents.sort((a, b) => a.id.localeCompare(b.id, 'en', {numeric: true}));
     await publish(getDeploymentRecords(spec, domains, agents));
-    for (const member of [...entries, ...agents]) {
-      await waitUntil(`${member.id} is ready`, () => isReady(member));
-    }
+    for (const member of agents) await waitReady(member);
   };
   try {
     await startAll();
