--- /dev/null
+++ b/packages/domain/src/checkpointCycle.test.ts
@@ -0,0 +1,96 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {rebuildControlState} from './checkpointCycle.js';
+import type {ControlPayload, LogRecord} from './controlRecords.js';
+import type {ControlState} from './controlState.js';
+import {applyControlRecords, emptyControlState} from './controlState.js';
+
+/** A log that folds what is appended, as a process that read all of it. */
+function createHistory() {
+  const records: LogRecord[] = [];
+  let state: ControlState = {...emptyControlState, isWhole: true};
+  const add = (payload: ControlPayload) => {
+    const offset = records.length;
+    records.push({offset, appendId: `a${offset}`, payload});
+    state = applyControlRecords(state, records.slice(-1));
+  };
+  const put = (id: string, baseRevision: number, weight: number | null) =>
+    add({
+      type: 'put',
+      key: `account/${id}`,
+      baseRevision,
+      schemaVersion: 1,
+      body: weight === null ? null : {weight},
+      operator: 'o',
+    });
+  const checkpoint = (
+    from: ControlState,
+    keys: string[],
+    cycleStart?: number,
+  ) => {
+    const entries = keys.map(key => {
+      const {raw, ...record} = from.records.get(`account/${key}`)!;
+      return {...record, body: raw};
+    });
+    const {highest: asOf, lastSealed, lease} = from;
+    const {fencing} = lease;
+    const type = 'checkpoint';
+    add({type, fencing, asOf, entries, lastSealed, lease, cycleStart});
+  };
+  return {records, add, put, checkpoint, getState: () => state};
+}
+
+describe('checkpoint cycle', () => {
+  const log = createHistory();
+  log.add({type: 'claim', holder: 'e1', expects: -1});
+  log.put('a', 0, 1);
+  log.put('b', 0, 1);
+  log.put('c', 0, 1);
+  log.put('c', 1, null);
+  log.add({type: 'renew', fencing: 0});
+  const start = log.records.length;
+  log.put('a', 1, 2);
+  const from = log.getState();
+  const cycleStart = log.records.length;
+  log.checkpoint(from, ['a', 'b']);
+  const incomplete = log.records.length;
+  log.put('b', 1, 3);
+  log.add({type: 'renew', fencing: 0});
+  log.add({type: 'seal', window: 4, fencing: 0, figures: {}, sources: []});
+  log.checkpoint(from, ['c'], cycleStart);
+  log.add({type: 'claim', holder: 'e2', expects: from.lease.lastOffset});
+  log.add({
+    type: 'claim',
+    holder: 'e3',
+    expects: log.getState().lease.lastOffset,
+  });
+  log.put('a', 2, 5);
+  const whole = log.getState();
+
+  it('prevents a reader of retained records from differing', () => {
+    const rebuilt = rebuildControlState(start, log.records.slice(start));
+    assert.ok(rebuilt?.isWhole);
+    assert.equal(rebuilt.highest, whole.highest);
+    assert.deepEqual(rebuilt.lease, whole.lease);
+    assert.equal(rebuilt.lease.holder, 'e3');
+    assert.equal(rebuilt.lastSealed, 4);
+    assert.deepEqual(
+      new Map([...rebuilt.records].sort()),
+      new Map([...whole.records].sort()),
+    );
+  });
+
+  it('prevents a partly read cycle from counting as complete', () => {
+    const part = log.records.slice(start, incomplete);
+    assert.equal(rebuildControlState(start, part), null);
+    const late = cycleStart + 1;
+    assert.equal(rebuildControlState(late, log.records.slice(late)), null);
+  });
+
+  it('prevents a log that was read from offset 0 from being incomplete', () => {
+    const rebuilt = rebuildControlState(0, log.records);
+    assert.deepEqual(rebuilt, whole);
+    assert.equal(rebuildControlState(0, [])?.isWhole, true);
+  });
+});
--- /dev/null
+++ b/packages/platform/src/logClient.test.ts
@@ -0,0 +1,169 @@
+import {ManualClock, fail, ok} from '@vanillacross/common';
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {createLogClient} from './logClient.js';
+import type {Append, LogPort, PlatformFailure, StreamRecord} from './types.js';
+
+type Fault = 'lost after' | 'lost before' | 'busy' | 'rejects bad' | 'none';
+
+/** A log in memory whose next appends and reads fail as told. */
+function createFaultyLog(faults: Fault[], failedReads = 0) {
+  const records: StreamRecord[] = [];
+  const appends: string[][] = [];
+  const lost: PlatformFailure = {tag: 'unknown', detail: 'lost'};
+  const port: LogPort = {
+    append: async (_stream, batch: Append[]) => {
+      appends.push(batch.map(record => record.appendId));
+      const fault = faults.shift() ?? 'none';
+      if (fault === 'lost before') return fail(lost);
+      if (fault === 'busy') return fail({tag: 'unavailable', detail: 'busy'});
+      if (fault === 'rejects bad' && batch.some(r => r.payload === 'bad')) {
+        faults.unshift('rejects bad');
+        return fail({tag: 'rejected', detail: 'bad payload'});
+      }
+      const start = records.length;
+      batch.forEach((record, i) =>
+        records.push({...record, offset: start + i}),
+      );
+      if (fault === 'lost after') return fail(lost);
+      return ok(batch.map((_, i) => start + i));
+    },
+    read: async (_stream, from) => {
+      if (appends.length > 0 && failedReads-- > 0) return fail(lost);
+      const range = records.slice(from, from + 2);
+      return ok({records: range, earliest: 0, next: records.length});
+    },
+  };
+  return {port, records, appends};
+}
+
+/** Advances the clock until the promise is settled. */
+async function runUntilSettled<Value>(
+  clock: ManualClock,
+  promise: Promise<Value>,
+): Promise<Value> {
+  let isSettled = false;
+  void promise.then(() => (isSettled = true));
+  for (let i = 0; i < 1_000 && !isSettled; i++) {
+    await new Promise(resolve => setImmediate(resolve));
+    if (!isSettled) clock.advance(100);
+  }
+  return promise;
+}
+
+describe('log client', () => {
+  const cases: Array<{
+    failure: string;
+    faults: Fault[];
+    failedReads?: number;
+    expected: 'ok' | PlatformFailure['tag'];
+    appends: number;
+    records: number;
+  }> = [
+    {
+      failure: 'a second append of a record whose answer was lost',
+      faults: ['lost after'],
+      expected: 'ok',
+      appends: 1,
+      records: 1,
+    },
+    {
+      failure: 'a record dropped because its first append had no effect',
+      faults: ['lost before'],
+      expected: 'ok',
+      appends: 2,
+      records: 1,
+    },
+    {
+      failure: 'an append repeated before reading back succeeded',
+      faults: ['lost after'],
+      failedReads: 3,
+      expected: 'ok',
+      appends: 1,
+      records: 1,
+    },
+    {
+      failure: 'a refusal claimed although the record may be in the log',
+      faults: ['lost before', 'busy', 'busy', 'busy', 'busy'],
+      expected: 'unknown',
+      appends: 5,
+      records: 0,
+    },
+    {
+      failure: 'an append sent again although nothing could be read back',
+      faults: ['lost after'],
+      failedReads: 1_000,
+      expected: 'unknown',
+      appends: 1,
+      records: 1,
+    },
+    {
+      failure: 'endless retries against a busy log',
+      faults: Array.from({length: 50}, () => 'busy'),
+      expected: 'unavailable',
+      appends: 5,
+      records: 0,
+    },
+  ];
+  for (const test of cases) {
+    it(`prevents ${test.failure}`, async () => {
+      const clock = new ManualClock();
+      const log = createFaultyLog([...test.faults], test.failedReads);
+      const client = createLogClient(log.port, clock);
+      const result = await runUntilSettled(
+        clock,
+        client.append('s', [{appendId: 'a', payload: 1}]),
+      );
+      assert.equal(result.ok ? 'ok' : result.error.tag, test.expected);
+      assert.equal(log.appends.length, test.appends);
+      assert.equal(log.records.length, test.records);
+    });
+  }
+
+  it('prevents one append per record when many wait', async () => {
+    const clock = new ManualClock();
+    const log = createFaultyLog([]);
+    const client = createLogClient(log.port, clock);
+    const all = Array.from({length: 20}, (_, i) =>
+      client.append('s', [{appendId: `a${i}`, payload: i}]),
+    );
+    const results = await runUntilSettled(clock, Promise.all(all));
+    assert.ok(log.appends.length <= 2, `${log.appends.length} appends`);
+    results.forEach((result, i) => {
+      const offset = result.ok ? result.value[0] : -1;
+      assert.equal(log.records[offset].appendId, `a${i}`);
+    });
+  });
+
+  it('prevents a bad record from refusing others of its batch', async () => {
+    const clock = new ManualClock();
+    const log = createFaultyLog(['rejects bad']);
+    const client = createLogClient(log.port, clock);
+    const payloads = ['first', 'good', 'bad', 'good'];
+    const all = payloads.map((payload, i) =>
+      client.append('s', [{appendId: `a${i}`, payload}]),
+    );
+    const results = await runUntilSettled(clock, Promise.all(all));
+    assert.deepEqual(
+      results.map(result => result.ok),
+      [true, true, false, true],
+    );
+  });
+
+  it('prevents more appends than the budget allows', async () => {
+    const clock = new ManualClock();
+    const log = createFaultyLog([]);
+    const options = {appendsPerSecond: 2, burst: 3};
+    const client = createLogClient(log.port, clock, options);
+    const all = Array.from({length: 7}, (_, i) =>
+      client.append(`s${i}`, [{appendId: `a${i}`, payload: i}]),
+    );
+    for (let i = 0; i < 20; i++) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    assert.equal(log.appends.length, 3);
+    await runUntilSettled(clock, Promise.all(all));
+    assert.ok(clock.now() >= 2_000, `done at ${clock.now()}`);
+  });
+});
