--- /dev/null
+++ b/packages/daemon/src/membership.test.ts
@@ -0,0 +1,324 @@
+import {ManualClock} from '@vanillacross/common';
+import type {Load} from '@vanillacross/domain';
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+
+import type {AgentReport} from './agentLink.js';
+import {createAgentLink} from './agentLink.js';
+import {createControlFollower} from './controlFollower.js';
+import {createSeedInstance} from './instanceDirectory.js';
+import {createMembership} from './membership.js';
+import {
+  FakeList,
+  FakeLog,
+  FakeNetwork,
+  advance,
+  createAgentInstance,
+  createEntryInstance,
+  createTestContext,
+  settle,
+} from './testFakes.js';
+import type {Part} from './types.js';
+
+const load: Load = {
+  running: 0,
+  limit: 4,
+  waiting: 0,
+  epoch: '',
+  version: 0,
+  cold: false,
+};
+const emptyReport: AgentReport = {load, cells: [], crashes: []};
+
+function createRecord(key: string, baseRevision: number, body: unknown) {
+  const operator = 'o';
+  const type = 'put' as const;
+  return {type, key, baseRevision, schemaVersion: 1, body, operator};
+}
+
+describe('membership and agent link', () => {
+  let clock = new ManualClock();
+  let log = new FakeLog();
+  let list = new FakeList();
+  let network = new FakeNetwork();
+  let parts: Part[] = [];
+  beforeEach(() => {
+    clock = new ManualClock();
+    log = new FakeLog();
+    list = new FakeList();
+    network = new FakeNetwork();
+    parts = [];
+    for (const domain of ['d0', 'd1', 'd2']) {
+      log.add(createRecord(`domain/${domain}`, 0, {region: 'r'}));
+    }
+    log.add(createRecord('pool/p', 0, {kind: 'plain'}));
+  });
+  afterEach(async () => {
+    const stops = parts.map(part => part.stop(AbortSignal.timeout(1)));
+    await settle();
+    clock.advance(20_000);
+    await Promise.all(stops);
+  });
+
+  async function startEntry(id: string, domain = 'd0', seeds: string[] = []) {
+    const context = createTestContext(createEntryInstance(id, domain), clock);
+    const {callPeer} = network;
+    const control = createControlFollower(context, log, {callPeer});
+    const membership = createMembership(context, control, list, {
+      seeds: seeds.map(createSeedInstance),
+      callPeer,
+    });
+    network.methods.set(context.self.peerAddress, membership.rpcMethods);
+    parts.push(control, membership);
+    await control.start();
+    await membership.start();
+    await settle();
+    return {control, membership, self: context.self};
+  }
+
+  async function startAgent(
+    upstream: string,
+    domain: string,
+    entries: string[],
+    reports: AgentReport[] = [],
+  ) {
+    const instance = createAgentInstance(upstream, domain);
+    const link = createAgentLink(createTestContext(instance, clock), {
+      entries: () => entries.map(id => createEntryInstance(id)),
+      getReport: () => reports[0] ?? emptyReport,
+      onReportDelivered: report => {
+        const index = reports.indexOf(report);
+        if (index >= 0) reports.splice(index, 1);
+      },
+      instance,
+      callPeer: network.callPeer,
+    });
+    network.methods.set(instance.peerAddress, link.rpcMethods);
+    parts.push(link);
+    await link.start();
+    await settle();
+    return {link, instance};
+  }
+
+  const getIds = (agents: readonly {instance: {id: string}}[]) =>
+    agents.map(agent => agent.instance.id);
+
+  it('prevents a change from waiting for the end of a held poll', async () => {
+    await startEntry('e1');
+    const {link} = await startAgent('u1', 'd0', ['e1']);
+    await advance(clock, 300);
+    assert.equal(link.getView()?.pool?.maxConcurrent, 16);
+    const polls = network.calls.length;
+    await advance(clock, 2_000);
+    const pulls = network.calls.slice(polls).filter(c => c.includes('pull'));
+    assert.ok(pulls.length <= 1, `${pulls.length} polls instead of a held one`);
+    log.add(createRecord('pool/p', 1, {kind: 'plain', maxConcurrent: 3}));
+    await settle();
+    assert.equal(link.getView()?.pool?.maxConcurrent, 3);
+    assert.equal(link.getView()?.offset, 4);
+  });
+
+  it('prevents an unchanged agent from counting as behind', async () => {
+    const {membership} = await startEntry('e1');
+    const {link} = await startAgent('u1', 'd0', ['e1']);
+    await advance(clock, 300);
+    log.add(createRecord('account/a', 0, {}));
+    await settle();
+    assert.equal(membership.getEntryStatus().agents[0].offset, 4);
+    await advance(clock, 11_000);
+    assert.equal(link.getView()?.offset, 4);
+  });
+
+  it('prevents a view from an entry that is behind', async () => {
+    await startEntry('e1');
+    const {link} = await startAgent('u1', 'd0', ['e1', 'e2']);
+    log.add(createRecord('pool/p', 1, {kind: 'plain', maxConcurrent: 3}));
+    await advance(clock, 500);
+    const lagging = new FakeLog();
+    lagging.records = log.records.slice(0, 4);
+    const current = log;
+    log = lagging;
+    await startEntry('e2');
+    log = current;
+    await advance(clock, 12_000);
+    assert.equal(link.getView()?.pool?.maxConcurrent, 3);
+    assert.equal(link.getView()?.offset, 4);
+  });
+
+  it('prevents work for a leaving agent that the list calls live', async () => {
+    const {membership} = await startEntry('e1');
+    const {link, instance} = await startAgent('u1', 'd0', ['e1']);
+    list.set([instance]);
+    await advance(clock, 2_000);
+    assert.deepEqual(getIds(membership.getCandidates('p')), ['agent-u1']);
+    const leaving = link.announceLeaving();
+    await settle();
+    await advance(clock, 100);
+    await leaving;
+    assert.deepEqual(membership.getCandidates('p'), []);
+    list.set([instance]);
+    await advance(clock, 3_000);
+    assert.deepEqual(membership.getCandidates('p'), []);
+    assert.equal(membership.getPoolMembers('p').length, 1);
+  });
+
+  const exclusions: Array<[string, () => void]> = [
+    [
+      'a drained upstream',
+      () =>
+        log.add(
+          createRecord('upstream/u1', 0, {
+            pool: 'p',
+            domain: 'd0',
+            state: 'draining',
+          }),
+        ),
+    ],
+    [
+      'a failure domain that is out',
+      () => log.add(createRecord('domain/d0', 1, {region: 'r', state: 'out'})),
+    ],
+    [
+      'an agent that the list calls leaving',
+      () => list.set([{...createAgentInstance('u1'), state: 'leaving'}]),
+    ],
+  ];
+  for (const [name, exclude] of exclusions) {
+    it(`prevents new work for ${name}`, async () => {
+      const {membership} = await startEntry('e1');
+      await startAgent('u1', 'd0', ['e1']);
+      await startAgent('u2', 'd1', ['e1']);
+      await advance(clock, 1_000);
+      assert.equal(membership.getCandidates('p').length, 2);
+      exclude();
+      await advance(clock, 1_500);
+      assert.deepEqual(getIds(membership.getCandidates('p')), ['agent-u2']);
+    });
+  }
+
+  it('prevents loss of agents that poll but are not listed', async () => {
+    const {membership} = await startEntry('e1');
+    const {link, instance} = await startAgent('u1', 'd0', ['e1']);
+    list.set([instance]);
+    await advance(clock, 2_000);
+    list.set([], [instance.id]);
+    await advance(clock, 60_000, 1_000);
+    assert.deepEqual(getIds(membership.getCandidates('p')), ['agent-u1']);
+    parts = parts.filter(part => part !== link);
+    const stopping = link.stop(AbortSignal.timeout(1));
+    await advance(clock, 45_000, 1_000);
+    await stopping;
+    assert.equal(membership.getAgent('u1'), null);
+  });
+
+  it('prevents work for an instance whose address another one has', async () => {
+    const {membership} = await startEntry('e1');
+    const old = createAgentInstance('old');
+    list.set([old]);
+    await advance(clock, 1_500);
+    assert.equal(membership.getPoolMembers('p').length, 1);
+    const next = {...createAgentInstance('new'), address: old.address};
+    list.set([next], []);
+    await advance(clock, 1_500);
+    const ids = getIds(membership.getPoolMembers('p'));
+    assert.deepEqual(ids, ['agent-new']);
+  });
+
+  it('prevents work for an agent that fails, until its time is up', async () => {
+    const {membership} = await startEntry('e1');
+    await startAgent('u1', 'd0', ['e1']);
+    await advance(clock, 200);
+    const isUsable = () => membership.getCandidates('p').length === 1;
+    for (let i = 0; i < 3; i++) membership.noteFailure('u1');
+    assert.equal(isUsable(), false);
+    await advance(clock, 1_100);
+    assert.equal(isUsable(), true);
+    membership.noteFailure('u1');
+    await advance(clock, 1_100);
+    assert.equal(isUsable(), false, 'the second ejection is longer');
+    await advance(clock, 1_000);
+    membership.noteAnswer('u1', load);
+    membership.noteFailure('u1');
+    assert.equal(isUsable(), true);
+  });
+
+  it('prevents reports from being lost while an entry is cut off', async () => {
+    const {membership} = await startEntry('e1');
+    const crashes = [{upstream: 'u1', epoch: 'x', fingerprints: ['f']}];
+    const reports = [{...emptyReport, crashes}];
+    const heard: string[] = [];
+    membership.onReport((_cells, list) =>
+      heard.push(...list.map(crash => crash.upstream)),
+    );
+    network.cut.add('e1:90');
+    await startAgent('u1', 'd0', ['e1'], reports);
+    await advance(clock, 1_000);
+    assert.equal(reports.length, 1);
+    network.cut.clear();
+    await advance(clock, 6_000);
+    assert.ok(heard.includes('u1'));
+    log.add(createRecord('pool/p', 1, {kind: 'plain', maxConcurrent: 3}));
+    await settle();
+    assert.equal(reports.length, 0);
+  });
+
+  describe('authority', () => {
+    const cases: Array<[string, string[], boolean, boolean]> = [
+      ['no failure domain heard', [], false, false],
+      ['one of three heard', ['d1'], false, false],
+      ['two of three heard', ['d1', 'd2'], false, true],
+      ['a log that answers', [], true, true],
+    ];
+    for (const [name, domains, isLogUp, expected] of cases) {
+      it(`prevents a wrong decision with ${name}`, async () => {
+        list.set([
+          createEntryInstance('e2', 'd1'),
+          createEntryInstance('e3', 'd2'),
+        ]);
+        const {membership} = await startEntry('e1');
+        const peers = [
+          ['e2', 'd1'],
+          ['e3', 'd2'],
+        ];
+        for (const [id, domain] of peers) {
+          await startEntry(id, domain);
+          if (!domains.includes(domain)) network.cut.add(`${id}:90`);
+        }
+        // A cut link takes no calls of the peer either.
+        if (domains.length < 2) network.cut.add('e1:90');
+        await advance(clock, 1_000);
+        log.isDown = !isLogUp;
+        log.wake();
+        await advance(clock, 8_000);
+        if (isLogUp) log.add(createRecord('account/a', 0, {}));
+        await settle();
+        assert.equal(membership.hasAuthority(), expected);
+      });
+    }
+
+    it('prevents half of the failure domains from being enough', async () => {
+      log.add(createRecord('domain/d3', 0, {region: 'r'}));
+      const {membership} = await startEntry('e1');
+      await startAgent('u1', 'd0', ['e1']);
+      await startAgent('u2', 'd1', ['e1']);
+      log.isDown = true;
+      log.wake();
+      await advance(clock, 8_000);
+      assert.equal(membership.getHeardDomains().length, 2);
+      assert.equal(membership.hasAuthority(), false);
+      await startAgent('u3', 'd2', ['e1']);
+      assert.equal(membership.hasAuthority(), true);
+    });
+  });
+
+  it('prevents a seed from being counted twice once it is known', async () => {
+    const {membership} = await startEntry('e1', 'd0', ['e1:90', 'e2:90']);
+    await startEntry('e2', 'd1');
+    await advance(clock, 2_500);
+    assert.deepEqual(
+      membership.getPeers().map(peer => peer.id),
+      ['e2'],
+    );
+    assert.ok(membership.getHeardDomains().includes('d1'));
+  });
+});
--- a/packages/daemon/src/testFakes.ts
+++ b/packages/daemon/src/testFakes.ts
@@ -105,7 +105,7 @@
   readonly cut = new Set<string>();
   readonly calls: string[] = [];
 
-  callPeer: CallPeer = async (address, method, params) => {
+  callPeer: CallPeer = async (address, method, params, _timeoutMs, signal) => {
     this.calls.push(`${method} ${address}`);
     const found = this.methods.get(address)?.[method];
     if (!found || this.cut.has(address)) {
@@ -113,7 +113,12 @@
     }
     const copy = JSON.parse(JSON.stringify(params)) as unknown;
     const parsed = found.params.parse(copy);
-    const answer: unknown = await found.perform(parsed);
+    const aborted = new Promise<null>(resolve =>
+      signal?.addEventListener('abort', () => resolve(null)),
+    );
+    const performed = Promise.resolve(found.perform(parsed));
+    const answer: unknown = await Promise.race([performed, aborted]);
+    if (answer === null) return fail({tag: 'unknown', detail: 'aborted'});
     return ok(JSON.parse(JSON.stringify(answer)) as unknown);
   };
 }
