--- a/packages/daemon/src/operatorActions.ts
+++ b/packages/daemon/src/operatorActions.ts
@@ -94,7 +94,7 @@
         key: z.string(),
         baseRevision: z.number().int().min(0),
         schemaVersion: z.number().int().min(1),
-        body: z.unknown(),
+        body: z.unknown().optional(),
       }),
     )
     .min(1)
