Bound the work of held polls per control change; require a complete state for authority

Every control record made each held poll copy and hash all members. The list of members is now kept until it changes and read only for plain pools. After a gap an entry cannot know of withdrawn keys, so it has no authority until its state is complete.

--- a/packages/daemon/src/membership.ts
+++ b/packages/daemon/src/membership.ts
@@ -85,6 +85,12 @@
   release: () => void;
 }
 
+interface MemberList {
+  instances: readonly AgentInstance[];
+  /** Undefined for an empty list. */
+  hash: string | undefined;
+}
+
 interface HeardEntry {
   instance: Instance;
   heardAt: MonotonicMs;
@@ -110,6 +116,8 @@
   highest: z.number().int(),
 });
 
+const noMembers: MemberList = {instances: [], hash: undefined};
+
 function createMember(instance: AgentInstance): Member {
   return {
     instance,
@@ -149,6 +157,8 @@
   /** Held polls that wait for a change of the state or of the members. */
   const holds = new Set<() => void>();
   const subsets = new Map<string, {until: number; members: Member[]}>();
+  /** Members of plain pools as sent to agents; kept until they change. */
+  const memberLists = new Map<string, MemberList>();
   let isSelfLeaving = false;
   let unsubscribe = () => {};
   let loop: Promise<void> | undefined;
@@ -160,11 +170,16 @@
     time !== null && time !== undefined && clock.now() - time <= boundMs;
 
   /** Forgets derived choices and lets held polls look again. */
-  const noteChange = () => {
+  const noteControlChange = () => {
     subsets.clear();
     for (const wake of holds) wake();
   };
 
+  const noteMemberChange = () => {
+    memberLists.clear();
+    noteControlChange();
+  };
+
   const isMemberLeaving = (member: Member) =>
     member.hasAnnounced || member.instance.state === 'leaving';
 
@@ -239,7 +254,7 @@
       if (isRecent(member.heardAt, ALIVE_MS)) continue;
       dropMember(upstream);
     }
-    noteChange();
+    noteMemberChange();
   };
 
   const notePull = (pull: Pull, instance: AgentInstance): Member => {
@@ -270,12 +285,16 @@
     member.polledAt = member.heardAt;
     noteHeard(instance.domain);
     const isChanged = wasLeaving !== isMemberLeaving(member);
-    if (isNew || isRestarted || isFirstPoll || isChanged) noteChange();
+    if (isNew || isRestarted || isFirstPoll || isChanged) noteMemberChange();
     return member;
   };
 
-  const getPoolInstances = (pool: string): AgentInstance[] =>
-    [...members.values()]
+  /** Only plain pools deduplicate, so only their agents need the members. */
+  const getMemberList = (state: ControlState, pool: string): MemberList => {
+    if (getBody(state, 'pool', pool)?.kind !== 'plain') return noMembers;
+    const cached = memberLists.get(pool);
+    if (cached) return cached;
+    const instances = [...members.values()]
       .filter(member => member.instance.upstream.pool === pool)
       .map(member => ({
         ...member.instance,
@@ -284,6 +303,13 @@
           : ('live' as const),
       }))
       .sort((a, b) => (a.upstream.id < b.upstream.id ? -1 : 1));
+    const text = JSON.stringify(instances);
+    const hash =
+      instances.length > 0 ? getHash32(text).toString(16) : undefined;
+    const list = {instances, hash};
+    memberLists.set(pool, list);
+    return list;
+  };
 
   const createAnswer = (answer?: Partial<PullAnswer>): PullAnswer => {
     const {isWhole, highest} = control.getState();
@@ -302,16 +328,12 @@
     if (!state.isWhole || state.highest < 0) return null;
     // An older view would be dropped by the agent.
     if (state.highest < pull.offset) return null;
-    const pool = agent.upstream.pool;
-    const view = getAgentView(state, agent, getPoolInstances(pool));
-    const hasMembers = view.members.length > 0;
-    const membersHash = hasMembers
-      ? getHash32(JSON.stringify(view.members)).toString(16)
-      : undefined;
+    const list = getMemberList(state, agent.upstream.pool);
     const isCurrent =
       pull.offset >= 0 && pull.offset >= getAgentViewChange(state, agent);
-    if (isCurrent && pull.membersHash === membersHash) return null;
-    return createAnswer({view, membersHash});
+    if (isCurrent && pull.membersHash === list.hash) return null;
+    const view = getAgentView(state, agent, list.instances);
+    return createAnswer({view, membersHash: list.hash});
   };
 
   /** Resolves when something changed, the hold ended, or it was released. */
@@ -373,8 +395,11 @@
   };
 
   const hasAuthority = (): boolean => {
+    const state = control.getState();
+    // After a gap, a withdrawal of a key may be among the missing records.
+    if (!state.isWhole) return false;
     if (isRecent(control.getLogContact(), AUTHORITY_MS)) return true;
-    const known = getKnownDomains(control.getState());
+    const known = getKnownDomains(state);
     return getHeardDomains().length * 2 > known.size;
   };
 
@@ -575,7 +600,7 @@
   return {
     name: 'membership',
     start: async () => {
-      unsubscribe = control.subscribe(noteChange);
+      unsubscribe = control.subscribe(noteControlChange);
       directory.subscribe(applyDirectory);
       await directory.start();
       loop = run();
@@ -583,7 +608,7 @@
     stop: async signal => {
       stopped.abort();
       unsubscribe();
-      noteChange();
+      noteMemberChange();
       await directory.stop(signal);
       await loop;
     },
--- a/packages/domain/src/agentView.ts
+++ b/packages/domain/src/agentView.ts
@@ -6,6 +6,21 @@
 
 const defaultReporting = reportingSchema.parse({});
 
+/** Newest change of any `reporting` record, by the map it was read from. */
+const reportingChanges = new WeakMap<ControlState['records'], number>();
+
+function getReportingChange(state: ControlState): number {
+  const cached = reportingChanges.get(state.records);
+  if (cached !== undefined) return cached;
+  let changedAt = -1;
+  for (const [key, record] of state.records) {
+    if (!key.startsWith('reporting/')) continue;
+    changedAt = Math.max(changedAt, record.offset);
+  }
+  reportingChanges.set(state.records, changedAt);
+  return changedAt;
+}
+
 /** Keys of the records that an agent's view is made of. */
 function getViewKeys(agent: AgentInstance): string[] {
   return [
@@ -45,13 +60,9 @@
   state: ControlState,
   agent: AgentInstance,
 ): number {
-  let changedAt = state.lease.fencing;
+  let changedAt = Math.max(state.lease.fencing, getReportingChange(state));
   for (const key of getViewKeys(agent)) {
     changedAt = Math.max(changedAt, state.records.get(key)?.offset ?? -1);
   }
-  for (const [key, record] of state.records) {
-    if (!key.startsWith('reporting/')) continue;
-    changedAt = Math.max(changedAt, record.offset);
-  }
   return changedAt;
 }
