--- a/packages/daemon/src/membership.ts
+++ b/packages/daemon/src/membership.ts
@@ -148,6 +148,8 @@
   const stopped = new AbortController();
   setMaxListeners(0, stopped.signal);
   const members = new Map<string, Member>();
+  /** Upstreams by the address of their agent. */
+  const addresses = new Map<string, string>();
   const heardEntries = new Map<string, HeardEntry>();
   const heardDomains = new Map<string, MonotonicMs>();
   const pingTurns = new Map<string, number>();
@@ -200,24 +202,32 @@
   };
 
   const dropMember = (upstream: string) => {
-    members.get(upstream)?.release();
+    const member = members.get(upstream);
+    if (!member) return;
+    member.release();
     members.delete(upstream);
+    const {address} = member.instance;
+    if (addresses.get(address) === upstream) addresses.delete(address);
   };
 
   /** An address belongs to the instance that was seen there last. */
-  const dropOthersAt = (instance: AgentInstance) => {
-    for (const [upstream, member] of members) {
-      if (upstream === instance.upstream.id) continue;
-      if (member.instance.address !== instance.address) continue;
-      dropMember(upstream);
+  const setInstance = (member: Member, instance: AgentInstance) => {
+    const {id} = instance.upstream;
+    const old = member.instance.address;
+    if (old !== instance.address && addresses.get(old) === id) {
+      addresses.delete(old);
     }
+    const other = addresses.get(instance.address);
+    if (other !== undefined && other !== id) dropMember(other);
+    addresses.set(instance.address, id);
+    member.instance = instance;
   };
 
   const setMember = (instance: AgentInstance): Member => {
     dropMember(instance.upstream.id);
-    dropOthersAt(instance);
     const member = createMember(instance);
     members.set(instance.upstream.id, member);
+    setInstance(member, instance);
     return member;
   };
 
@@ -227,14 +237,12 @@
       // Polls are newer than the list, except for the state it adds.
       const isHeard = isRecent(member.polledAt, ALIVE_MS);
       const address = isHeard ? member.instance : instance;
-      member.instance = {...address, state: instance.state};
+      setInstance(member, {...address, state: instance.state});
       return;
     }
     if (member && isRecent(member.heardAt, ALIVE_MS)) return;
-    for (const other of members.values()) {
-      const isSameAddress = other.instance.address === instance.address;
-      if (isSameAddress && isRecent(other.heardAt, ALIVE_MS)) return;
-    }
+    const other = members.get(addresses.get(instance.address) ?? '');
+    if (other && isRecent(other.heardAt, ALIVE_MS)) return;
     setMember(instance);
   };
 
@@ -278,7 +286,7 @@
     const isFirstPoll = !isRecent(member.polledAt, ALIVE_MS);
     member.hasAnnounced ||= instance.state === 'leaving';
     const {state} = member.instance;
-    member.instance = {...instance, state: isNew ? instance.state : state};
+    setInstance(member, {...instance, state: isNew ? instance.state : state});
     member.load = pull.load;
     member.offset = pull.offset;
     member.heardAt = clock.now();
