--- a/packages/daemon/src/instanceDirectory.ts
+++ b/packages/daemon/src/instanceDirectory.ts
@@ -62,6 +62,8 @@
   const listed = new Map<string, Instance>();
   const removed = new Map<string, {instance: Instance; until: MonotonicMs}>();
   let version = 0;
+  /** When an answer with a lower version counts as a restarted list. */
+  let behindUntil: MonotonicMs | null = null;
   let isUp = true;
   let known: Instance[] = [...options.seeds];
   let loop: Promise<void> | undefined;
@@ -96,6 +98,19 @@
     return removed.size !== before;
   };
 
+  /**
+   * An answer that lags behind an earlier one must not undo it; a list whose
+   * versions started again is read from its beginning after a while.
+   */
+  const noteOlderList = (): boolean => {
+    behindUntil ??= getDeadline(clock.now(), REMOVED_KEPT_MS);
+    if (behindUntil > clock.now()) return true;
+    metrics.count('vc_instance_list_restarts_total');
+    version = 0;
+    behindUntil = null;
+    return true;
+  };
+
   const poll = async (): Promise<boolean> => {
     const changes = await listPort.getChanges(version);
     if (!changes.ok) {
@@ -112,8 +127,8 @@
     isUp = true;
     const {full, instances, removed: gone} = changes.value;
     const isChanged = instances.length > 0 || gone.length > 0;
-    // A list that lags behind an earlier answer must not undo it.
-    if (changes.value.version < version && !full) return true;
+    if (changes.value.version < version && !full) return noteOlderList();
+    behindUntil = null;
     version = changes.value.version;
     if (full) {
       const present = new Set(instances.map(instance => instance.id));
--- a/packages/daemon/src/membership.test.ts
+++ b/packages/daemon/src/membership.test.ts
@@ -311,6 +311,18 @@
     });
   });
 
+  it('prevents a restarted list from being ignored for ever', async () => {
+    const {membership} = await startEntry('e1');
+    list.set([createAgentInstance('u1')]);
+    list.set([createAgentInstance('u2')]);
+    await advance(clock, 2_500);
+    assert.equal(membership.getPoolMembers('p').length, 2);
+    list.restart([createAgentInstance('u3')]);
+    await advance(clock, 70_000, 1_000);
+    const ids = getIds(membership.getPoolMembers('p'));
+    assert.deepEqual(ids, ['agent-u3']);
+  });
+
   it('prevents a seed from being counted twice once it is known', async () => {
     const {membership} = await startEntry('e1', 'd0', ['e1:90', 'e2:90']);
     await startEntry('e2', 'd1');
--- a/packages/daemon/src/testFakes.ts
+++ b/packages/daemon/src/testFakes.ts
@@ -86,12 +86,18 @@
     this.changes.push({version, full: false, instances, removed});
   }
 
+  /** Forgets all versions, as a list does that was started again. */
+  restart(instances: Instance[]): void {
+    this.changes = [];
+    this.set(instances);
+  }
+
   getChanges: InstanceListPort['getChanges'] = async since => {
     if (this.isDown) return fail({tag: 'unavailable', detail: 'down'});
     const news = this.changes.slice(since);
     return ok({
       version: this.changes.length,
-      full: false,
+      full: since === 0,
       instances: news.flatMap(change => change.instances),
       removed: news.flatMap(change => change.removed),
     });
