--- a/packages/daemon/src/instanceDirectory.ts
+++ b/packages/daemon/src/instanceDirectory.ts
@@ -2,6 +2,7 @@
 import {getDeadline} from '@vanillacross/common';
 import type {Instance} from '@vanillacross/domain';
 import type {InstanceListPort} from '@vanillacross/platform';
+import {setMaxListeners} from 'node:events';
 
 import type {Context, Part} from './types.js';
 
@@ -56,10 +57,13 @@
   const {clock, metrics} = context;
   const logger = context.logger.part('instances');
   const stopped = new AbortController();
+  setMaxListeners(0, stopped.signal);
   const listeners = new Set<() => void>();
   const listed = new Map<string, Instance>();
   const removed = new Map<string, {instance: Instance; until: MonotonicMs}>();
   let version = 0;
+  /** When an answer with a lower version counts as a restarted list. */
+  let behindUntil: MonotonicMs | null = null;
   let isUp = true;
   let known: Instance[] = [...options.seeds];
   let loop: Promise<void> | undefined;
@@ -94,6 +98,19 @@
     return removed.size !== before;
   };
 
+  /**
+   * An answer that lags behind an earlier one must not undo it; a list whose
+   * versions started again is read from its beginning after a while.
+   */
+  const noteOlderList = (): boolean => {
+    behindUntil ??= getDeadline(clock.now(), REMOVED_KEPT_MS);
+    if (behindUntil > clock.now()) return true;
+    metrics.count('vc_instance_list_restarts_total');
+    version = 0;
+    behindUntil = null;
+    return true;
+  };
+
   const poll = async (): Promise<boolean> => {
     const changes = await listPort.getChanges(version);
     if (!changes.ok) {
@@ -110,8 +127,8 @@
     isUp = true;
     const {full, instances, removed: gone} = changes.value;
     const isChanged = instances.length > 0 || gone.length > 0;
-    // A list that lags behind an earlier answer must not undo it.
-    if (changes.value.version < version && !full) return true;
+    if (changes.value.version < version && !full) return noteOlderList();
+    behindUntil = null;
     version = changes.value.version;
     if (full) {
       const present = new Set(instances.map(instance => instance.id));
--- a/packages/daemon/src/membership.ts
+++ b/packages/daemon/src/membership.ts
@@ -21,6 +21,7 @@
   pullSchema,
 } from '@vanillacross/domain';
 import type {InstanceListPort} from '@vanillacross/platform';
+import {setMaxListeners} from 'node:events';
 import {z} from 'zod';
 
 import {createInstanceDirectory, isSeed} from './instanceDirectory.js';
@@ -84,6 +85,12 @@
   release: () => void;
 }
 
+interface MemberList {
+  instances: readonly AgentInstance[];
+  /** Undefined for an empty list. */
+  hash: string | undefined;
+}
+
 interface HeardEntry {
   instance: Instance;
   heardAt: MonotonicMs;
@@ -109,6 +116,8 @@
   highest: z.number().int(),
 });
 
+const noMembers: MemberList = {instances: [], hash: undefined};
+
 function createMember(instance: AgentInstance): Member {
   return {
     instance,
@@ -137,7 +146,10 @@
   const callPeer = options.callPeer ?? createCallPeer(context.clusterSecret);
   const directory = createInstanceDirectory(context, listPort, options);
   const stopped = new AbortController();
+  setMaxListeners(0, stopped.signal);
   const members = new Map<string, Member>();
+  /** Upstreams by the address of their agent. */
+  const addresses = new Map<string, string>();
   const heardEntries = new Map<string, HeardEntry>();
   const heardDomains = new Map<string, MonotonicMs>();
   const pingTurns = new Map<string, number>();
@@ -147,6 +159,8 @@
   /** Held polls that wait for a change of the state or of the members. */
   const holds = new Set<() => void>();
   const subsets = new Map<string, {until: number; members: Member[]}>();
+  /** Members of plain pools as sent to agents; kept until they change. */
+  const memberLists = new Map<string, MemberList>();
   let isSelfLeaving = false;
   let unsubscribe = () => {};
   let loop: Promise<void> | undefined;
@@ -158,11 +172,16 @@
     time !== null && time !== undefined && clock.now() - time <= boundMs;
 
   /** Forgets derived choices and lets held polls look again. */
-  const noteChange = () => {
+  const noteControlChange = () => {
     subsets.clear();
     for (const wake of holds) wake();
   };
 
+  const noteMemberChange = () => {
+    memberLists.clear();
+    noteControlChange();
+  };
+
   const isMemberLeaving = (member: Member) =>
     member.hasAnnounced || member.instance.state === 'leaving';
 
@@ -183,24 +202,32 @@
   };
 
   const dropMember = (upstream: string) => {
-    members.get(upstream)?.release();
+    const member = members.get(upstream);
+    if (!member) return;
+    member.release();
     members.delete(upstream);
+    const {address} = member.instance;
+    if (addresses.get(address) === upstream) addresses.delete(address);
   };
 
   /** An address belongs to the instance that was seen there last. */
-  const dropOthersAt = (instance: AgentInstance) => {
-    for (const [upstream, member] of members) {
-      if (upstream === instance.upstream.id) continue;
-      if (member.instance.address !== instance.address) continue;
-      dropMember(upstream);
+  const setInstance = (member: Member, instance: AgentInstance) => {
+    const {id} = instance.upstream;
+    const old = member.instance.address;
+    if (old !== instance.address && addresses.get(old) === id) {
+      addresses.delete(old);
     }
+    const other = addresses.get(instance.address);
+    if (other !== undefined && other !== id) dropMember(other);
+    addresses.set(instance.address, id);
+    member.instance = instance;
   };
 
   const setMember = (instance: AgentInstance): Member => {
     dropMember(instance.upstream.id);
-    dropOthersAt(instance);
     const member = createMember(instance);
     members.set(instance.upstream.id, member);
+    setInstance(member, instance);
     return member;
   };
 
@@ -210,14 +237,12 @@
       // Polls are newer than the list, except for the state it adds.
       const isHeard = isRecent(member.polledAt, ALIVE_MS);
       const address = isHeard ? member.instance : instance;
-      member.instance = {...address, state: instance.state};
+      setInstance(member, {...address, state: instance.state});
       return;
     }
     if (member && isRecent(member.heardAt, ALIVE_MS)) return;
-    for (const other of members.values()) {
-      const isSameAddress = other.instance.address === instance.address;
-      if (isSameAddress && isRecent(other.heardAt, ALIVE_MS)) return;
-    }
+    const other = members.get(addresses.get(instance.address) ?? '');
+    if (other && isRecent(other.heardAt, ALIVE_MS)) return;
     setMember(instance);
   };
 
@@ -237,7 +262,7 @@
       if (isRecent(member.heardAt, ALIVE_MS)) continue;
       dropMember(upstream);
     }
-    noteChange();
+    noteMemberChange();
   };
 
   const notePull = (pull: Pull, instance: AgentInstance): Member => {
@@ -261,19 +286,23 @@
     const isFirstPoll = !isRecent(member.polledAt, ALIVE_MS);
     member.hasAnnounced ||= instance.state === 'leaving';
     const {state} = member.instance;
-    member.instance = {...instance, state: isNew ? instance.state : state};
+    setInstance(member, {...instance, state: isNew ? instance.state : state});
     member.load = pull.load;
     member.offset = pull.offset;
     member.heardAt = clock.now();
     member.polledAt = member.heardAt;
     noteHeard(instance.domain);
     const isChanged = wasLeaving !== isMemberLeaving(member);
-    if (isNew || isRestarted || isFirstPoll || isChanged) noteChange();
+    if (isNew || isRestarted || isFirstPoll || isChanged) noteMemberChange();
     return member;
   };
 
-  const getPoolInstances = (pool: string): AgentInstance[] =>
-    [...members.values()]
+  /** Only plain pools deduplicate, so only their agents need the members. */
+  const getMemberList = (state: ControlState, pool: string): MemberList => {
+    if (getBody(state, 'pool', pool)?.kind !== 'plain') return noMembers;
+    const cached = memberLists.get(pool);
+    if (cached) return cached;
+    const instances = [...members.values()]
       .filter(member => member.instance.upstream.pool === pool)
       .map(member => ({
         ...member.instance,
@@ -282,6 +311,13 @@
           : ('live' as const),
       }))
       .sort((a, b) => (a.upstream.id < b.upstream.id ? -1 : 1));
+    const text = JSON.stringify(instances);
+    const hash =
+      instances.length > 0 ? getHash32(text).toString(16) : undefined;
+    const list = {instances, hash};
+    memberLists.set(pool, list);
+    return list;
+  };
 
   const createAnswer = (answer?: Partial<PullAnswer>): PullAnswer => {
     const {isWhole, highest} = control.getState();
@@ -300,16 +336,12 @@
     if (!state.isWhole || state.highest < 0) return null;
     // An older view would be dropped by the agent.
     if (state.highest < pull.offset) return null;
-    const pool = agent.upstream.pool;
-    const view = getAgentView(state, agent, getPoolInstances(pool));
-    const hasMembers = view.members.length > 0;
-    const membersHash = hasMembers
-      ? getHash32(JSON.stringify(view.members)).toString(16)
-      : undefined;
+    const list = getMemberList(state, agent.upstream.pool);
     const isCurrent =
       pull.offset >= 0 && pull.offset >= getAgentViewChange(state, agent);
-    if (isCurrent && pull.membersHash === membersHash) return null;
-    return createAnswer({view, membersHash});
+    if (isCurrent && pull.membersHash === list.hash) return null;
+    const view = getAgentView(state, agent, list.instances);
+    return createAnswer({view, membersHash: list.hash});
   };
 
   /** Resolves when something changed, the hold ended, or it was released. */
@@ -371,8 +403,11 @@
   };
 
   const hasAuthority = (): boolean => {
+    const state = control.getState();
+    // After a gap, a withdrawal of a key may be among the missing records.
+    if (!state.isWhole) return false;
     if (isRecent(control.getLogContact(), AUTHORITY_MS)) return true;
-    const known = getKnownDomains(control.getState());
+    const known = getKnownDomains(state);
     return getHeardDomains().length * 2 > known.size;
   };
 
@@ -573,7 +608,7 @@
   return {
     name: 'membership',
     start: async () => {
-      unsubscribe = control.subscribe(noteChange);
+      unsubscribe = control.subscribe(noteControlChange);
       directory.subscribe(applyDirectory);
       await directory.start();
       loop = run();
@@ -581,7 +616,7 @@
     stop: async signal => {
       stopped.abort();
       unsubscribe();
-      noteChange();
+      noteMemberChange();
       await directory.stop(signal);
       await loop;
     },
