--- a/packages/domain/src/checkpointPlan.ts
+++ b/packages/domain/src/checkpointPlan.ts
@@ -16,6 +16,11 @@
   cycleStart: number;
   /** Keys that are not written yet. */
   remaining: readonly string[];
+  /**
+   * Tombstones that the last checkpoint drops. The cycle still carries them,
+   * because puts up to that checkpoint depend on their revision.
+   */
+  expired: ReadonlyArray<{key: string; offset: number}>;
   /** Deadline of the next batch, ms. */
   nextAtMs: number;
   intervalMs: number;
@@ -53,13 +58,13 @@
   return next;
 }
 
-function isCarried(
+function isExpired(
   record: StoredRecord,
   tombstones: TombstoneDeadlines,
   nowMs: number,
 ): boolean {
-  if (record.raw !== null) return true;
-  return (tombstones.get(record.key)?.deadlineMs ?? Infinity) > nowMs;
+  if (record.raw !== null) return false;
+  return (tombstones.get(record.key)?.deadlineMs ?? Infinity) <= nowMs;
 }
 
 /** Half of the third of the retention that a cycle has to be complete in. */
@@ -74,10 +79,13 @@
   nowMs: number,
   retentionMs: number,
 ): CheckpointCycle {
-  const remaining = [...state.records.values()]
-    .filter(record => isCarried(record, tombstones, nowMs))
-    .sort((a, b) => a.offset - b.offset)
-    .map(record => record.key);
+  const records = [...state.records.values()].sort(
+    (a, b) => a.offset - b.offset,
+  );
+  const remaining = records.map(record => record.key);
+  const expired = records
+    .filter(record => isExpired(record, tombstones, nowMs))
+    .map(({key, offset}) => ({key, offset}));
   const batches = Math.ceil(remaining.length / CHECKPOINT_ENTRIES) + 1;
   const intervalMs = Math.min(
     MAX_BATCH_INTERVAL_MS,
@@ -86,6 +94,7 @@
   return {
     cycleStart: state.highest + 1,
     remaining,
+    expired,
     nextAtMs: nowMs,
     intervalMs,
   };
@@ -129,7 +138,10 @@
     asOf: state.highest,
     entries,
     lastSealed: state.lastSealed,
-    ...(isLast ? {cycleStart: cycle.cycleStart} : {}),
+    lease: state.lease,
+    ...(isLast
+      ? {cycleStart: cycle.cycleStart, dropped: [...cycle.expired]}
+      : {}),
   };
   const nextAtMs = nowMs + cycle.intervalMs;
   return {checkpoint, cycle: isLast ? null : {...cycle, remaining, nextAtMs}};
--- a/packages/domain/src/controlRecords.ts
+++ b/packages/domain/src/controlRecords.ts
@@ -77,6 +77,19 @@
   lastSealed: z.number().int().min(-1),
   /** Set on the last record of a cycle: where the cycle began. */
   cycleStart: z.number().int().min(0).optional(),
+  /** The lease as of `asOf`, for readers of a truncated log. */
+  lease: z
+    .object({
+      holder: z.string(),
+      fencing: z.number().int(),
+      lastOffset: z.number().int(),
+      isReleased: z.boolean(),
+    })
+    .optional(),
+  /** Tombstones that every process forgets at this record. */
+  dropped: z
+    .array(z.object({key: z.string(), offset: z.number().int().min(0)}))
+    .optional(),
 });
 
 /** A request fingerprint that crashes upstreams. */
--- a/packages/domain/src/controlState.ts
+++ b/packages/domain/src/controlState.ts
@@ -59,6 +59,8 @@
   newerSchemas: number;
   /** True if every live record is known to be in this state. */
   isWhole: boolean;
+  /** Offset of the last checkpoint that dropped tombstones. */
+  droppedAt?: number;
 }
 
 export const emptyControlState: ControlState = {
@@ -94,6 +96,7 @@
   quarantine: z.array(z.tuple([z.string(), z.string()])),
   newerSchemas: z.number().int(),
   isWhole: z.boolean(),
+  droppedAt: z.number().int().optional(),
 });
 
 /** A copy of the state that one batch of records may change. */
@@ -107,6 +110,7 @@
   outcomes: Map<string, AppendOutcome>;
   newerSchemas: number;
   isWhole: boolean;
+  droppedAt?: number;
 }
 
 function trimOldest<Key, Value>(map: Map<Key, Value>, limit: number): void {
@@ -165,9 +169,19 @@
   for (const carried of checkpoint.entries) {
     const current = draft.records.get(carried.key);
     if (current && current.offset >= carried.offset) continue;
+    // Its writer did not know yet that the key's tombstone was dropped.
+    if (!current && checkpoint.asOf < (draft.droppedAt ?? -1)) continue;
     const record = createStoredRecord(carried, current);
     if (typeof record !== 'string') draft.records.set(carried.key, record);
   }
+  for (const {key, offset: droppedOffset} of checkpoint.dropped ?? []) {
+    const current = draft.records.get(key);
+    const isTombstone = current?.raw === null;
+    if (isTombstone && current.offset === droppedOffset) {
+      draft.records.delete(key);
+      draft.droppedAt = offset;
+    }
+  }
   draft.lastSealed = Math.max(draft.lastSealed, checkpoint.lastSealed);
   return {tag: 'accepted', offset};
 }
@@ -253,6 +267,18 @@
   return draft;
 }
 
+/** Records as checkpoints carried them; malformed ones are left out. */
+export function restoreCarried(
+  entries: readonly Carried[],
+): Map<string, StoredRecord> {
+  const records = new Map<string, StoredRecord>();
+  for (const entry of entries) {
+    const record = createStoredRecord(entry, undefined);
+    if (typeof record !== 'string') records.set(entry.key, record);
+  }
+  return records;
+}
+
 /**
  * Chooses between the own state and a peer's snapshot. A state with a lower
  * highest offset never replaces a higher one, unless the own one has gaps.
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -2,6 +2,7 @@
 export * from './checkpointPlan.js';
 export * from './constants.js';
 export * from './controlRecords.js';
+export * from './controlReplay.js';
 export * from './controlState.js';
 export * from './instances.js';
 export * from './lease.js';
