--- /dev/null
+++ b/packages/domain/src/plans.test.ts
@@ -0,0 +1,251 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import type {Seal} from './controlRecords.js';
+import type {UsageCell} from './messages.js';
+import {poolSchema} from './records.js';
+import type {PlannedUpstream, UpstreamPlanInput} from './upstreamPlan.js';
+import {
+  addDemand,
+  createDemandHistory,
+  getScaleDownMs,
+  getUpstreamTarget,
+  planUpstreams,
+} from './upstreamPlan.js';
+import {UsageWindows, getSealContent} from './usageWindows.js';
+import type {WeightReplica, WeightRollout, WeightStep} from './weightPlan.js';
+import {
+  MIN_SERVING_SHARE,
+  WEIGHT_FAN_OUT,
+  finishStep,
+  isRolloutComplete,
+  noRollout,
+  planWeights,
+  reconcileTarget,
+} from './weightPlan.js';
+
+const pool = poolSchema.parse({
+  kind: 'engine',
+  maxConcurrent: 10,
+  minUpstreams: 2,
+  maxUpstreams: 20,
+  coldStartMs: 30_000,
+});
+
+function createUpstreams(count: number, busy: number): PlannedUpstream[] {
+  return Array.from({length: count}, (_, index) => ({
+    id: `u${index}`,
+    domain: `d${index % 4}`,
+    busy,
+    isCold: false,
+    isDraining: false,
+    isStoppable: false,
+  }));
+}
+
+function createInput(demand: number, upstreams: PlannedUpstream[]) {
+  const nowMs = getScaleDownMs(pool) + 1;
+  const history = addDemand(createDemandHistory(0), pool, demand, nowMs);
+  const domains = ['d0', 'd1', 'd2', 'd3'].map(id => ({id, isIn: true}));
+  const pendingStarts = {};
+  return {pool, domains, upstreams, pendingStarts, history, nowMs};
+}
+
+describe('upstream plan', () => {
+  it('keeps enough upstreams when a failure domain is lost', () => {
+    // Guards against overload of the rest after a loss.
+    for (let demand = 0; demand <= 90; demand++) {
+      const total = getUpstreamTarget(pool, demand, 4);
+      const rest = total - Math.ceil(total / 4);
+      assert.ok(rest * 7 >= demand && total >= 2 && total <= 20);
+    }
+    assert.equal(getUpstreamTarget(pool, 1_000, 4), 20);
+  });
+
+  it('starts at once, counts pending starts and avoids domains out', () => {
+    // Guards against double starts and starts where no work may go.
+    const input: UpstreamPlanInput = createInput(50, createUpstreams(4, 9));
+    const count = (steps: ReturnType<typeof planUpstreams>) =>
+      steps.map(step => (step.type === 'start' ? step.count : -99));
+    assert.deepEqual(count(planUpstreams(input)), [2, 2, 2, 1]);
+    const pendingStarts = {d0: 2, d1: 2, d2: 2, d3: 1};
+    assert.deepEqual(planUpstreams({...input, pendingStarts}), []);
+    const domains = input.domains.map(d => ({...d, isIn: d.id !== 'd3'}));
+    const starts = planUpstreams({...input, domains});
+    assert.ok(starts.length > 0 && starts.every(s => s.domain !== 'd3'));
+  });
+
+  it('drains one upstream after low demand and stops only empty ones', () => {
+    // Guards against flapping and against stopping running requests.
+    const upstreams = createUpstreams(8, 1);
+    upstreams[5].busy = 0;
+    const input: UpstreamPlanInput = createInput(4, upstreams);
+    const [drain, ...rest] = planUpstreams(input);
+    assert.deepEqual([drain.type, rest], ['drain', []]);
+    assert.deepEqual(planUpstreams({...input, nowMs: 10_000}), []);
+    const peak = addDemand(input.history, pool, 40, input.nowMs + 20_000);
+    const lower = addDemand(peak, pool, 4, input.nowMs + 40_000);
+    const later = {...input, history: lower, nowMs: input.nowMs + 40_000};
+    assert.deepEqual(planUpstreams(later), []);
+    Object.assign(upstreams[1], {isDraining: true, isStoppable: true});
+    assert.ok(planUpstreams(input).every(step => step.type !== 'stop'));
+    upstreams[1].busy = 0;
+    const stops = planUpstreams(input).filter(step => step.type === 'stop');
+    assert.deepEqual(stops, [{type: 'stop', domain: 'd1', upstream: 'u1'}]);
+  });
+});
+
+function createReplicas(count: number, version = 1): WeightReplica[] {
+  return Array.from({length: count}, (_, index) => ({
+    id: `r${index}`,
+    domain: `d${index % 3}`,
+    address: `10.0.0.${index}:1`,
+    version,
+    epoch: 'e',
+    isServing: true,
+    isReachable: true,
+  }));
+}
+
+/** Performs steps until nothing is left; returns the steps of each round. */
+function runRollout(
+  start: WeightRollout,
+  replicas: WeightReplica[],
+  isDone: (step: WeightStep) => boolean = () => true,
+): WeightStep[][] {
+  const rounds: WeightStep[][] = [];
+  let rollout = start;
+  for (let round = 0; round < 200; round++) {
+    const plan = planWeights(rollout, replicas, round * 1_000);
+    rollout = plan.rollout;
+    if (plan.steps.length > 0) rounds.push(plan.steps);
+    for (const step of plan.steps) {
+      const done = isDone(step);
+      rollout = finishStep(rollout, step, done, round * 1_000);
+      const replica = replicas.find(({id}) => id === step.replica);
+      if (replica && done && step.type === 'activate') {
+        replica.version = step.version;
+      }
+    }
+  }
+  return rounds;
+}
+
+describe('weight plan', () => {
+  it('stages in a tree, then activates while 75% serve', () => {
+    // Guards against overload of the store and loss of capacity.
+    const replicas = createReplicas(100);
+    const target = reconcileTarget(noRollout, [{version: 3}, {version: 2}]);
+    const rounds = runRollout(target, replicas);
+    let hasActivated = false;
+    const staged = new Set<string>();
+    for (const steps of rounds) {
+      const stages = steps.filter(step => step.type === 'stage');
+      const fetches = new Map<string, number>();
+      for (const {sourceId = ''} of stages) {
+        assert.ok(sourceId === '' || staged.has(sourceId));
+        fetches.set(sourceId, (fetches.get(sourceId) ?? 0) + 1);
+      }
+      assert.ok([...fetches.values()].every(n => n <= WEIGHT_FAN_OUT));
+      for (const {replica} of stages) staged.add(replica);
+      const swaps = steps.length - stages.length;
+      assert.ok(swaps <= 100 * (1 - MIN_SERVING_SHARE));
+      hasActivated ||= swaps > 0;
+      assert.ok(!hasActivated || staged.size === 100);
+    }
+    assert.ok(isRolloutComplete(target, replicas));
+    assert.ok(rounds.length <= 9, `${rounds.length} rounds`);
+  });
+
+  it('retries failed swaps without stopping the others', () => {
+    // Guards against one broken replica that blocks the pool.
+    const replicas = createReplicas(6);
+    let failures = 0;
+    const target = reconcileTarget(noRollout, [{version: 2}]);
+    const rounds = runRollout(
+      target,
+      replicas,
+      step => step.replica !== 'r4' || ++failures > 4,
+    );
+    assert.ok(isRolloutComplete(target, replicas));
+    const steps = rounds.flat().filter(step => step.replica === 'r4');
+    assert.equal(
+      new Set(steps.map(s => s.type + s.attempt)).size,
+      steps.length,
+    );
+    const others = rounds.findLastIndex(r => r.some(s => s.replica !== 'r4'));
+    assert.ok(others < rounds.length - 1, 'the others must not wait');
+  });
+
+  it('orders a stale returner first and never an older version', () => {
+    // Guards against samples of an old version after a return.
+    const replicas = createReplicas(8, 4);
+    replicas[6] = {...replicas[6], version: 2, epoch: 'new'};
+    const newest = reconcileTarget(noRollout, [{version: 5}]);
+    const rollout = reconcileTarget(newest, [{version: 4}]);
+    const rounds = runRollout(rollout, replicas);
+    assert.equal(rounds[0][0].replica, 'r6');
+    const swap = rounds.flat().find(step => step.type === 'activate');
+    assert.equal(swap?.replica, 'r6');
+    assert.ok(rounds.flat().every(step => step.version === 5));
+  });
+
+  it('stages again when the engine restarted in between', () => {
+    // Guards against activating weights that the engine has lost.
+    const replicas = createReplicas(1);
+    const target = reconcileTarget(noRollout, [{version: 2}]);
+    const plan = planWeights(target, replicas, 0);
+    const rollout = finishStep(plan.rollout, plan.steps[0], true, 0);
+    const restarted = [{...replicas[0], epoch: 'other'}];
+    const [again] = planWeights(rollout, restarted, 1).steps;
+    assert.equal(again.type, 'stage');
+  });
+});
+
+function createCell(window: number, agentEpoch: string, requests: number) {
+  const tokens = {promptTokens: requests, generatedTokens: 0};
+  const ids = {entryEpoch: 'e', agentEpoch, account: 'a'};
+  return {window, requests, ...tokens, ...ids} satisfies UsageCell;
+}
+
+describe('usage windows', () => {
+  it('counts each cell once and late cells in the next window', () => {
+    // Guards against figures that are reported twice or changed (R8).
+    const usage = new UsageWindows();
+    const seals = new Map<number, Seal>();
+    const total = () =>
+      [...seals.values()].reduce(
+        (sum, {figures}) => sum + (figures['a']?.requests ?? 0),
+        0,
+      );
+    const seal = (window: number) => {
+      const content = getSealContent(usage, seals, window - 1, window);
+      const rest = {type: 'seal' as const, fencing: 1, sources: []};
+      seals.set(window, {...rest, window, ...content});
+    };
+    usage.merge([createCell(1, 'x', 5), createCell(1, 'x', 3)]);
+    seal(1);
+    const first = structuredClone(seals.get(1));
+    usage.merge([createCell(1, 'x', 7), createCell(1, 'y', 2)]);
+    usage.merge([createCell(2, 'x', 1)]);
+    seal(2);
+    seal(3);
+    usage.merge([createCell(1, 'y', 3)]);
+    seal(4);
+    assert.deepEqual(seals.get(1), first);
+    assert.deepEqual(
+      [1, 2, 3, 4].map(w => seals.get(w)?.figures['a']?.requests ?? 0),
+      [5, 5, 0, 1],
+    );
+    assert.equal(total(), 11);
+  });
+
+  it('refuses cells above its bound and forgets old windows', () => {
+    // Guards against memory that grows with the number of agents.
+    const usage = new UsageWindows(2);
+    const cells = ['x', 'y', 'z'].map(epoch => createCell(1, epoch, 1));
+    assert.equal(usage.merge(cells), 1);
+    usage.prune(100);
+    assert.equal(usage.merge([createCell(100, 'z', 1)]), 0);
+  });
+});
