--- a/packages/daemon/src/controller.test.ts
+++ b/packages/daemon/src/controller.test.ts
@@ -23,6 +23,7 @@
 import {applyControlRecords, emptyControlState} from '@vanillacross/domain';
 import type {
   MayWrite,
+  OrderedUpstream,
   OrderingPort,
   PlatformFailure,
   UpstreamOrder,
@@ -43,6 +44,14 @@
 } from './types.js';
 
 const TAKEOVER_MS = 15_000;
+const idleLoad = {
+  running: 0,
+  limit: 4,
+  waiting: 0,
+  epoch: '',
+  version: 0,
+  cold: false,
+};
 
 async function settle(): Promise<void> {
   for (let i = 0; i < 5; i++) await new Promise(setImmediate);
@@ -127,6 +136,8 @@
   readonly control: FakeFollower;
   readonly context: Context;
   readonly membership: Membership;
+  readonly loads = new Map<string, Partial<typeof idleLoad>>();
+  readonly leaving = new Set<string>();
   isPaused = false;
   report: (cells: UsageCell[], crashes: CrashReport[]) => void = () => {};
 
@@ -147,17 +158,10 @@
       agents.map(instance => ({
         instance,
         epoch: 'e',
-        load: {
-          running: 0,
-          limit: 4,
-          waiting: 0,
-          epoch: '',
-          version: 0,
-          cold: false,
-        },
         offset: 0,
         heardAt: this.clock.now(),
-        isLeaving: false,
+        isLeaving: this.leaving.has(instance.id),
+        load: {...idleLoad, ...this.loads.get(instance.id)},
       })) as unknown as AgentPresence[];
     this.membership = {
       name: 'membership',
@@ -210,6 +214,8 @@
 class FakePlatform {
   readonly effects: number[] = [];
   readonly orders = new Map<string, {status: string}>();
+  listed: OrderedUpstream[] = [];
+  versions: number[] = [];
   lostAnswers = 0;
   dropped = 0;
   private highest = -1;
@@ -230,7 +236,7 @@
         await gate?.pass('query answer');
         return ok(known);
       },
-      getUpstreams: async () => ok([]),
+      getUpstreams: async () => ok(this.listed),
     };
   }
 
@@ -270,14 +276,7 @@
             agentEpoch: 'a',
             monotonicMs: this.clock.now() + 5_000_000,
             highestFencing: this.highest,
-            load: {
-              running: 0,
-              limit: 1,
-              waiting: 0,
-              epoch: '',
-              version: 0,
-              cold: false,
-            },
+            load: idleLoad,
           };
           await gate?.pass('prepared');
           return ok(answer);
@@ -558,6 +557,7 @@
 async function createControllers(
   reports: FakeReports,
   agents: Instance[] = [],
+  agentClient?: RpcClient,
 ) {
   const log = new FakeLog();
   const ids = ['e1', 'e2'];
@@ -566,6 +566,9 @@
   const createClient = (address: string): RpcClient => ({
     call: async (name, params) => {
       const index = ids.indexOf(address);
+      if (index < 0 && agentClient) {
+        return agentClient.call(name, {...(params as object), address}, 0);
+      }
       const method = methods.get(address)?.[name];
       if (!method || entries[index].isPaused) {
         return fail({tag: 'unknown', detail: 'no answer'});
@@ -579,7 +582,16 @@
   const ports: ControllerPorts = {
     ordering: {d1: platform.getPort()},
     reports: reports.port,
-    weights: {getVersions: async () => ok([])},
+    weights: {
+      getVersions: async () =>
+        ok(
+          platform.versions.map(version => ({
+            version,
+            bytes: 1,
+            publishedAtMs: 0,
+          })),
+        ),
+    },
   };
   const controllers: Controller[] = entries.map((entry, index) => {
     const controller = createController(
@@ -702,3 +714,61 @@
     assert.ok(last?.cycleStart !== undefined);
   });
 });
+
+describe('weights and scale-down of the controller', () => {
+  it('swap over a failure, and stop only what is drained and empty', async () => {
+    // Guards against a swap that is given up and against stopped requests.
+    const ids = ['u1', 'u2', 'u3'];
+    const done: string[] = [];
+    let failures = 2;
+    const client: RpcClient = {
+      call: async (method, params) => {
+        const {action, address} = params as Order & {address: string};
+        if (method === 'order.prepare') {
+          const prepared = {agentEpoch: 'a', monotonicMs: 0, load: idleLoad};
+          return ok({...prepared, highestFencing: -1});
+        }
+        const isFaulty = action.type === 'activate' && address === 'u2';
+        if (isFaulty && failures-- > 0) return ok({tag: 'failed', detail: ''});
+        done.push(`${action.type} ${address}`);
+        for (const entry of entries) {
+          const known = entry.loads.get(address);
+          if (action.type === 'drain') entry.leaving.add(address);
+          if (action.type !== 'activate') continue;
+          entry.loads.set(address, {...known, version: action.version});
+        }
+        return ok({tag: 'done'});
+      },
+    };
+    const agents = ids.map(id => createInstance(id, 'p'));
+    const {entries, platform, log} = await createControllers(
+      new FakeReports(),
+      agents,
+      client,
+    );
+    platform.listed = ids.map(id => ({id, pool: 'p', state: 'running'}));
+    platform.versions = [7, 6];
+    const put = {type: 'put', baseRevision: 0, schemaVersion: 1} as const;
+    const domain = {region: 'r'};
+    log.append({...put, key: 'domain/d1', body: domain, operator: 'o'});
+    const pool = {kind: 'engine', model: 'm', coldStartMs: 0};
+    log.append({...put, key: 'pool/p', body: pool, operator: 'o'});
+    await advance(entries, 60_000);
+    const versions = ids.map(id => entries[0].loads.get(id)?.version);
+    assert.deepEqual(versions, [7, 7, 7]);
+    const setRunning = (running: number) => {
+      for (const {loads} of entries) {
+        for (const id of ids) loads.set(id, {version: 7, running});
+      }
+    };
+    setRunning(1);
+    await advance(entries, 130_000);
+    const drained = done.filter(item => item.startsWith('drain'));
+    assert.ok(drained.length > 0);
+    assert.equal(platform.effects.length, 0);
+    setRunning(0);
+    await advance(entries, 10_000);
+    const stopped = [...platform.orders.keys()].join();
+    assert.match(stopped, /\.p\.stop\.u\d\.\d/);
+  });
+});
--- a/packages/domain/src/plans.test.ts
+++ b/packages/domain/src/plans.test.ts
@@ -177,6 +177,22 @@
     assert.ok(others < rounds.length - 1, 'the others must not wait');
   });
 
+  it('does not wait for a replica whose stage order hangs', () => {
+    // Guards against one hung engine that holds back new weights.
+    const replicas = createReplicas(4);
+    const target = reconcileTarget(noRollout, [{version: 2}]);
+    let {rollout} = planWeights(target, replicas, 0);
+    for (const {running} of [...rollout.progress.values()].slice(1)) {
+      rollout = finishStep(rollout, running as WeightStep, true, 0);
+    }
+    assert.deepEqual(planWeights(rollout, replicas, 1_000).steps, []);
+    const {steps} = planWeights(rollout, replicas, 10_000);
+    assert.deepEqual(
+      steps.map(step => step.type),
+      ['activate'],
+    );
+  });
+
   it('orders a stale returner first and never an older version', () => {
     // Guards against samples of an old version after a return.
     const replicas = createReplicas(8, 4);
--- a/packages/domain/src/weightPlan.ts
+++ b/packages/domain/src/weightPlan.ts
@@ -4,6 +4,8 @@
 export const MIN_SERVING_SHARE = 0.75;
 /** Failures after which a replica no longer delays the others. */
 const BLOCKING_FAILURES = 2;
+/** Duration of a stage order after which it no longer delays others, ms. */
+const STUCK_STAGE_MS = 10_000;
 /** First and longest wait before a failed swap is retried, ms. */
 const RETRY_MS = 1_000;
 const MAX_RETRY_MS = 30_000;
@@ -35,6 +37,8 @@
   /** Deadline before which no new order is sent, ms. */
   retryAtMs: number;
   running: WeightStep | null;
+  /** When the running step was planned, ms. */
+  sinceMs: number;
 }
 
 /** One order to one replica. */
@@ -86,6 +90,7 @@
     attempt: 0,
     retryAtMs: 0,
     running: null,
+    sinceMs: 0,
   };
 }
 
@@ -106,6 +111,7 @@
             ...createProgress(epoch),
             attempt: known.attempt,
             running: known.running,
+            sinceMs: known.sinceMs,
           },
     );
   }
@@ -236,11 +242,16 @@
 }
 
 /** True when every replica that can be staged in time is staged. */
-function isStagedEverywhere(items: readonly Item[], target: number): boolean {
+function isStagedEverywhere(
+  items: readonly Item[],
+  target: number,
+  nowMs: number,
+): boolean {
   return items.every(
     ({replica, progress}) =>
       !replica.isReachable ||
       progress.failures >= BLOCKING_FAILURES ||
+      (progress.running && nowMs >= progress.sinceMs + STUCK_STAGE_MS) ||
       isStaged(replica, progress, target),
   );
 }
@@ -250,7 +261,7 @@
   target: number,
   nowMs: number,
 ): WeightStep[] {
-  if (!isStagedEverywhere(items, target)) return [];
+  if (!isStagedEverywhere(items, target, nowMs)) return [];
   let allowance = getSwapAllowance(items);
   const steps: WeightStep[] = [];
   for (const {replica, progress} of items) {
@@ -283,7 +294,7 @@
   const progress = new Map(current.progress);
   for (const step of steps) {
     const item = progress.get(step.replica) as ReplicaProgress;
-    progress.set(step.replica, {...item, running: step});
+    progress.set(step.replica, {...item, running: step, sinceMs: nowMs});
   }
   return {rollout: {...current, progress}, steps};
 }
