--- a/packages/daemon/src/weightRollout.ts
+++ b/packages/daemon/src/weightRollout.ts
@@ -2,12 +2,13 @@
 import {getDeadline} from '@vanillacross/common';
 import type {
   ControlState,
+  StepOutcome,
   WeightReplica,
   WeightRollout,
   WeightStep,
 } from '@vanillacross/domain';
 import {
-  finishStep,
+  finishSteps,
   getBodies,
   getBody,
   noRollout,
@@ -31,6 +32,11 @@
 
 /** Interval at which the weight store is polled, ms. */
 const POLL_INTERVAL_MS = 1_000;
+/**
+ * Time in which outcomes are gathered before the next plan, ms. A plan for
+ * 5,100 replicas takes up to about 20 ms.
+ */
+const PLAN_DELAY_MS = 250;
 /** Orders that are sent at the same time. */
 const ORDER_CONCURRENCY = 512;
 
@@ -50,6 +56,8 @@
   let tenureFencing = -1;
   let rollouts = new Map<string, WeightRollout>();
   let nextPollAt = clock.now();
+  let isWaking = false;
+  const outcomes = new Map<string, StepOutcome[]>();
 
   function getReplica(
     state: ControlState,
@@ -100,8 +108,18 @@
       const {tag} = result.error;
       logger.warn('step failed', {...step, reason: tag});
     }
-    const rollout = rollouts.get(poolId) ?? noRollout;
-    rollouts.set(poolId, finishStep(rollout, step, isDone, clock.now()));
+    const known = outcomes.get(poolId) ?? [];
+    known.push({step, isDone});
+    outcomes.set(poolId, known);
+    void wakeSoon();
+  }
+
+  /** One plan for all outcomes of a short time. */
+  async function wakeSoon(): Promise<void> {
+    if (isWaking) return;
+    isWaking = true;
+    await clock.waitUntil(getDeadline(clock.now(), PLAN_DELAY_MS));
+    isWaking = false;
     loop.wake();
   }
 
@@ -110,7 +128,12 @@
       .getPoolMembers(poolId)
       .map(presence => getReplica(state, presence));
     const epochs = new Map(replicas.map(({id, epoch}) => [id, epoch]));
-    const known = rollouts.get(poolId) ?? noRollout;
+    const known = finishSteps(
+      rollouts.get(poolId) ?? noRollout,
+      outcomes.get(poolId) ?? [],
+      clock.now(),
+    );
+    outcomes.delete(poolId);
     const {rollout, steps} = planWeights(known, replicas, clock.now());
     rollouts.set(poolId, rollout);
     const fencing = tenureFencing;
@@ -144,6 +167,7 @@
     if (tenure.fencing !== tenureFencing) {
       tenureFencing = tenure.fencing;
       rollouts = new Map();
+      outcomes.clear();
       nextPollAt = clock.now();
     }
     const pools = getBodies(control.getState(), 'pool').flatMap(({id, body}) =>
--- a/packages/domain/src/plans.test.ts
+++ b/packages/domain/src/plans.test.ts
@@ -17,7 +17,7 @@
 import {
   MIN_SERVING_SHARE,
   WEIGHT_FAN_OUT,
-  finishStep,
+  finishSteps,
   isRolloutComplete,
   noRollout,
   planWeights,
@@ -121,7 +121,7 @@
     if (plan.steps.length > 0) rounds.push(plan.steps);
     for (const step of plan.steps) {
       const done = isDone(step);
-      rollout = finishStep(rollout, step, done, round * 1_000);
+      rollout = finishSteps(rollout, [{step, isDone: done}], round * 1_000);
       const replica = replicas.find(({id}) => id === step.replica);
       if (replica && done && step.type === 'activate') {
         replica.version = step.version;
@@ -183,7 +183,11 @@
     const target = reconcileTarget(noRollout, [{version: 2}]);
     let {rollout} = planWeights(target, replicas, 0);
     for (const {running} of [...rollout.progress.values()].slice(1)) {
-      rollout = finishStep(rollout, running as WeightStep, true, 0);
+      rollout = finishSteps(
+        rollout,
+        [{step: running as WeightStep, isDone: true}],
+        0,
+      );
     }
     assert.deepEqual(planWeights(rollout, replicas, 1_000).steps, []);
     const {steps} = planWeights(rollout, replicas, 10_000);
@@ -211,7 +215,11 @@
     const replicas = createReplicas(1);
     const target = reconcileTarget(noRollout, [{version: 2}]);
     const plan = planWeights(target, replicas, 0);
-    const rollout = finishStep(plan.rollout, plan.steps[0], true, 0);
+    const rollout = finishSteps(
+      plan.rollout,
+      [{step: plan.steps[0], isDone: true}],
+      0,
+    );
     const restarted = [{...replicas[0], epoch: 'other'}];
     const [again] = planWeights(rollout, restarted, 1).steps;
     assert.equal(again.type, 'stage');
--- a/packages/domain/src/weightPlan.ts
+++ b/packages/domain/src/weightPlan.ts
@@ -299,33 +299,44 @@
   return {rollout: {...current, progress}, steps};
 }
 
-/** Records the outcome of a step; a failed one is retried with backoff. */
-export function finishStep(
+/** What became of one step. */
+export interface StepOutcome {
+  step: WeightStep;
+  isDone: boolean;
+}
+
+function getFinished(
+  item: ReplicaProgress,
+  {step, isDone}: StepOutcome,
+  nowMs: number,
+): ReplicaProgress {
+  const ended = {...item, running: null, attempt: item.attempt + 1};
+  if (!isDone) {
+    const failures = item.failures + 1;
+    const waitMs = Math.min(MAX_RETRY_MS, RETRY_MS * 2 ** (failures - 1));
+    // After a failed activation the staged copy may be damaged.
+    const staged = step.type === 'activate' ? 0 : item.staged;
+    return {...ended, staged, failures, retryAtMs: nowMs + waitMs};
+  }
+  const staged = Math.max(item.staged, step.version);
+  const isSwap = step.type === 'activate';
+  const activated = isSwap ? step.version : item.activated;
+  return {...ended, staged, activated, failures: 0, retryAtMs: nowMs};
+}
+
+/** Records outcomes of steps; failed ones are retried with backoff. */
+export function finishSteps(
   rollout: WeightRollout,
-  step: WeightStep,
-  isDone: boolean,
+  outcomes: readonly StepOutcome[],
   nowMs: number,
 ): WeightRollout {
-  const item = rollout.progress.get(step.replica);
-  if (!item || item.running !== step) return rollout;
-  const failures = isDone ? 0 : item.failures + 1;
-  const waitMs = Math.min(MAX_RETRY_MS, RETRY_MS * 2 ** (failures - 1));
-  const isSwap = isDone && step.type === 'activate';
-  const changed: ReplicaProgress = {
-    ...item,
-    running: null,
-    staged: isDone ? Math.max(item.staged, step.version) : item.staged,
-    activated: isSwap ? Math.max(item.activated, step.version) : item.activated,
-    failures,
-    attempt: item.attempt + 1,
-    retryAtMs: isDone ? nowMs : nowMs + waitMs,
-  };
-  // Failed activations stage again, because the staged copy may be damaged.
+  if (outcomes.length === 0) return rollout;
   const progress = new Map(rollout.progress);
-  progress.set(
-    step.replica,
-    !isDone && step.type === 'activate' ? {...changed, staged: 0} : changed,
-  );
+  for (const outcome of outcomes) {
+    const item = progress.get(outcome.step.replica);
+    if (!item || item.running !== outcome.step) continue;
+    progress.set(outcome.step.replica, getFinished(item, outcome, nowMs));
+  }
   return {...rollout, progress};
 }
 
