--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -6,6 +6,7 @@
 export * from './checkpointPlan.js';
 export * from './constants.js';
 export * from './controlRecords.js';
+export * from './controlReplay.js';
 export * from './controlState.js';
 export * from './dedup.js';
 export * from './fencing.js';
