Rebuild a trimmed log by one function that carries the lease

Cause: two implementations of the same rebuild had been written; the one in use could judge leases and dropped tombstones differently from a process that read the whole log. Change: the follower uses replayTruncatedLog; a checkpoint without the lease proves nothing. The follower's test now carries a lease and checks it.

--- a/packages/daemon/src/controlFollower.test.ts
+++ b/packages/daemon/src/controlFollower.test.ts
@@ -190,10 +190,13 @@
       ],
       lastSealed: -1,
       cycleStart: 4,
+      // Without the lease, records of it could be judged differently.
+      lease: {holder: 'e1', fencing: 0, lastOffset: 2, isReleased: false},
     });
     await advance(clock, 1_000);
     assert.equal(follower.getState().isWhole, true);
     assert.equal(follower.getState().highest, 4);
+    assert.equal(follower.getState().lease.lastOffset, 2);
   });
 
   it('prevents a hot loop and a stop that hangs while the log is down', async () => {
--- a/packages/domain/src/controlRecords.ts
+++ b/packages/domain/src/controlRecords.ts
@@ -75,15 +75,6 @@
   asOf: z.number().int().min(-1),
   entries: z.array(carriedSchema),
   lastSealed: z.number().int().min(-1),
-  /** The lease as of `asOf`; readers without older records need it. */
-  lease: z
-    .object({
-      holder: z.string(),
-      fencing: z.number().int(),
-      lastOffset: z.number().int(),
-      isReleased: z.boolean(),
-    })
-    .optional(),
   /** Set on the last record of a cycle: where the cycle began. */
   cycleStart: z.number().int().min(0).optional(),
   /** The lease as of `asOf`, for readers of a truncated log. */
--- a/packages/domain/src/checkpointCycle.test.ts
+++ b/packages/domain/src/controlReplay.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
-import {rebuildControlState} from './checkpointCycle.js';
+import {rebuildControlState} from './controlReplay.js';
 import type {ControlPayload, LogRecord} from './controlRecords.js';
 import type {ControlState} from './controlState.js';
 import {applyControlRecords, emptyControlState} from './controlState.js';
--- a/packages/domain/src/controlReplay.ts
+++ b/packages/domain/src/controlReplay.ts
@@ -114,3 +114,16 @@
   const rest = records.map(record => getUndecided(basis, record));
   return {...applyControlRecords(start, rest), isWhole: true};
 }
+
+/**
+ * Builds the complete control state from consecutive log records; null if
+ * they do not prove that it is complete.
+ * @param start Offset from which every record was read.
+ */
+export function rebuildControlState(
+  start: number,
+  records: readonly LogRecord[],
+): ControlState | null {
+  if (start > 0) return replayTruncatedLog(records);
+  return {...applyControlRecords(emptyControlState, records), isWhole: true};
+}
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -1,6 +1,5 @@
 /** Schemas of records and pure decision functions. */
 export * from './agentView.js';
-export * from './checkpointCycle.js';
 export * from './access.js';
 export * from './admission.js';
 export * from './checkpointPlan.js';
