Match the command line to the operator API

The command line was written before the operator API existed, so it could not read the answers to puts, in-force, status and reports.

--- a/packages/cli/src/operatorClient.ts
+++ b/packages/cli/src/operatorClient.ts
@@ -18,29 +18,61 @@
 
 const outcomeSchema = z.discriminatedUnion('tag', [
   z.looseObject({
+    key: z.string(),
     tag: z.literal('accepted'),
     offset: z.number(),
-    revision: z.number().optional(),
+    revision: z.number(),
   }),
   z.looseObject({
+    key: z.string(),
     tag: z.literal('conflict'),
     winner: z.string(),
     revision: z.number(),
   }),
-  z.looseObject({tag: z.literal('invalid'), detail: z.string()}),
-  z.looseObject({tag: z.literal('log_unavailable'), detail: z.string()}),
-  z.looseObject({tag: z.literal('append_unknown'), detail: z.string()}),
+  z.looseObject({
+    key: z.string(),
+    tag: z.literal('invalid'),
+    mistakes: z.array(z.string()),
+  }),
+  z.looseObject({
+    key: z.string(),
+    tag: z.literal('log_unavailable'),
+    detail: z.string(),
+  }),
+  z.looseObject({
+    key: z.string(),
+    tag: z.literal('unknown'),
+    detail: z.string(),
+  }),
 ]);
 
-const putAnswerSchema = z.object({
-  outcomes: z.array(z.object({key: z.string(), outcome: outcomeSchema})),
-});
+const putAnswerSchema = z.looseObject({outcomes: z.array(outcomeSchema)});
+
+/** A name as text, or as an object with an id. */
+const nameSchema = z.union([
+  z.string(),
+  z.looseObject({id: z.string()}).transform(({id}) => id),
+]);
+
+/**
+ * How many instances of a role are behind. Entries answer either with the
+ * list of those behind, or with their count and a bounded list of names.
+ */
+const behindSchema = z
+  .looseObject({
+    total: z.number(),
+    behind: z.union([z.number(), z.array(nameSchema)]),
+    names: z.array(nameSchema).optional(),
+  })
+  .transform(({total, behind, names}) =>
+    typeof behind === 'number'
+      ? {total, behind, names: names ?? []}
+      : {total, behind: behind.length, names: names ?? behind},
+  );
 
 const inForceSchema = z.looseObject({
-  isEverywhere: z.boolean(),
-  entries: z.number(),
-  agents: z.number(),
-  behind: z.array(z.string()),
+  entries: behindSchema,
+  agents: behindSchema,
 });
 
 const instanceSchema = z.looseObject({
@@ -54,7 +86,13 @@
   id: z.string(),
   pool: z.string(),
   domain: z.string(),
-  state: z.string(),
+  isLeaving: z.boolean(),
+  /** Offset of the control view that the agent has. */
+  offset: z.number(),
+  /** Age of the last message of the agent, ms; null before the first. */
+  heardAgoMs: z.number().nullable(),
+  /** The record of the upstream, null if there is none. */
+  record: z.looseObject({state: z.string()}).nullable(),
   load: z
     .looseObject({
       running: z.number(),
@@ -66,18 +104,31 @@
 });
 
 const statusSchema = z.looseObject({
-  entry: z.string(),
-  highest: z.number(),
+  instance: instanceSchema,
+  control: z.looseObject({
+    highest: z.number(),
+    isWhole: z.boolean(),
+    newerSchemas: z.number(),
+    lastSealed: z.number(),
+    logContactAgoMs: z.number().nullable(),
+  }),
+  lease: z.looseObject({
+    holder: z.string(),
+    fencing: z.number(),
+    isReleased: z.boolean(),
+  }),
   hasAuthority: z.boolean(),
-  logContactAgoMs: z.number().nullable(),
-  lease: z.looseObject({holder: z.string(), fencing: z.number()}),
+  heardDomains: z.array(z.string()),
   instances: z.array(instanceSchema),
   upstreams: z.array(upstreamSchema),
-  domains: z.array(z.looseObject({id: z.string(), state: z.string()})),
-  newerSchemas: z.number(),
+  domains: z.array(
+    z.looseObject({id: z.string(), region: z.string(), state: z.string()}),
+  ),
+  quarantined: z.array(z.string()),
 });
 
-const reportsSchema = z.object({
+const reportsSchema = z.looseObject({
+  lastSealed: z.number(),
   reports: z.array(
     z.looseObject({
       window: z.number(),
@@ -94,6 +145,9 @@
   ),
 });
 
+const recordsSchema = z.looseObject({records: z.array(recordSchema)});
+const historySchema = z.looseObject({history: z.array(recordSchema)});
+
 const errorSchema = z.object({
   error: z.looseObject({code: z.string(), message: z.string()}),
 });
@@ -101,16 +155,21 @@
 export type PutOutcome = z.infer<typeof outcomeSchema>;
 export type InForce = z.infer<typeof inForceSchema>;
 export type SystemStatus = z.infer<typeof statusSchema>;
+export type UpstreamStatus = SystemStatus['upstreams'][number];
 export type WindowReport = z.infer<typeof reportsSchema>['reports'][number];
 
 /** Calls the operator API of one entry. */
 export interface OperatorClient {
   getRecords(kind?: string): Promise<Result<ShownRecord[], CommandFailure>>;
+  /** One record, also a deleted one; null if there never was one. */
+  getRecord(key: string): Promise<Result<ShownRecord | null, CommandFailure>>;
+  /** Accepted changes, oldest first. */
   getHistory(key?: string): Promise<Result<ShownRecord[], CommandFailure>>;
+  /** Sends at most `MAX_PUTS` changes in one request. */
   putRecords(
     changes: readonly Change[],
     operator: string,
-  ): Promise<Result<Array<{key: string; outcome: PutOutcome}>, CommandFailure>>;
+  ): Promise<Result<PutOutcome[], CommandFailure>>;
   getInForce(offset: number): Promise<Result<InForce, CommandFailure>>;
   getStatus(): Promise<Result<SystemStatus, CommandFailure>>;
   getReports(): Promise<Result<WindowReport[], CommandFailure>>;
@@ -126,7 +185,7 @@
     path: string,
     schema: ZodType<Body>,
     body?: unknown,
-  ): Promise<Result<Body, CommandFailure>> {
+  ): Promise<Result<Body, CommandFailure & {code?: string}>> {
     const answer = await requestJson({
       method,
       url: `${entry}/operator/v1/${path}`,
@@ -146,29 +205,35 @@
       const message = error.success
         ? `${error.data.error.code}: ${error.data.error.message}`
         : `status ${answer.value.status}`;
-      return fail({tag: 'refused', message});
+      const code = error.data?.error.code;
+      return fail({tag: 'refused', message, code});
     }
     const parsed = schema.safeParse(answer.value.body);
     if (parsed.success) return ok(parsed.data);
     return fail({
-      tag: 'refused',
+      tag: method === 'POST' ? 'unknown' : 'refused',
       message: `unexpected answer to ${path}: ${parsed.error.message}`,
     });
   }
 
-  const recordsSchema = z.object({records: z.array(recordSchema)});
-  const historySchema = z.object({history: z.array(recordSchema)});
-
   return {
     getRecords: async kind => {
       const query = kind ? `?kind=${encodeURIComponent(kind)}` : '';
       const answer = await call('GET', `records${query}`, recordsSchema);
       return answer.ok ? ok(answer.value.records as ShownRecord[]) : answer;
     },
+    getRecord: async key => {
+      const path = key.split('/').map(encodeURIComponent).join('/');
+      const answer = await call('GET', `records/${path}`, recordSchema);
+      if (answer.ok) return ok(answer.value as ShownRecord);
+      return answer.error.code === 'not_found' ? ok(null) : answer;
+    },
     getHistory: async key => {
       const query = key ? `?key=${encodeURIComponent(key)}` : '';
       const answer = await call('GET', `history${query}`, historySchema);
-      return answer.ok ? ok(answer.value.history as ShownRecord[]) : answer;
+      if (!answer.ok) return answer;
+      const history = answer.value.history as ShownRecord[];
+      return ok(history.sort((a, b) => a.offset - b.offset));
     },
     putRecords: async (changes, operator) => {
       const puts = changes.map(change => ({
--- a/packages/cli/src/publish.ts
+++ b/packages/cli/src/publish.ts
@@ -3,40 +3,61 @@
 
 import {IN_FORCE_POLL_MS, IN_FORCE_TIMEOUT_MS} from './constants.js';
 import type {CommandFailure} from './errors.js';
-import type {PutOutcome} from './operatorClient.js';
+import type {InForce, PutOutcome} from './operatorClient.js';
+import {getBatches} from './putBatches.js';
 import type {Change, CommandResult, Session} from './types.js';
 
 type OutcomeFailures = {
   [Tag in PutOutcome['tag']]: (
-    key: string,
     outcome: Extract<PutOutcome, {tag: Tag}>,
   ) => CommandFailure | null;
 };
 
 const outcomeFailures: OutcomeFailures = {
   accepted: () => null,
-  conflict: (key, outcome) => ({
+  conflict: ({key, winner, revision}) => ({
     tag: 'conflict',
     message:
-      `${key}: operator ${outcome.winner || '(unknown)'} was first, ` +
-      `now at revision ${outcome.revision}; run plan again`,
+      `${key}: operator ${winner || '(unknown)'} was first, ` +
+      `now at revision ${revision}; run plan again`,
   }),
-  invalid: (key, outcome) => ({
+  invalid: ({key, mistakes}) => ({
     tag: 'usage',
-    message: `${key}: ${outcome.detail}`,
+    message: mistakes.map(mistake => `${key}: ${mistake}`).join('\n'),
   }),
-  log_unavailable: (key, outcome) => ({
+  log_unavailable: ({key, detail}) => ({
     tag: 'not_accepted',
-    message: `${key}: not accepted, the log did not take it (${outcome.detail})`,
+    message: `${key}: not accepted, the log did not take it (${detail})`,
   }),
-  append_unknown: (key, outcome) => ({
+  unknown: ({key, detail}) => ({
     tag: 'unknown',
-    message: `${key}: outcome unknown (${outcome.detail}); check with get`,
+    message: `${key}: outcome unknown (${detail}); check with get`,
   }),
 };
 
-function getFailure(key: string, outcome: PutOutcome): CommandFailure | null {
-  return outcomeFailures[outcome.tag](key, outcome as never);
+/** The failure that decides the exit status, worst first. */
+const severity: ReadonlyArray<CommandFailure['tag']> = [
+  'unknown',
+  'not_accepted',
+  'conflict',
+  'usage',
+];
+
+function getFailure(outcome: PutOutcome): CommandFailure | null {
+  return outcomeFailures[outcome.tag](outcome as never);
+}
+
+function isAccepted(
+  outcome: PutOutcome,
+): outcome is Extract<PutOutcome, {tag: 'accepted'}> {
+  return outcome.tag === 'accepted';
+}
+
+function describeBehind({entries, agents}: InForce): string {
+  const names = [...entries.names, ...agents.names];
+  const unnamed = entries.behind + agents.behind - names.length;
+  if (unnamed > 0) names.push(`${unnamed} others`);
+  return names.join(', ');
 }
 
 /** Waits until all live instances have applied an offset. */
@@ -47,17 +68,22 @@
   const deadline = getDeadline(systemClock.now(), IN_FORCE_TIMEOUT_MS);
   for (;;) {
     const answer = await session.client.getInForce(offset);
-    if (!answer.ok) return answer;
-    const {isEverywhere, entries, agents, behind} = answer.value;
-    const total = entries + agents;
-    session.progress(
-      `in force at ${total - behind.length} of ${total} instances`,
-    );
-    if (isEverywhere) {
-      return ok(`in force at all ${entries} entries and ${agents} agents`);
+    if (!answer.ok) {
+      const message = `accepted, but in force is not known: ${answer.error.message}`;
+      return fail({tag: 'not_in_force', message});
+    }
+    const {entries, agents} = answer.value;
+    const total = entries.total + agents.total;
+    const behind = entries.behind + agents.behind;
+    session.progress(`in force at ${total - behind} of ${total} instances`);
+    if (behind === 0) {
+      return ok(
+        `in force at all ${entries.total} entries and ${agents.total} agents`,
+      );
     }
     if (systemClock.now() >= deadline) {
-      const message = `accepted, but not in force at ${behind.join(', ')}`;
+      const names = describeBehind(answer.value);
+      const message = `accepted, but not in force at ${names}`;
       return fail({tag: 'not_in_force', message});
     }
     const next = getDeadline(systemClock.now(), IN_FORCE_POLL_MS);
@@ -65,30 +91,91 @@
   }
 }
 
-/** Sends changes and waits until they are in force everywhere. */
+/**
+ * Gives changes that create a record the revision of its tombstone. The list
+ * of records leaves out deleted ones, whose revision goes on counting.
+ */
+async function getRecreations(
+  session: Session,
+  changes: readonly Change[],
+  outcomes: readonly PutOutcome[],
+): Promise<Change[]> {
+  const refused = new Set(
+    outcomes.filter(({tag}) => tag === 'conflict').map(({key}) => key),
+  );
+  const recreations: Change[] = [];
+  for (const change of changes) {
+    if (change.baseRevision !== 0 || !refused.has(change.key)) continue;
+    const record = await session.client.getRecord(change.key);
+    if (!record.ok || record.value?.body !== null) continue;
+    recreations.push({...change, baseRevision: record.value.revision});
+  }
+  return recreations;
+}
+
+/** Sends one batch, and again those that recreate deleted records. */
+async function sendBatch(
+  session: Session,
+  batch: readonly Change[],
+): Promise<Result<PutOutcome[], CommandFailure>> {
+  const {client, options} = session;
+  const first = await client.putRecords(batch, options.operator);
+  if (!first.ok) return first;
+  const again = await getRecreations(session, batch, first.value);
+  if (again.length === 0) return first;
+  const second = await client.putRecords(again, options.operator);
+  if (!second.ok) return second;
+  const newer = new Map(second.value.map(outcome => [outcome.key, outcome]));
+  return ok(first.value.map(outcome => newer.get(outcome.key) ?? outcome));
+}
+
+/** Joins failures into one whose tag is the worst of them. */
+function joinFailures(
+  failures: readonly CommandFailure[],
+  accepted: number,
+  unsent: number,
+): CommandFailure {
+  const tags = failures.map(({tag}) => tag);
+  const tag = severity.find(candidate => tags.includes(candidate)) ?? tags[0];
+  const lines = failures.map(({message}) => message);
+  if (accepted > 0) lines.push(`${accepted} other changes were accepted`);
+  if (unsent > 0) lines.push(`${unsent} changes were not sent`);
+  return {tag, message: lines.join('\n')};
+}
+
+/**
+ * Sends changes in batches, referenced records first, and waits until they
+ * are in force everywhere. After a batch with a failure no other is sent,
+ * because later ones may refer to what was refused.
+ */
 export async function publish(
   session: Session,
   changes: readonly Change[],
 ): Promise<CommandResult> {
-  const {client, options} = session;
-  const answer = await client.putRecords(changes, options.operator);
-  if (!answer.ok) return answer;
-  const failures = answer.value
-    .map(({key, outcome}) => getFailure(key, outcome))
-    .filter(failure => failure !== null);
-  const offsets = answer.value.map(({outcome}) =>
-    outcome.tag === 'accepted' ? outcome.offset : -1,
-  );
-  const accepted = offsets.filter(offset => offset >= 0).length;
-  if (failures.length > 0) {
-    const lines = failures.map(failure => failure.message);
-    if (accepted > 0) lines.push(`${accepted} other changes were accepted`);
-    return fail({...failures[0], message: lines.join('\n')});
+  const outcomes: PutOutcome[] = [];
+  let unsent = changes.length;
+  for (const batch of getBatches(changes)) {
+    const answer = await sendBatch(session, batch);
+    unsent -= batch.length;
+    const done = outcomes.filter(isAccepted).length;
+    if (!answer.ok) {
+      return fail(joinFailures([answer.error], done, unsent));
+    }
+    outcomes.push(...answer.value);
+    const failures = answer.value
+      .map(getFailure)
+      .filter(failure => failure !== null);
+    if (failures.length > 0) {
+      const accepted = outcomes.filter(isAccepted).length;
+      return fail(joinFailures(failures, accepted, unsent));
+    }
+    session.progress(`${outcomes.length} of ${changes.length} changes sent`);
   }
+  const offsets = outcomes.filter(isAccepted).map(({offset}) => offset);
   const inForce = await waitInForce(session, Math.max(...offsets));
   if (!inForce.ok) return inForce;
   return ok({
-    data: {outcomes: answer.value, inForce: true},
-    text: `${accepted} changes accepted, ${inForce.value}`,
+    data: {outcomes, inForce: true},
+    text: `${outcomes.length} changes accepted, ${inForce.value}`,
   });
 }
--- /dev/null
+++ b/packages/cli/src/putBatches.ts
@@ -0,0 +1,43 @@
+import type {RecordKind} from '@vanillacross/domain';
+
+import {MAX_PUTS, MAX_PUT_BYTES} from './constants.js';
+import type {Change} from './types.js';
+
+/** Record kinds in an order where referenced records come first. */
+const KIND_ORDER: readonly RecordKind[] = [
+  'domain',
+  'account',
+  'pool',
+  'key',
+  'route',
+  'trainer',
+  'upstream',
+  'reporting',
+];
+
+function getRank(change: Change): number {
+  const kind = change.key.split('/')[0] as RecordKind;
+  const rank = KIND_ORDER.indexOf(kind);
+  // Deletions follow all other changes, referring records first.
+  return change.body === null ? 2 * KIND_ORDER.length - rank : rank;
+}
+
+/** Splits changes into ordered batches that an entry takes in one request. */
+export function getBatches(changes: readonly Change[]): Change[][] {
+  const ordered = [...changes].sort((a, b) => getRank(a) - getRank(b));
+  const batches: Change[][] = [];
+  let bytes = 0;
+  for (const change of ordered) {
+    const size = Buffer.byteLength(JSON.stringify(change));
+    const batch = batches.at(-1);
+    const isFull = !batch || batch.length >= MAX_PUTS;
+    if (isFull || bytes + size > MAX_PUT_BYTES) {
+      batches.push([change]);
+      bytes = size;
+    } else {
+      batch.push(change);
+      bytes += size;
+    }
+  }
+  return batches;
+}
--- a/packages/cli/src/statusCommands.ts
+++ b/packages/cli/src/statusCommands.ts
@@ -8,29 +8,52 @@
 
 import {EXIT} from './constants.js';
 import {formatTable} from './textTable.js';
-import type {SystemStatus} from './operatorClient.js';
+import type {SystemStatus, UpstreamStatus} from './operatorClient.js';
 import type {CommandResult, Session} from './types.js';
 
-/** Age of the last answer of the log that `doctor` reports, ms. */
-const STALE_LOG_MS = 5_000;
+/**
+ * Age of the last answer of the log that `doctor` reports, ms. Reads of the
+ * log are held for up to 10 s when there is nothing new.
+ */
+const STALE_LOG_MS = 15_000;
+/** Silence of an agent that `doctor` reports, ms; polls are held for 10 s. */
+const SILENT_AGENT_MS = 30_000;
+
+function getUpstreamState(
+  status: SystemStatus,
+  upstream: UpstreamStatus,
+): string {
+  if (upstream.isLeaving) return 'leaving';
+  if (upstream.record?.state === 'draining') return 'draining';
+  const domain = status.domains.find(({id}) => id === upstream.domain);
+  return domain?.state === 'out' ? 'domain out' : 'in';
+}
+
+function describeAge(ageMs: number | null): string {
+  return ageMs === null ? 'never' : `${Math.round(ageMs)} ms ago`;
+}
+
+function hasController({lease}: SystemStatus): boolean {
+  return lease.holder !== '' && !lease.isReleased;
+}
 
 function describeStatus(status: SystemStatus): string {
+  const {instance, control, lease} = status;
   const upstreams = status.upstreams.map(upstream => [
     upstream.id,
     upstream.pool,
     upstream.domain,
-    upstream.state,
+    getUpstreamState(status, upstream),
     upstream.load ? `${upstream.load.running}/${upstream.load.limit}` : '-',
     upstream.load ? String(upstream.load.version) : '-',
     upstream.load?.cold ? 'cold' : '',
+    describeAge(upstream.heardAgoMs),
   ]);
-  const contact =
-    status.logContactAgoMs === null
-      ? 'never'
-      : `${Math.round(status.logContactAgoMs)} ms ago`;
+  const holder = hasController(status) ? lease.holder : '(none)';
   return [
-    `entry ${status.entry}, offset ${status.highest}, log answered ${contact}`,
-    `controller ${status.lease.holder || '(none)'}, fencing number ${status.lease.fencing}`,
+    `entry ${instance.id}, offset ${control.highest}, ` +
+      `log answered ${describeAge(control.logContactAgoMs)}`,
+    `controller ${holder}, fencing number ${lease.fencing}`,
     '',
     formatTable(
       ['instance', 'role', 'failure domain', 'state'],
@@ -38,13 +61,22 @@
     ),
     '',
     formatTable(
-      ['upstream', 'pool', 'failure domain', 'state', 'load', 'version', ''],
+      [
+        'upstream',
+        'pool',
+        'failure domain',
+        'state',
+        'load',
+        'version',
+        '',
+        'heard',
+      ],
       upstreams,
     ),
     '',
     formatTable(
-      ['failure domain', 'state'],
-      status.domains.map(domain => [domain.id, domain.state]),
+      ['failure domain', 'region', 'state'],
+      status.domains.map(domain => [domain.id, domain.region, domain.state]),
     ),
   ].join('\n');
 }
@@ -87,35 +119,43 @@
 
 function getFindings(status: SystemStatus): Finding[] {
   const findings: Finding[] = [];
-  const contact = status.logContactAgoMs;
+  const {control} = status;
+  const contact = control.logContactAgoMs;
   if (contact === null || contact > STALE_LOG_MS) {
     findings.push({
       what: 'the log does not answer this entry',
       advice: 'traffic goes on; no change is accepted until it answers',
     });
   }
+  if (!control.isWhole) {
+    findings.push({
+      what: 'the entry does not have the complete configuration yet',
+      advice: 'it waits for the log or for a peer; check both',
+    });
+  }
   if (!status.hasAuthority) {
     findings.push({
       what: 'the entry refuses requests with keys (authority_lost)',
       advice: 'it hears neither the log nor most failure domains; check links',
     });
   }
-  if (status.lease.holder === '') {
+  if (!hasController(status)) {
     findings.push({
       what: 'there is no controller',
       advice: 'orders and reports wait until an entry holds the lease',
     });
   }
-  if (status.newerSchemas > 0) {
+  if (control.newerSchemas > 0) {
     findings.push({
-      what: `${status.newerSchemas} records have a newer schema version`,
+      what: `${control.newerSchemas} records have a newer schema version`,
       advice: 'the last understood versions are in force; upgrade this entry',
     });
   }
   const pools = new Set(status.upstreams.map(upstream => upstream.pool));
   for (const pool of pools) {
     const usable = status.upstreams.filter(
-      upstream => upstream.pool === pool && upstream.state === 'in',
+      upstream =>
+        upstream.pool === pool && getUpstreamState(status, upstream) === 'in',
     );
     if (usable.length === 0) {
       findings.push({
@@ -124,6 +164,29 @@
       });
     }
   }
+  const silent = status.upstreams.filter(
+    ({heardAgoMs}) => heardAgoMs === null || heardAgoMs > SILENT_AGENT_MS,
+  );
+  if (silent.length > 0) {
+    findings.push({
+      what: `nothing was heard from ${silent.map(({id}) => id).join(', ')}`,
+      advice: 'check the agents and the upstreams beside them',
+    });
+  }
+  const out = status.domains.filter(({state}) => state === 'out');
+  if (out.length > 0) {
+    findings.push({
+      what: `failure domains are out: ${out.map(({id}) => id).join(', ')}`,
+      advice:
+        'take them in with `vanillacross domain in ID` once they may work',
+    });
+  }
+  if (status.quarantined.length > 0) {
+    findings.push({
+      what: `${status.quarantined.length} requests are refused as quarantined`,
+      advice: 'each crashed several upstreams; look at their callers',
+    });
+  }
   return findings;
 }
 
--- /dev/null
+++ b/packages/integration/src/commandLine.ts
@@ -0,0 +1,59 @@
+import {execFile} from 'node:child_process';
+import {mkdir, writeFile} from 'node:fs/promises';
+import {dirname, join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+
+/** Where and as whom the command line runs. */
+export interface CommandLineOptions {
+  /** Base URL of an entry. */
+  entry: string;
+  token: string;
+  operator?: string;
+}
+
+export interface CommandOutcome {
+  status: number;
+  stdout: string;
+  stderr: string;
+}
+
+/** Runs `vanillacross` with the given arguments in a process of its own. */
+export type RunCommand = (...args: string[]) => Promise<CommandOutcome>;
+
+export const COMMAND_LINE_FILE = fileURLToPath(
+  new URL('../../cli/dist/main.js', import.meta.url),
+);
+/** Wide, because a command waits until its change is in force. */
+const COMMAND_TIMEOUT_MS = 90_000;
+
+/** Creates a function that runs the built command line. */
+export function createCommandLine(options: CommandLineOptions): RunCommand {
+  const env = {
+    ...process.env,
+    VANILLACROSS_ENTRY: options.entry,
+    VANILLACROSS_TOKEN: options.token,
+    VANILLACROSS_OPERATOR: options.operator ?? 'operator',
+  };
+  return (...args) =>
+    new Promise(resolve => {
+      const child = execFile(
+        process.execPath,
+        [COMMAND_LINE_FILE, ...args],
+        {env, timeout: COMMAND_TIMEOUT_MS, killSignal: 'SIGKILL'},
+        (_error, stdout, stderr) =>
+          resolve({status: child.exitCode ?? -1, stdout, stderr}),
+      );
+    });
+}
+
+/** Writes record bodies by key as files `KIND/ID.json` of a directory. */
+export async function writeDeclarations(
+  directory: string,
+  records: Record<string, unknown>,
+): Promise<void> {
+  for (const [key, body] of Object.entries(records)) {
+    const file = join(directory, `${key}.json`);
+    await mkdir(dirname(file), {recursive: true});
+    await writeFile(file, `${JSON.stringify({body}, null, 2)}\n`);
+  }
+}
