--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,4 +1,5 @@
+import {passthrough} from './passthrough.js';
 import type {Bench} from './types.js';
 
 /** All benches by name. */
-export const benches: readonly Bench[] = [];
+export const benches: readonly Bench[] = [passthrough];
--- /dev/null
+++ b/packages/bench/src/passthrough.ts
@@ -0,0 +1,138 @@
+import {
+  createAccountRecords,
+  createProcessHarness,
+  createRecord,
+  startDeployment,
+} from '@vanillacross/integration';
+import {fileURLToPath} from 'node:url';
+
+import type {LoadRequest} from './load.js';
+import {getGoodput, getLatency, isGood, runClosedLoop} from './load.js';
+import {getMedian} from './statistics.js';
+import type {Bench, Measurement} from './types.js';
+
+const KEY = 'passthrough-key';
+const WORKERS = 32;
+const ROUND_MS = 2_500;
+const ROUNDS = 5;
+const TARGET_RATIO = 0.8;
+const TARGET_P99_RATIO = 1.5;
+const HOP_FILE = fileURLToPath(new URL('./bareHop.js', import.meta.url));
+const STANDINS_FILE = fileURLToPath(
+  new URL('../../standins/dist/main.js', import.meta.url),
+);
+
+interface Round {
+  perSecond: number;
+  p99Ms: number;
+  failed: number;
+}
+
+async function runRound(url: string): Promise<Round> {
+  const request: LoadRequest = {
+    method: 'GET',
+    url: `${url}/lookup/seat`,
+    headers: {authorization: `Bearer ${KEY}`},
+  };
+  const result = await runClosedLoop(WORKERS, ROUND_MS, () => request);
+  return {
+    perSecond: getGoodput(result),
+    p99Ms: getLatency(result, 0.99),
+    failed: result.answers.filter(answer => !isGood(answer)).length,
+  };
+}
+
+/** Starts a chain of two bare hops before a service of its own. */
+async function startBareChain(
+  harness: ReturnType<typeof createProcessHarness>,
+) {
+  const service = await harness.startProcess({
+    name: 'service',
+    file: STANDINS_FILE,
+    args: ['plain', '--listen', '127.0.0.1:0'],
+  });
+  let address = String(service.ready.address);
+  for (const name of ['inner hop', 'outer hop']) {
+    const hop = await harness.startProcess({
+      name,
+      file: HOP_FILE,
+      args: [`http://${address}`],
+    });
+    address = String(hop.ready.address);
+  }
+  return `http://${address}`;
+}
+
+async function run(): Promise<Measurement> {
+  const harness = createProcessHarness();
+  const deployment = await startDeployment({
+    domains: ['domain-a'],
+    entries: 1,
+    pools: [
+      {
+        id: 'seats',
+        body: {kind: 'plain', maxConcurrent: 256, ramp: {initial: 256}},
+        upstreams: 1,
+      },
+    ],
+    records: [
+      ...createAccountRecords('desk', KEY, {maxConcurrent: 256}),
+      createRecord('route', 'lookup', {
+        pathPrefix: '/lookup',
+        methods: ['GET'],
+        pool: 'seats',
+        access: ['desk'],
+        repeat: 'idempotent',
+      }),
+    ],
+  });
+  try {
+    const bareUrl = await startBareChain(harness);
+    const systemUrl = deployment.entries[0].url;
+    await runRound(bareUrl);
+    await runRound(systemUrl);
+    const bare: Round[] = [];
+    const system: Round[] = [];
+    for (let round = 0; round < ROUNDS; round++) {
+      bare.push(await runRound(bareUrl));
+      system.push(await runRound(systemUrl));
+    }
+    return summarize(bare, system);
+  } finally {
+    await deployment.stop();
+    await harness.stopAll();
+  }
+}
+
+function summarize(bare: Round[], system: Round[]): Measurement {
+  const median = (rounds: Round[], field: keyof Round) =>
+    getMedian(rounds.map(round => round[field]));
+  const figure = median(system, 'perSecond');
+  const baseline = median(bare, 'perSecond');
+  const p99Ratio = median(system, 'p99Ms') / median(bare, 'p99Ms');
+  const failed = system.reduce((sum, round) => sum + round.failed, 0);
+  const isMet =
+    figure / baseline >= TARGET_RATIO &&
+    p99Ratio <= TARGET_P99_RATIO &&
+    failed === 0;
+  const getRow = (name: string, rounds: Round[]) => [
+    name,
+    median(rounds, 'perSecond').toFixed(0),
+    median(rounds, 'p99Ms').toFixed(1),
+    String(rounds.reduce((sum, round) => sum + round.failed, 0)),
+  ];
+  return {
+    headers: ['path', 'requests/s', 'p99 ms', 'failed'],
+    rows: [getRow('two bare hops', bare), getRow('entry and agent', system)],
+    figure,
+    baseline,
+    details: {p99Ratio, failed},
+    conclusion: `target ${isMet ? 'met' : 'missed'}: ratio at least ${TARGET_RATIO}, p99 at most ${TARGET_P99_RATIO} times, none failed`,
+  };
+}
+
+export const passthrough: Bench = {
+  name: 'passthrough',
+  summary: 'requests a second through entry and agent, against two bare hops',
+  run,
+};
