--- /dev/null
+++ b/packages/daemon/src/agentDedup.test.ts
@@ -0,0 +1,338 @@
+import assert from 'node:assert/strict';
+import {setMaxListeners} from 'node:events';
+import {describe, it} from 'node:test';
+
+import type {MonotonicMs, Result, RpcFailure} from '@vanillacross/common';
+import {ManualClock, Metrics} from '@vanillacross/common';
+import type {AgentView} from '@vanillacross/domain';
+import {getKeyHolders, poolSchema} from '@vanillacross/domain';
+import fc from 'fast-check';
+
+import type {KeyDecision, KeyRun} from './agentDedup.js';
+import {AgentDedup} from './agentDedup.js';
+import {DEFAULT_AGENT_LIMITS} from './agentLimits.js';
+
+const SEED = 20_261_204;
+const KEY = 'k1';
+const POOL_CREATED_AT = 1;
+const IDS = ['u1', 'u2', 'u3', 'u4'];
+/** Spare agents join when others have left. */
+const SPARES = ['u5', 'u6'];
+const FAR = 1e9 as MonotonicMs;
+
+interface Message {
+  deliver(): void;
+  drop(): void;
+}
+
+interface Process {
+  id: string;
+  dedup: AgentDedup;
+  members: readonly string[];
+  isAlive: boolean;
+  stop: AbortController;
+}
+
+/** Agents of one pool over a network whose messages a test delivers. */
+class Simulation {
+  readonly clock = new ManualClock();
+  readonly processes = new Map<string, Process>();
+  readonly open: KeyRun[] = [];
+  readonly decisions: Array<KeyDecision['tag']> = [];
+  messages: Message[] = [];
+  members: string[] = [...IDS];
+  /** Runs that may have had an effect. */
+  runs = 0;
+  private epochs = 0;
+
+  constructor() {
+    for (const id of IDS) this.startProcess(id, 0);
+  }
+
+  startProcess(id: string, offset: number): void {
+    const process: Process = {
+      id,
+      members: [...this.members],
+      isAlive: true,
+      stop: new AbortController(),
+      dedup: new AgentDedup({
+        self: id,
+        epoch: `${id}-${++this.epochs}`,
+        clock: this.clock,
+        limits: DEFAULT_AGENT_LIMITS,
+        metrics: new Metrics(),
+        secret: '',
+        getView: () => this.getView(process, offset),
+        call: (partner, method, params) =>
+          this.send(process, partner, method, params),
+      }),
+    };
+    this.processes.set(id, process);
+    // The manual clock keeps a listener for each wait.
+    setMaxListeners(0, process.stop.signal);
+    void process.dedup.run(process.stop.signal);
+  }
+
+  crash(id: string): void {
+    const process = this.processes.get(id);
+    if (!process) return;
+    process.isAlive = false;
+    process.stop.abort();
+    this.processes.delete(id);
+  }
+
+  request(id: string): void {
+    const process = this.processes.get(id);
+    if (!process) return;
+    void process.dedup.begin(KEY, 'f1', FAR).then(decision => {
+      if (!process.isAlive) return;
+      this.decisions.push(decision.tag);
+      if (decision.tag !== 'run') return;
+      this.runs += 1;
+      this.open.push({
+        finish: outcome => {
+          if (process.isAlive) decision.run.finish(outcome);
+        },
+      });
+    });
+  }
+
+  settle(): Promise<void> {
+    return new Promise(resolve => setImmediate(resolve));
+  }
+
+  async deliverAll(): Promise<void> {
+    for (let i = 0; i < 200; i++) {
+      const batch = this.messages.splice(0);
+      for (const message of batch) message.deliver();
+      await this.settle();
+      this.clock.advance(50);
+      await this.settle();
+    }
+  }
+
+  private getView(process: Process, offset: number): AgentView {
+    return {
+      offset,
+      fencing: -1,
+      pool: poolSchema.parse({kind: 'plain'}),
+      poolCreatedAt: POOL_CREATED_AT,
+      upstream: null,
+      isDomainIn: true,
+      windowMs: 1_000,
+      members: process.members.map(id => ({
+        id: `agent-${id}`,
+        role: 'agent',
+        domain: 'd1',
+        address: '127.0.0.1:1',
+        peerAddress: '127.0.0.1:1',
+        state: 'live',
+        upstream: {id, pool: 'p1'},
+      })),
+    };
+  }
+
+  private send(
+    from: Process,
+    partner: string,
+    method: string,
+    params: unknown,
+  ): Promise<Result<unknown, RpcFailure>> {
+    return new Promise(resolve => {
+      const fail = () =>
+        resolve({ok: false, error: {tag: 'unknown', detail: 'lost'}});
+      const deliver = () => {
+        const target = this.processes.get(partner);
+        if (!target) return fail();
+        const {perform} = target.dedup.rpcMethods[method];
+        const copy = JSON.parse(JSON.stringify(params)) as never;
+        const value = perform(copy) as unknown;
+        const text = JSON.stringify(value ?? null);
+        this.messages.push({
+          deliver: () => {
+            if (from.isAlive) resolve({ok: true, value: JSON.parse(text)});
+          },
+          drop: fail,
+        });
+      };
+      this.messages.push({deliver, drop: fail});
+    });
+  }
+}
+
+const anyIndex = fc.nat(1_000);
+const event = fc.oneof(
+  {
+    weight: 10,
+    arbitrary: fc.record({type: fc.constant('deliver'), i: anyIndex}),
+  },
+  {
+    weight: 3,
+    arbitrary: fc.record({type: fc.constant('request'), i: anyIndex}),
+  },
+  {weight: 2, arbitrary: fc.record({type: fc.constant('drop'), i: anyIndex})},
+  {
+    weight: 2,
+    arbitrary: fc.record({type: fc.constant('advance'), i: anyIndex}),
+  },
+  {weight: 2, arbitrary: fc.record({type: fc.constant('finish'), i: anyIndex})},
+  {
+    weight: 1,
+    arbitrary: fc.record({type: fc.constant('restart'), i: anyIndex}),
+  },
+  {weight: 1, arbitrary: fc.record({type: fc.constant('leave'), i: anyIndex})},
+  {weight: 1, arbitrary: fc.record({type: fc.constant('join'), i: anyIndex})},
+  {weight: 3, arbitrary: fc.record({type: fc.constant('see'), i: anyIndex})},
+);
+
+function pick<Item>(items: readonly Item[], i: number): Item | undefined {
+  return items.length === 0 ? undefined : items[i % items.length];
+}
+
+const perform: Record<string, (sim: Simulation, i: number) => void> = {
+  deliver: (sim, i) => {
+    const message = pick(sim.messages, i);
+    sim.messages = sim.messages.filter(other => other !== message);
+    message?.deliver();
+  },
+  drop: (sim, i) => {
+    const message = pick(sim.messages, i);
+    sim.messages = sim.messages.filter(other => other !== message);
+    message?.drop();
+  },
+  request: (sim, i) => sim.request(pick([...sim.processes.keys()], i) ?? ''),
+  advance: (sim, i) => sim.clock.advance(i),
+  finish: (sim, i) => {
+    const run = sim.open.shift();
+    if (!run) return;
+    const kind = i % 3;
+    // Proof that nothing ran makes another run harmless.
+    if (kind === 0) sim.runs -= 1;
+    const answer = {status: 200, headers: {}, body: ''};
+    const outcomes = [
+      {tag: 'not_run'},
+      {tag: 'unknown'},
+      {tag: 'done', answer},
+    ] as const;
+    run.finish(outcomes[kind]);
+  },
+  restart: (sim, i) => {
+    const id = pick([...sim.processes.keys()], i);
+    if (id === undefined) return;
+    sim.crash(id);
+    sim.startProcess(id, POOL_CREATED_AT + 1);
+  },
+  leave: (sim, i) => {
+    const id = pick([...sim.processes.keys()], i);
+    if (id === undefined || sim.members.length <= 2) return;
+    sim.crash(id);
+    sim.members = sim.members.filter(member => member !== id);
+  },
+  join: sim => {
+    const id = SPARES.find(spare => !sim.members.includes(spare));
+    if (id === undefined) return;
+    sim.members.push(id);
+    sim.startProcess(id, POOL_CREATED_AT + 1);
+  },
+  see: (sim, i) => {
+    const process = pick([...sim.processes.values()], i);
+    if (process) process.members = [...sim.members];
+  },
+};
+
+async function play(
+  events: ReadonlyArray<{type: string; i: number}>,
+  without: readonly string[],
+): Promise<Simulation> {
+  const sim = new Simulation();
+  await sim.settle();
+  for (const {type, i} of events) {
+    if (without.includes(type)) continue;
+    perform[type](sim, i);
+    await sim.settle();
+    assert.ok(sim.runs <= 1, `${sim.runs} runs of one key`);
+  }
+  return sim;
+}
+
+function stopAll(sim: Simulation): void {
+  for (const id of [...sim.processes.keys()]) sim.crash(id);
+  for (const message of sim.messages) message.drop();
+}
+
+describe('deduplication over the agents of a pool', () => {
+  it('runs a key at most once over claims, crashes and repeats', async () => {
+    // Guards against a lost hold or a duplicate charge: a second run after
+    // lost or reordered messages and restarts of agents.
+    await fc.assert(
+      fc.asyncProperty(fc.array(event, {maxLength: 80}), async events => {
+        const sim = await play(events, ['leave', 'join', 'see']);
+        await sim.deliverAll();
+        assert.ok(sim.runs <= 1, `${sim.runs} runs of one key`);
+        stopAll(sim);
+      }),
+      {seed: SEED, numRuns: 150},
+    );
+  });
+
+  it('runs a key at most once while members leave and join', async () => {
+    // Guards against holders of a key that change before they know of it.
+    await fc.assert(
+      fc.asyncProperty(fc.array(event, {maxLength: 80}), async events => {
+        const sim = await play(events, []);
+        await sim.deliverAll();
+        assert.ok(sim.runs <= 1, `${sim.runs} runs of one key`);
+        stopAll(sim);
+      }),
+      {seed: SEED, numRuns: 150},
+    );
+  });
+
+  it('runs once and replays where nothing fails', async () => {
+    // Guards against a protocol that is safe because it never runs anything.
+    const sim = new Simulation();
+    await sim.deliverAll();
+    const [home, backup] = getKeyHolders(KEY, IDS);
+    sim.request(home);
+    sim.request(home);
+    sim.request(backup);
+    await sim.deliverAll();
+    assert.deepEqual(sim.decisions, ['run']);
+    sim.open[0].finish({
+      tag: 'done',
+      answer: {status: 200, headers: {}, body: ''},
+    });
+    await sim.deliverAll();
+    assert.deepEqual(sim.decisions, ['run', 'replay', 'replay']);
+    stopAll(sim);
+  });
+
+  it('answers "unknown" at the backup when the home is gone', async () => {
+    // Guards against a second run of a claim without an outcome.
+    const sim = new Simulation();
+    await sim.deliverAll();
+    const [home, backup] = getKeyHolders(KEY, IDS);
+    sim.request(home);
+    await sim.deliverAll();
+    sim.crash(home);
+    sim.request(backup);
+    await sim.deliverAll();
+    assert.deepEqual(sim.decisions, ['run', 'unknown']);
+    stopAll(sim);
+  });
+
+  it('runs new keys again after a home or a backup was replaced', async () => {
+    // Guards against an agent that stays uninformed although its partners
+    // could tell it everything.
+    const sim = new Simulation();
+    await sim.deliverAll();
+    const [home] = getKeyHolders(KEY, IDS);
+    sim.crash(home);
+    sim.startProcess(home, POOL_CREATED_AT + 1);
+    await sim.deliverAll();
+    sim.request(home);
+    await sim.deliverAll();
+    assert.deepEqual(sim.decisions, ['run']);
+    stopAll(sim);
+  });
+});
