--- a/packages/daemon/src/agentDedup.ts
+++ b/packages/daemon/src/agentDedup.ts
@@ -32,6 +32,7 @@
   syncAnswerSchema,
   syncKeysSchema,
 } from '@vanillacross/domain';
+import * as http from 'node:http';
 import type {ZodType} from 'zod';
 
 import type {AgentLimits} from './agentLimits.js';
@@ -104,9 +105,11 @@
   private readonly keys: DeadlineTable<KeyEntry>;
   private readonly waiters = new Map<string, Set<() => void>>();
   private readonly removed = new Map<string, number>();
+  private readonly connections = new http.Agent({keepAlive: true});
   private readonly sends = new Set<Promise<unknown>>();
   private readonly startedAt: number;
   private members: ReadonlyMap<string, string> = new Map();
+  private seenMembers: AgentView['members'] | null = null;
   private firstOffset: number | null = null;
   private isSynced = false;
   private needsSync = true;
@@ -180,6 +183,11 @@
     await Promise.all(this.sends);
   }
 
+  /** Closes idle connections to partners. */
+  close(): void {
+    this.connections.destroy();
+  }
+
   /** Says whether this agent knows all keys that it must know. */
   isInformed(): boolean {
     if (this.isSynced) return true;
@@ -193,6 +201,11 @@
     const view = this.options.getView();
     if (!view) return;
     this.firstOffset ??= view.offset;
+    for (const [id, deadline] of this.removed) {
+      if (deadline <= this.now()) this.removed.delete(id);
+    }
+    if (view.members === this.seenMembers) return;
+    this.seenMembers = view.members;
     const members = new Map<string, string>();
     for (const member of view.members) {
       if (isAgent(member)) members.set(member.upstream.id, member.peerAddress);
@@ -208,9 +221,6 @@
       if (!this.members.has(id)) this.needsSync = true;
       this.removed.delete(id);
     }
-    for (const [id, deadline] of this.removed) {
-      if (deadline <= this.now()) this.removed.delete(id);
-    }
     this.members = members;
   }
 
@@ -327,7 +337,8 @@
     if (address === undefined) {
       return {ok: false, error: {tag: 'refused', detail: 'not a member'}};
     }
-    return createRpcClient(secret, address).call(method, params, timeoutMs);
+    const client = createRpcClient(secret, address, this.connections);
+    return client.call(method, params, timeoutMs);
   }
 
   private sendClaim(
--- a/packages/daemon/src/agentExchange.ts
+++ b/packages/daemon/src/agentExchange.ts
@@ -88,12 +88,23 @@
 type PreparedBody =
   | {tag: 'body'; body: Buffer | IncomingMessage}
   | {tag: 'too_large'}
-  | {tag: 'cut'};
+  | {tag: 'cut'}
+  | {tag: 'cancelled'};
 
 async function prepareBody(exchange: Exchange): Promise<PreparedBody> {
   const {request, pool, isKeyed, limits} = exchange;
   if (pool.kind === 'plain' && !isKeyed) return {tag: 'body', body: request};
-  const body = await readBody(request, limits.maxBodyBytes);
+  const {signal} = exchange.cancel;
+  const cancelled = new Promise<null>(resolve => {
+    if (signal.aborted) resolve(null);
+    signal.addEventListener('abort', () => resolve(null), {once: true});
+  });
+  // An upload that stalls must not hold its place beyond the deadline.
+  const body = await Promise.race([
+    readBody(request, limits.maxBodyBytes),
+    cancelled,
+  ]);
+  if (!body) return {tag: 'cancelled'};
   if (!body.ok) return {tag: body.error.tag === 'cut' ? 'cut' : 'too_large'};
   if (pool.kind === 'plain') return {tag: 'body', body: body.value};
   const priority = getNumberHeader(request, HEADERS.priority);
@@ -338,6 +349,7 @@
     const prepared = await prepareBody(exchange);
     if (prepared.tag !== 'body') {
       if (prepared.tag === 'too_large') exchange.refuse('too_large', true);
+      else if (prepared.tag === 'cancelled') refuseFailed(exchange, true);
       else response.destroy();
       return {tag: 'not_run'};
     }
--- a/packages/daemon/src/agentLimits.ts
+++ b/packages/daemon/src/agentLimits.ts
@@ -26,8 +26,8 @@
 export const DEFAULT_AGENT_LIMITS: AgentLimits = {
   maxBodyBytes: 16 * 1024 * 1024,
   maxStoredBytes: 64 * 1024,
-  maxKeys: 16_384,
-  maxAttempts: 32_768,
+  maxKeys: 65_536,
+  maxAttempts: 131_072,
   maxStoredTotalBytes: 32 * 1024 * 1024,
   maxWaiters: 256,
   requestTimeoutMs: 60_000,
--- a/packages/daemon/src/agentOrders.ts
+++ b/packages/daemon/src/agentOrders.ts
@@ -119,8 +119,12 @@
     const decision = this.decide(order);
     if (decision.tag === 'answer') return decision.outcome;
     const outcome = await this.performAction(order);
-    // A refusal ran nothing, so a repeat is decided afresh.
-    if (outcome.tag !== 'refused') {
+    if (outcome.tag === 'refused') {
+      // It ran nothing, so a repeat is decided afresh; the engine may know of
+      // a newer controller than this agent.
+      const fencing = outcome.highestFencing;
+      this.fence = withAccepted(this.fence, {...order, fencing});
+    } else {
       this.fence = withOutcome(this.fence, order.orderId, outcome);
     }
     return outcome;
--- a/packages/daemon/src/agentServer.test.ts
+++ b/packages/daemon/src/agentServer.test.ts
@@ -3,11 +3,12 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {afterEach, describe, it} from 'node:test';
 
-import type {Epoch} from '@vanillacross/common';
+import type {Epoch, RpcMethods} from '@vanillacross/common';
 import {
   Metrics,
   closeServer,
   createLogger,
+  createRpcHandler,
   getAuth,
   listen,
   systemClock,
@@ -49,6 +50,18 @@
   return address;
 }
 
+async function startPeer(methods: RpcMethods): Promise<string> {
+  const handle = createRpcHandler(SECRET, methods);
+  const server = http.createServer((request, response) => {
+    void handle(request, response);
+  });
+  closers.push(() => {
+    server.closeAllConnections();
+    return closeServer(server);
+  });
+  return listen(server, LOOPBACK);
+}
+
 interface Fixture {
   agent: AgentServer;
   metrics: Metrics;
@@ -59,6 +72,7 @@
   kind: 'engine' | 'plain',
   upstream: string,
   limits: Partial<AgentLimits> = {},
+  id = 'u1',
 ): Promise<Fixture> {
   const metrics = new Metrics();
   const view: AgentView = {
@@ -81,7 +95,7 @@
         address: '127.0.0.1:0',
         peerAddress: '127.0.0.1:0',
         state: 'live',
-        upstream: {id: 'u1', pool: 'p1'},
+        upstream: {id, pool: 'p1'},
       },
       epoch: 'agent-epoch' as Epoch,
       clock: systemClock,
@@ -90,7 +104,7 @@
       clusterSecret: SECRET,
     },
     {
-      upstream: {id: 'u1', pool: 'p1', url: `http://${upstream}`},
+      upstream: {id, pool: 'p1', url: `http://${upstream}`},
       getView: () => view,
       getHighestFencing: () => 3,
       limits: {statusIntervalMs: 20, ...limits},
@@ -409,6 +423,40 @@
     assert.equal(runs, 1);
   });
 
+  it('gives a repeat at another agent the answer of the first', async () => {
+    // Guards against a second run when a repeat reaches another agent, over
+    // the real calls between agents.
+    let runs = 0;
+    const upstream = await startUpstream((_, response) => {
+      runs += 1;
+      response.end('held');
+    });
+    const members: AgentView['members'] = [];
+    const agents: AgentServer[] = [];
+    const views: AgentView[] = [];
+    for (const id of ['u1', 'u2', 'u3']) {
+      const {agent, view} = await startAgent('plain', upstream, {}, id);
+      const peerAddress = await startPeer(agent.rpcMethods);
+      members.push({
+        id: `agent-${id}`,
+        role: 'agent',
+        domain: 'd1',
+        address: agent.getAddress(),
+        peerAddress,
+        state: 'live',
+        upstream: {id, pool: 'p1'},
+      });
+      agents.push(agent);
+      views.push(view);
+    }
+    for (const view of views) view.members = [...members];
+    for (const agent of [...agents, ...agents]) {
+      const answer = await send(agent, {[HEADERS.idempotencyKey]: 'k1'});
+      assert.equal(answer.body, 'held');
+    }
+    assert.equal(runs, 1);
+  });
+
   it('keeps the run of a caller that goes away', async () => {
     // Guards against a cancelled run whose outcome nobody can learn.
     const held: ServerResponse[] = [];
--- a/packages/daemon/src/agentServer.ts
+++ b/packages/daemon/src/agentServer.ts
@@ -28,8 +28,11 @@
 import {AgentWatcher} from './agentWatcher.js';
 import type {Context, Part} from './types.js';
 
-/** Copies of a request are refused by `vc-auth` after this time, ms. */
-const ATTEMPT_MEMORY_MS = 90_000;
+/**
+ * Copies of a request are refused by `vc-auth` after this time, ms: twice its
+ * window of 30 s, because the sender's clock may be ahead.
+ */
+const ATTEMPT_MEMORY_MS = 61_000;
 
 /** What an agent server is made from. */
 export interface AgentServerOptions {
@@ -38,6 +41,8 @@
   getView: () => AgentView | null;
   /** Highest fencing number that an entry named; -1 if there was no lease. */
   getHighestFencing: () => number;
+  /** Told the highest log offset that a request names. */
+  noteOffset?: (offset: number) => void;
   /** Address of the data listener; that of the instance if absent. */
   listenAddress?: string;
   limits?: Partial<AgentLimits>;
@@ -219,7 +224,9 @@
     const now = clock.now();
     if (!gate.hasRoom()) return false;
     const until = now + ATTEMPT_MEMORY_MS;
-    if (!attempts.set(admission.attempt, true, until, now)) return false;
+    const isNoted = attempts.set(admission.attempt, true, until, now);
+    // Without memory left only requests that may repeat are taken.
+    if (!isNoted && admission.isOnce) return false;
     return gate.tryAcquire();
   }
 
@@ -314,6 +321,8 @@
       refuse(request, response, 'bad_auth', true);
       return;
     }
+    const offset = getNumberHeader(request, HEADERS.offset);
+    if (offset !== null) options.noteOffset?.(offset);
     const admission = readAdmission(request);
     const decision = decideAdmission(admission);
     if (decision.tag === 'refused') {
@@ -379,6 +388,7 @@
       signal.addEventListener('abort', () => server.closeAllConnections());
       await closed;
       keepAlive.destroy();
+      dedup.close();
       await tasks;
     },
   };
--- a/packages/domain/src/dedup.ts
+++ b/packages/domain/src/dedup.ts
@@ -132,6 +132,8 @@
 export class DeadlineTable<Value> {
   private readonly kept = new Map<string, Kept<Value>>();
   private sequence = 0;
+  /** No entry passes its deadline before, ms; avoids useless searches. */
+  private nextDeadline = 0;
 
   constructor(private readonly capacity: number) {}
 
@@ -148,9 +150,11 @@
   /** Stores a value; false if the table is full of live entries. */
   set(key: string, value: Value, deadline: number, nowMs: number): boolean {
     const previous = this.kept.get(key);
-    if (!previous && this.kept.size >= this.capacity) this.prune(nowMs);
+    const isFull = !previous && this.kept.size >= this.capacity;
+    if (isFull && nowMs >= this.nextDeadline) this.prune(nowMs);
     if (!previous && this.kept.size >= this.capacity) return false;
     this.kept.delete(key);
+    this.nextDeadline = Math.min(this.nextDeadline, deadline);
     this.sequence += 1;
     this.kept.set(key, {value, deadline, sequence: this.sequence});
     return true;
@@ -172,8 +176,10 @@
 
   /** Drops entries that are past their deadline. */
   prune(nowMs: number): void {
+    this.nextDeadline = Infinity;
     for (const [key, kept] of this.kept) {
       if (kept.deadline <= nowMs) this.kept.delete(key);
+      else this.nextDeadline = Math.min(this.nextDeadline, kept.deadline);
     }
   }
 }
