--- a/packages/daemon/src/agentExchange.ts
+++ b/packages/daemon/src/agentExchange.ts
@@ -140,17 +140,27 @@
   }
 }
 
-/** Writes with backpressure; returns at once if the caller is gone. */
-function write(response: ServerResponse, chunk: Buffer): Promise<void> {
-  if (response.destroyed || response.write(chunk)) return Promise.resolve();
+/**
+ * Writes with backpressure. A caller that is gone or does not read until the
+ * exchange is cancelled holds nothing up.
+ */
+function write(
+  response: ServerResponse,
+  chunk: Buffer,
+  signal: AbortSignal,
+): Promise<void> {
+  if (response.destroyed || signal.aborted) return Promise.resolve();
+  if (response.write(chunk)) return Promise.resolve();
   return new Promise(resolve => {
     const done = () => {
       response.off('drain', done);
       response.off('close', done);
+      signal.removeEventListener('abort', done);
       resolve();
     };
     response.on('drain', done);
     response.on('close', done);
+    signal.addEventListener('abort', done);
   });
 }
 
@@ -237,7 +247,7 @@
       isFirst = false;
       observer.write(chunk);
       if (exchange.isKeyed) keeper.write(chunk);
-      await write(response, chunk);
+      await write(response, chunk, exchange.cancel.signal);
     }
     isWhole &&= answer.complete;
   } catch {
--- a/packages/daemon/src/agentServer.test.ts
+++ b/packages/daemon/src/agentServer.test.ts
@@ -350,6 +350,20 @@
     assert.equal(hung.headers['vc-not-run'], undefined);
   });
 
+  it('frees the place of a caller that does not read', async () => {
+    // Guards against stalled callers that hold places beyond their deadline.
+    const upstream = await startUpstream((_, response) => {
+      response.write(Buffer.alloc(32 * 1024 * 1024));
+    });
+    const {agent} = await startAgent('plain', upstream);
+    const outgoing = open(agent, {[HEADERS.deadline]: '300'});
+    outgoing.on('error', () => {});
+    outgoing.on('response', answer => answer.pause());
+    await waitFor(() => agent.getLoad().running === 1);
+    await waitFor(() => agent.getLoad().running === 0);
+    outgoing.destroy();
+  });
+
   it('refuses new work while draining and when its domain is out', async () => {
     // Guards against work for an upstream that is being taken out.
     const upstream = await startUpstream((_, response) => response.end());
