--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,5 +1,6 @@
 import {passthrough} from './passthrough.js';
+import {slopesBench} from './slopes.js';
 import type {Bench} from './types.js';
 
 /** All benches by name. */
-export const benches: readonly Bench[] = [passthrough];
+export const benches: readonly Bench[] = [passthrough, slopesBench];
--- /dev/null
+++ b/packages/bench/src/slopeRuns.ts
@@ -0,0 +1,383 @@
+import type {Instance} from '@vanillacross/domain';
+import type {Deployment} from '@vanillacross/integration';
+import {
+  createAccountRecords,
+  createRecord,
+  startDeployment,
+  waitUntil,
+} from '@vanillacross/integration';
+import {createFaultProxy} from '@vanillacross/standins';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import {startFakeAgents} from './fakeAgents.js';
+import {createLoadAgent, isGood, runClosedLoop, send} from './load.js';
+import {getCpuRate, readUsage} from './processMetrics.js';
+
+/** One slope: what was varied and what was read at each size. */
+export interface Slope {
+  name: string;
+  /** What the sizes count. */
+  per: string;
+  unit: string;
+  points: Array<[number, number]>;
+}
+
+const DOMAINS = ['domain-a', 'domain-b', 'domain-c', 'domain-d'];
+/** Longer than the time for which an entry holds a poll, 10 s. */
+const IDLE_MS = 12_000;
+const CHANGES = 10;
+const KEY = 'slope-key';
+const MAX_PUTS = 250;
+
+function getEntryInstance(
+  deployment: Deployment,
+  index: number,
+  peerAddress?: string,
+): Instance {
+  const entry = deployment.entries[index];
+  const address = entry.url.slice('http://'.length);
+  return {
+    id: entry.id,
+    role: 'entry',
+    domain: entry.domain,
+    address,
+    peerAddress: peerAddress ?? entry.peer,
+    state: 'live',
+  };
+}
+
+/** Polls, changes and memory of an entry by the number of polling agents. */
+export async function runAgentSlopes(sizes: number[]): Promise<Slope[]> {
+  const idleCpu: Slope['points'] = [];
+  const idleBytes: Slope['points'] = [];
+  const changeCpu: Slope['points'] = [];
+  const changeBytes: Slope['points'] = [];
+  const memory: Slope['points'] = [];
+  for (const size of sizes) {
+    const deployment = await startDeployment({
+      domains: DOMAINS,
+      entries: 1,
+      records: [{key: 'pool/engines', body: {kind: 'engine', model: 'm'}}],
+    });
+    const [entry] = deployment.entries;
+    const proxy = await createFaultProxy({target: entry.peer});
+    const before = await readUsage(entry.admin);
+    const agents = await startFakeAgents(
+      size,
+      'engines',
+      DOMAINS,
+      [getEntryInstance(deployment, 0, proxy.address)],
+      deployment.clusterSecret,
+    );
+    try {
+      const haveView = () =>
+        agents.links.every(link => link.getView()?.pool != null);
+      await waitUntil('all agents have a view', haveView);
+      await sleep(2_000);
+      const getBytes = () => {
+        const {forwardBytes, backwardBytes} = proxy.getCounts();
+        return forwardBytes + backwardBytes;
+      };
+      const idleFrom = await readUsage(entry.admin);
+      const bytesFrom = getBytes();
+      await sleep(IDLE_MS);
+      const idleTo = await readUsage(entry.admin);
+      idleCpu.push([size, getCpuRate(idleFrom, idleTo)]);
+      idleBytes.push([size, ((getBytes() - bytesFrom) * 1_000) / IDLE_MS]);
+      memory.push([size, idleTo.residentBytes - before.residentBytes]);
+
+      const changeFrom = await readUsage(entry.admin);
+      const changeBytesFrom = getBytes();
+      for (let change = 0; change < CHANGES; change++) {
+        const maxConcurrent = 20 + change;
+        const body = {kind: 'engine', model: 'm', maxConcurrent};
+        await deployment.publish([
+          {key: 'pool/engines', body, baseRevision: 1 + change},
+        ]);
+        await waitUntil('the change is in force at all agents', () =>
+          agents.links.every(
+            link => link.getView()?.pool?.maxConcurrent === maxConcurrent,
+          ),
+        );
+      }
+      const changeTo = await readUsage(entry.admin);
+      const changeMs = changeTo.cpuMs - changeFrom.cpuMs;
+      changeCpu.push([size, changeMs / CHANGES]);
+      changeBytes.push([size, (getBytes() - changeBytesFrom) / CHANGES]);
+    } finally {
+      await agents.stop();
+      await proxy.close();
+      await deployment.stop();
+    }
+  }
+  const per = 'polling agent';
+  return [
+    {name: 'entry: idle processor', per, unit: 'ms/s', points: idleCpu},
+    {name: 'entry: idle polls', per, unit: 'B/s', points: idleBytes},
+    {name: 'entry: change, processor', per, unit: 'ms', points: changeCpu},
+    {name: 'entry: change, traffic', per, unit: 'B', points: changeBytes},
+    {name: 'entry: agent memory', per, unit: 'B', points: memory},
+  ];
+}
+
+/** Memory and processor time of an entry by records and listed instances. */
+export async function runStateSlopes(
+  recordSizes: number[],
+  instanceSizes: number[],
+): Promise<Slope[]> {
+  const recordHeap: Slope['points'] = [];
+  const recordCpu: Slope['points'] = [];
+  const listHeap: Slope['points'] = [];
+  const listCpu: Slope['points'] = [];
+  const deployment = await startDeployment({domains: DOMAINS, entries: 1});
+  const [entry] = deployment.entries;
+  try {
+    let published = 0;
+    for (const size of recordSizes) {
+      while (published < size) {
+        const count = Math.min(MAX_PUTS, size - published);
+        const first = published;
+        await deployment.publish(
+          Array.from({length: count}, (_, index) =>
+            createRecord('account', `account-${first + index}`, {weight: 1}),
+          ),
+        );
+        published += count;
+      }
+      await sleep(1_000);
+      const from = await readUsage(entry.admin);
+      await deployment.publish([
+        createRecord('account', `single-${size}`, {weight: 1}),
+      ]);
+      await sleep(500);
+      const to = await readUsage(entry.admin);
+      recordHeap.push([size, to.residentBytes]);
+      recordCpu.push([size, to.cpuMs - from.cpuMs]);
+    }
+    let listed = 0;
+    for (const size of instanceSizes) {
+      const from = await readUsage(entry.admin);
+      for (; listed < size; listed++) {
+        deployment.platform.instances.put({
+          id: `listed-${listed}`,
+          role: 'agent',
+          domain: DOMAINS[listed % DOMAINS.length],
+          address: `127.0.0.1:${1 + (listed % 900)}`,
+          peerAddress: `127.0.0.2:${1 + (listed % 60_000)}`,
+          upstream: {id: `listed-${listed}`, pool: 'engines'},
+        });
+      }
+      await sleep(3_000);
+      const to = await readUsage(entry.admin);
+      listHeap.push([size, to.residentBytes]);
+      listCpu.push([size, to.cpuMs - from.cpuMs]);
+    }
+  } finally {
+    await deployment.stop();
+  }
+  return [
+    {
+      name: 'entry: record memory',
+      per: 'record',
+      unit: 'B',
+      points: recordHeap,
+    },
+    {
+      name: 'entry: one change by records held',
+      per: 'record',
+      unit: 'ms',
+      points: recordCpu,
+    },
+    {
+      name: 'entry: instance memory',
+      per: 'listed instance',
+      unit: 'B',
+      points: listHeap,
+    },
+    {
+      name: 'entry: instance list, processor',
+      per: 'listed instance',
+      unit: 'ms',
+      points: listCpu,
+    },
+  ];
+}
+
+/** Idle cost of agents and entries and of the log, by number of entries. */
+export async function runIdleSlopes(sizes: number[]): Promise<Slope[]> {
+  const agentCpu: Slope['points'] = [];
+  const agentMemory: Slope['points'] = [];
+  const entryCpu: Slope['points'] = [];
+  const entryMemory: Slope['points'] = [];
+  const logBytes: Slope['points'] = [];
+  const listBytes: Slope['points'] = [];
+  const appends: Slope['points'] = [];
+  for (const size of sizes) {
+    const deployment = await startDeployment({
+      domains: DOMAINS,
+      entries: size,
+      proxied: ['log', 'instances'],
+      pools: [
+        {id: 'engines', body: {kind: 'engine', model: 'm'}, upstreams: 2},
+      ],
+    });
+    try {
+      const {entries, agents, platform} = deployment;
+      const getLinkBytes = (link: 'log' | 'instances') => {
+        const counts = entries.map(e => e.proxies[link]?.getCounts());
+        const total = counts.reduce(
+          (sum, c) => sum + (c ? c.forwardBytes + c.backwardBytes : 0),
+          0,
+        );
+        return total / entries.length;
+      };
+      await sleep(3_000);
+      const entryFrom = await readUsage(entries[size - 1].admin);
+      const agentFrom = await readUsage(agents[0].admin);
+      const logFrom = getLinkBytes('log');
+      const listFrom = getLinkBytes('instances');
+      const appendsFrom = platform.log.getCounts().appends;
+      await sleep(IDLE_MS);
+      const agentTo = await readUsage(agents[0].admin);
+      const entryTo = await readUsage(entries[size - 1].admin);
+      const toRate = (value: number) => (value * 1_000) / IDLE_MS;
+      agentCpu.push([size, getCpuRate(agentFrom, agentTo)]);
+      agentMemory.push([size, agentTo.residentBytes]);
+      entryCpu.push([size, getCpuRate(entryFrom, entryTo)]);
+      entryMemory.push([size, entryTo.residentBytes]);
+      logBytes.push([size, toRate(getLinkBytes('log') - logFrom)]);
+      listBytes.push([size, toRate(getLinkBytes('instances') - listFrom)]);
+      const made = platform.log.getCounts().appends - appendsFrom;
+      appends.push([size, toRate(made)]);
+    } finally {
+      await deployment.stop();
+    }
+  }
+  const per = 'entry in the deployment';
+  return [
+    {name: 'agent: idle processor', per, unit: 'ms/s', points: agentCpu},
+    {name: 'agent: memory', per, unit: 'B', points: agentMemory},
+    {name: 'entry: idle processor', per, unit: 'ms/s', points: entryCpu},
+    {name: 'entry: memory', per, unit: 'B', points: entryMemory},
+    {name: 'entry: log tail', per, unit: 'B/s', points: logBytes},
+    {name: 'entry: instance list', per, unit: 'B/s', points: listBytes},
+    {name: 'log: appends', per, unit: '1/s', points: appends},
+  ];
+}
+
+/** Processor time of entry and agent by requests and by streamed tokens. */
+export async function runTrafficSlopes(
+  requestWorkers: number[],
+  streams: number[],
+): Promise<Slope[]> {
+  const slopes: Record<string, Slope['points']> = {
+    entryRequest: [],
+    agentRequest: [],
+    entryToken: [],
+    agentToken: [],
+  };
+  const limits = {maxConcurrent: 256, ramp: {initial: 256}};
+  const deployment = await startDeployment({
+    domains: ['domain-a'],
+    entries: 1,
+    pools: [
+      {id: 'seats', body: {kind: 'plain', ...limits}, upstreams: 1},
+      {
+        id: 'engines',
+        body: {kind: 'engine', model: 'model', ...limits},
+        upstreams: 1,
+        engine: {tokenMs: 5, coldMs: 0},
+      },
+    ],
+    records: [
+      ...createAccountRecords('desk', KEY, {maxConcurrent: 256}),
+      createRecord('route', 'lookup', {
+        pathPrefix: '/lookup',
+        pool: 'seats',
+        access: ['desk'],
+        repeat: 'idempotent',
+      }),
+      createRecord('route', 'completions', {
+        pathPrefix: '/v1/completions',
+        pool: 'engines',
+        access: ['desk'],
+        repeat: 'idempotent',
+      }),
+    ],
+  });
+  try {
+    const [entry] = deployment.entries;
+    const agentOf = (pool: string) =>
+      deployment.agents.find(agent => agent.pool === pool)!;
+    const headers = {authorization: `Bearer ${KEY}`};
+    const lookup = {method: 'GET', url: `${entry.url}/lookup/a`, headers};
+    await runClosedLoop(8, 1_000, () => lookup);
+    for (const workers of requestWorkers) {
+      const from = await readUsage(entry.admin);
+      const agentFrom = await readUsage(agentOf('seats').admin);
+      const result = await runClosedLoop(workers, 2_000, () => lookup);
+      const to = await readUsage(entry.admin);
+      const agentTo = await readUsage(agentOf('seats').admin);
+      const count = result.answers.filter(isGood).length;
+      slopes.entryRequest.push([count, to.cpuMs - from.cpuMs]);
+      slopes.agentRequest.push([count, agentTo.cpuMs - agentFrom.cpuMs]);
+    }
+    for (const count of streams) {
+      const body = JSON.stringify({
+        model: 'model',
+        prompt: 'measure',
+        max_tokens: 300,
+        stream: true,
+      });
+      const request = {
+        method: 'POST',
+        url: `${entry.url}/v1/completions`,
+        headers: {...headers, 'content-type': 'application/json'},
+        body,
+      };
+      const from = await readUsage(entry.admin);
+      const agentFrom = await readUsage(agentOf('engines').admin);
+      const http = createLoadAgent(count);
+      const answers = await Promise.all(
+        Array.from({length: count}, () => send(request, http)),
+      );
+      http.destroy();
+      const tokens = answers.reduce(
+        (sum, answer) => sum + answer.body.split('\ndata: ').length,
+        0,
+      );
+      const to = await readUsage(entry.admin);
+      const agentTo = await readUsage(agentOf('engines').admin);
+      slopes.entryToken.push([tokens, to.cpuMs - from.cpuMs]);
+      slopes.agentToken.push([tokens, agentTo.cpuMs - agentFrom.cpuMs]);
+    }
+  } finally {
+    await deployment.stop();
+  }
+  return [
+    {
+      name: 'entry: request',
+      per: 'request',
+      unit: 'ms',
+      points: slopes.entryRequest,
+    },
+    {
+      name: 'agent: request',
+      per: 'request',
+      unit: 'ms',
+      points: slopes.agentRequest,
+    },
+    {
+      name: 'entry: streamed token',
+      per: 'token',
+      unit: 'ms',
+      points: slopes.entryToken,
+    },
+    {
+      name: 'agent: streamed token',
+      per: 'token',
+      unit: 'ms',
+      points: slopes.agentToken,
+    },
+  ];
+}
