--- a/packages/daemon/src/callerRequest.ts
+++ b/packages/daemon/src/callerRequest.ts
@@ -63,8 +63,8 @@
 const completionSchema = z.looseObject({
   model: z.string(),
   max_tokens: z.number().positive().optional().catch(undefined),
-  prompt: z.unknown(),
-  messages: z.unknown(),
+  prompt: z.unknown().optional(),
+  messages: z.unknown().optional(),
 });
 type Completion = z.infer<typeof completionSchema>;
 
--- a/packages/daemon/src/callerServer.ts
+++ b/packages/daemon/src/callerServer.ts
@@ -42,6 +42,8 @@
   headerTimeoutMs: number;
   /** Time for the whole request, ms. */
   bodyTimeoutMs: number;
+  /** Interval at which the two time limits are checked, ms. */
+  checkIntervalMs: number;
   /** How long a caller may read nothing of an answer, ms. */
   stallMs: number;
   /** Where to listen; the address of the own instance by default. */
@@ -61,6 +63,7 @@
   maxConnections: 10_000,
   headerTimeoutMs: 10_000,
   bodyTimeoutMs: 30_000,
+  checkIntervalMs: 1_000,
   stallMs: 30_000,
 };
 
@@ -126,6 +129,7 @@
     {
       headersTimeout: limits.headerTimeoutMs,
       requestTimeout: limits.bodyTimeoutMs,
+      connectionsCheckingInterval: limits.checkIntervalMs,
     },
     (request, response) => void handle(request, response),
   );
