--- a/packages/daemon/src/answerWriter.ts
+++ b/packages/daemon/src/answerWriter.ts
@@ -80,7 +80,6 @@
 ): Promise<WriteOutcome> {
   const isStream = isEventStream(answer.headers['content-type']);
   const headers = {...answer.headers, ...extraHeaders};
-  if (isStream) delete headers['content-length'];
   for (const [name, value] of Object.entries(headers)) {
     response.setHeader(name, value);
   }
--- a/packages/daemon/src/dispatcher.ts
+++ b/packages/daemon/src/dispatcher.ts
@@ -20,9 +20,11 @@
 import {createAdmissionPump} from './admissionPump.js';
 import {createAgentConnections} from './agentConnection.js';
 import {MAX_BUFFERED_ANSWER} from './answerBuffer.js';
+import type {RunAnswer} from './requestRun.js';
 import {createRequestRun} from './requestRun.js';
 import {createNotRun} from './refusals.js';
 import {createRetryBudgets} from './retryBudgets.js';
+import type {TargetContext, Targets} from './targets.js';
 import {createTargets} from './targets.js';
 import type {
   AnswerEnd,
@@ -53,6 +55,21 @@
 const defaultAccount: Account = accountSchema.parse({});
 const defaultReporting = reportingSchema.parse({});
 
+/**
+ * Answer headers for the caller. A body that is still arriving has no stated
+ * length, or a caller could take a cut one for whole (R11).
+ */
+function getCallerHeaders(
+  request: DispatchRequest,
+  {answer, length}: RunAnswer,
+): Record<string, string> {
+  const headers = sanitizeAnswerHeaders(answer.headers);
+  if (request.method === 'HEAD') return headers;
+  delete headers['content-length'];
+  if (length !== null && length > 0) headers['content-length'] = String(length);
+  return headers;
+}
+
 /** Creates the dispatcher of an entry. */
 export function createDispatcher(
   context: Context,
@@ -72,6 +89,15 @@
   const cells: UsageCells = new Map();
   const hardStop = new AbortController();
   let isStopping = false;
+  let turn = 0;
+  const targetContext: TargetContext = {
+    membership,
+    book,
+    policy: options.policy ?? 'score',
+    domain: context.self.domain,
+    random,
+    getTurn: () => turn++,
+  };
 
   function getWindow(): number {
     const reporting = getBody(control.getState(), 'reporting', 'default');
@@ -142,7 +168,7 @@
   async function sendAdmitted(
     request: DispatchRequest,
     account: Account,
-    targets: ReturnType<typeof createTargets>,
+    targets: Targets,
     grant: Grant,
   ): Promise<Result<UpstreamAnswer, Refusal>> {
     const window = getWindow();
@@ -181,7 +207,7 @@
       const tokens = usage.prompt + usage.generated;
       grant.finish(tokens > 0 ? tokens : undefined);
     });
-    const headers = sanitizeAnswerHeaders(answer.headers);
+    const headers = getCallerHeaders(request, outcome.value);
     return ok({status: answer.status, headers, upstream, body, finished});
   }
 
@@ -195,16 +221,7 @@
     const state = control.getState();
     const account = getBody(state, 'account', request.account);
     const limits = account ?? defaultAccount;
-    const targets = createTargets(
-      {
-        membership,
-        book,
-        policy: options.policy ?? 'score',
-        random,
-        domain: context.self.domain,
-      },
-      request,
-    );
+    const targets = createTargets(targetContext, request);
     if (targets.isEmpty) {
       const message = 'the pool has no upstream';
       return fail(createNotRun('no_upstream', message, 1));
--- a/packages/daemon/src/requestRun.ts
+++ b/packages/daemon/src/requestRun.ts
@@ -49,6 +49,8 @@
   upstream: string;
   agentEpoch: string | null;
   body: AsyncIterable<Buffer>;
+  /** Length of the body if all of it has arrived; null while it streams. */
+  length: number | null;
   finished: Promise<Result<AnswerEnd, Refusal>>;
 }
 
@@ -148,11 +150,12 @@
       };
     }
     const finished = getFinished(answer, end);
-    const body = start.tag === 'whole' ? getSingle(start.body) : start.body;
-    return {
-      tag: 'answer',
-      value: {answer, upstream, agentEpoch, body, finished},
-    };
+    const base = {answer, upstream, agentEpoch, finished};
+    const value =
+      start.tag === 'whole'
+        ? {...base, body: getSingle(start.body), length: start.body.length}
+        : {...base, body: start.body, length: null};
+    return {tag: 'answer', value};
   }
 
   async function sendTo(target: AgentPresence): Promise<Step> {
--- a/packages/daemon/src/targets.ts
+++ b/packages/daemon/src/targets.ts
@@ -27,6 +27,8 @@
   /** Failure domain of this entry. */
   domain: string;
   random: () => number;
+  /** Counts the choices of this entry, for round robin. */
+  getTurn: () => number;
 }
 
 function getFreeTotal(views: readonly UpstreamView[]): number {
@@ -41,7 +43,6 @@
   const {membership, book} = context;
   const always = new Set(request.avoid ?? []);
   const excluded = new Set(always);
-  let turn = 0;
 
   function getEligibleViews(avoid: ReadonlySet<string>): UpstreamView[] {
     return getEligible(book.getViews(request.poolId, request.pool), avoid);
@@ -69,7 +70,7 @@
         domain: context.domain,
         affinity: request.affinity,
         random: context.random,
-        turn: turn++,
+        turn: context.getTurn(),
       });
       return chosen && membership.getAgent(chosen.id);
     },
