--- a/packages/daemon/src/attemptDecision.ts
+++ b/packages/daemon/src/attemptDecision.ts
@@ -29,7 +29,9 @@
 /** Refusals of an agent that takes no new work. */
 const LEAVING_REFUSALS = new Set(['draining', 'leaving', 'domain_out']);
 
-function isFull(failure: AttemptFailure): boolean {
+/** Says whether the agent refused only because its upstream has no room. */
+export function isFull(failure: AttemptFailure): boolean {
+  if (!failure.isNotRun) return false;
   if (failure.reason === 'limit') return true;
   if (LEAVING_REFUSALS.has(failure.reason)) return false;
   return failure.load !== null && failure.load.running >= failure.load.limit;
@@ -65,3 +67,9 @@
   if (!failure.isNotRun) return false;
   return !failure.isConnected || LEAVING_REFUSALS.has(failure.reason);
 }
+
+/** Says whether an attempt's failure speaks against the upstream. */
+export function isUpstreamFault(failure: AttemptFailure): boolean {
+  if (isFull(failure) || LEAVING_REFUSALS.has(failure.reason)) return false;
+  return !Object.hasOwn(FINAL_REFUSALS, failure.reason);
+}
--- a/packages/daemon/src/dispatcher.ts
+++ b/packages/daemon/src/dispatcher.ts
@@ -15,6 +15,7 @@
   reportingSchema,
   sanitizeAnswerHeaders,
 } from '@vanillacross/domain';
+import {setMaxListeners} from 'node:events';
 
 import type {Grant} from './admissionPump.js';
 import {createAdmissionPump} from './admissionPump.js';
@@ -52,6 +53,9 @@
 /** Interval at which a stop looks whether all requests have ended, ms. */
 const STOP_POLL_MS = 20;
 
+/** A constant, as making an error for each request costs time. */
+const REQUEST_ENDED = 'the request ended';
+
 const defaultAccount: Account = accountSchema.parse({});
 const defaultReporting = reportingSchema.parse({});
 
@@ -80,7 +84,7 @@
   const {clock, metrics} = context;
   const random = options.random ?? Math.random;
   const logger = context.logger.part('dispatcher');
-  const book = createUpstreamBook(clock, control, membership);
+  const book = createUpstreamBook(clock, control, membership, random);
   const budgets = createRetryBudgets();
   const pump = createAdmissionPump(context);
   const connections = createAgentConnections(() =>
@@ -88,6 +92,8 @@
   );
   const cells: UsageCells = new Map();
   const hardStop = new AbortController();
+  // Every running request listens.
+  setMaxListeners(0, hardStop.signal);
   let isStopping = false;
   let turn = 0;
   const targetContext: TargetContext = {
@@ -191,17 +197,18 @@
     });
     const outcome = await run();
     if (!outcome.ok) {
-      ended.abort();
+      ended.abort(REQUEST_ENDED);
       grant.finish();
       return outcome;
     }
     const {answer, upstream, agentEpoch, body, finished} = outcome.value;
     metrics.observe('vc_first_byte_ms', clock.now() - startedAt);
     void finished.then(result => {
-      ended.abort();
+      ended.abort(REQUEST_ENDED);
       metrics.observe('vc_dispatch_ms', clock.now() - startedAt);
       if (!result.ok) return grant.finish();
       const {usage} = result.value;
+      book.noteSuccess(upstream);
       budgets.credit(request.account, account.retryRatio, upstream);
       countUsage(request, upstream, window, agentEpoch, result.value);
       const tokens = usage.prompt + usage.generated;
--- a/packages/daemon/src/requestRun.ts
+++ b/packages/daemon/src/requestRun.ts
@@ -8,7 +8,12 @@
 import type {ArrivingAnswer, AttemptOutcome} from './attempt.js';
 import {sendAttempt} from './attempt.js';
 import type {AttemptFailure} from './attemptDecision.js';
-import {decideAfterFailure, isHomeGone} from './attemptDecision.js';
+import {
+  decideAfterFailure,
+  isFull,
+  isHomeGone,
+  isUpstreamFault,
+} from './attemptDecision.js';
 import {createMaybeRun, createNotRun} from './refusals.js';
 import type {RetryBudgets} from './retryBudgets.js';
 import type {Targets} from './targets.js';
@@ -180,20 +185,20 @@
       connections: input.connections,
       signal,
     });
-    if (outcome.load) {
-      book.noteLoad(upstream, outcome.load);
-      membership.noteAnswer(upstream, outcome.load);
-    }
+    if (outcome.load) membership.noteAnswer(upstream, outcome.load);
     if (outcome.tag === 'answer') {
+      if (outcome.load) book.noteLoad(upstream, outcome.load);
       mayHaveRun = true;
       return readAnswer(target, outcome, end);
     }
-    end();
     const isNotRun = outcome.tag === 'notRun';
     if (!isNotRun) mayHaveRun = true;
     const {reason, load, isConnected} = outcome;
+    const failure = {isNotRun, reason, load, isConnected};
+    if (load && isFull(failure)) book.noteFull(upstream, load);
+    end();
     if (!isConnected && !signal.aborted) membership.noteFailure(upstream);
-    return {tag: 'failure', failure: {isNotRun, reason, load, isConnected}};
+    return {tag: 'failure', failure};
   }
 
   /** Prepares the next send, or says why there is none. */
@@ -202,6 +207,9 @@
     failure: AttemptFailure,
   ): Promise<Result<'wait' | 'retry', RefusalCode>> {
     if (signal.aborted) return fail(getAbortCode());
+    if (isUpstreamFault(failure)) {
+      book.noteFailure(target.instance.upstream.id);
+    }
     const decision = decideAfterFailure(request.repeat, failure);
     if (decision.tag === 'stop') {
       if (!decision.notRun) mayHaveRun = true;
--- a/packages/daemon/src/upstreamBook.ts
+++ b/packages/daemon/src/upstreamBook.ts
@@ -3,9 +3,15 @@
   ControlState,
   Load,
   Pool,
+  UpstreamHealth,
   UpstreamView,
 } from '@vanillacross/domain';
-import {getBody} from '@vanillacross/domain';
+import {
+  addUpstreamFailure,
+  getBody,
+  healthyUpstream,
+  isUpstreamEjected,
+} from '@vanillacross/domain';
 
 import type {AgentPresence, ControlFollower, Membership} from './types.js';
 
@@ -15,6 +21,10 @@
   load: Load | null;
   loadAt: number;
   inFlightAtLoad: number;
+  /** Most own requests that ran shortly before `peakAt`. */
+  peak: number;
+  peakAt: number;
+  health: UpstreamHealth;
   /** The load of the last poll that was taken over. */
   polledLoad: Load | null;
 }
@@ -27,9 +37,17 @@
   getView(agent: AgentPresence, pool: Pool): UpstreamView;
   begin(upstream: string): void;
   end(upstream: string): void;
+  /** Takes a load from an answer. */
   noteLoad(upstream: string, load: Load): void;
+  /** Takes the load of an agent that refused a request because it was full. */
+  noteFull(upstream: string, load: Load): void;
+  noteSuccess(upstream: string): void;
+  /** Counts an upstream that failed a request; some in a row eject it. */
+  noteFailure(upstream: string): void;
 }
 
+/** How old a load in an answer may be when it is received, ms. */
+const LOAD_LAG_MS = 50;
 /** Entries of unused upstreams that are kept. */
 const MAX_ENTRIES = 4_096;
 
@@ -46,6 +64,7 @@
   clock: Clock,
   control: ControlFollower,
   membership: Membership,
+  random: () => number,
 ): UpstreamBook {
   const entries = new Map<string, UpstreamEntry>();
 
@@ -57,6 +76,9 @@
         load: null,
         loadAt: 0,
         inFlightAtLoad: 0,
+        peak: 0,
+        peakAt: 0,
+        health: healthyUpstream,
         polledLoad: null,
       };
       entries.set(id, entry);
@@ -72,12 +94,33 @@
     }
   }
 
-  function noteLoad(id: string, load: Load): void {
-    const entry = getEntry(id);
-    if (entry.load === load) return;
+  /**
+   * Own requests that a load received now may include. Answers that arrive
+   * together state loads from before the first of them ended, so a recent
+   * peak counts; otherwise own requests would look like other entries'.
+   */
+  function getOwnShare(entry: UpstreamEntry): number {
+    const isRecent = clock.now() - entry.peakAt < LOAD_LAG_MS;
+    return isRecent ? Math.max(entry.peak, entry.inFlight) : entry.inFlight;
+  }
+
+  function setLoad(entry: UpstreamEntry, load: Load, ownShare: number): void {
     entry.load = load;
     entry.loadAt = clock.now();
-    entry.inFlightAtLoad = entry.inFlight;
+    entry.inFlightAtLoad = ownShare;
+  }
+
+  function noteLoad(id: string, load: Load): void {
+    const entry = getEntry(id);
+    setLoad(entry, load, getOwnShare(entry));
+  }
+
+  function notePeak(entry: UpstreamEntry): void {
+    const now = clock.now();
+    const isOld = now - entry.peakAt >= LOAD_LAG_MS;
+    if (!isOld && entry.inFlight < entry.peak) return;
+    entry.peak = entry.inFlight;
+    entry.peakAt = now;
   }
 
   function getView(agent: AgentPresence, pool: Pool): UpstreamView {
@@ -87,7 +130,7 @@
     // bring newer loads in between.
     if (agent.load && entry.polledLoad !== agent.load) {
       entry.polledLoad = agent.load;
-      noteLoad(upstream.id, agent.load);
+      setLoad(entry, agent.load, getOwnShare(entry));
     }
     const state = control.getState();
     return {
@@ -95,7 +138,7 @@
       domain,
       isLeaving: agent.isLeaving || !isUpstreamIn(state, upstream.id),
       isDomainIn: isDomainIn(state, domain),
-      isEjected: false,
+      isEjected: isUpstreamEjected(entry.health, clock.now(), entry.inFlight),
       inFlight: entry.inFlight,
       load: entry.load,
       loadAgeMs: clock.now() - entry.loadAt,
@@ -114,7 +157,21 @@
       getEntry(id).inFlight += 1;
     },
     end: id => {
-      getEntry(id).inFlight -= 1;
+      const entry = getEntry(id);
+      notePeak(entry);
+      entry.inFlight -= 1;
+    },
+    noteFull: (id, load) => {
+      const entry = getEntry(id);
+      // The refused request itself is in flight but not in the load.
+      setLoad(entry, load, Math.max(0, entry.inFlight - 1));
+    },
+    noteSuccess: id => {
+      getEntry(id).health = healthyUpstream;
+    },
+    noteFailure: id => {
+      const entry = getEntry(id);
+      entry.health = addUpstreamFailure(entry.health, clock.now(), random);
     },
   };
 }
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -4,6 +4,7 @@
 export * from './constants.js';
 export * from './controlRecords.js';
 export * from './controlState.js';
+export * from './ejection.js';
 export * from './instances.js';
 export * from './lease.js';
 export * from './messages.js';
