--- a/packages/daemon/src/dispatcher.ts
+++ b/packages/daemon/src/dispatcher.ts
@@ -15,14 +15,17 @@
   reportingSchema,
   sanitizeAnswerHeaders,
 } from '@vanillacross/domain';
+import {setMaxListeners} from 'node:events';
 
 import type {Grant} from './admissionPump.js';
 import {createAdmissionPump} from './admissionPump.js';
 import {createAgentConnections} from './agentConnection.js';
 import {MAX_BUFFERED_ANSWER} from './answerBuffer.js';
+import type {RunAnswer} from './requestRun.js';
 import {createRequestRun} from './requestRun.js';
 import {createNotRun} from './refusals.js';
 import {createRetryBudgets} from './retryBudgets.js';
+import type {TargetContext, Targets} from './targets.js';
 import {createTargets} from './targets.js';
 import type {
   AnswerEnd,
@@ -50,9 +53,27 @@
 /** Interval at which a stop looks whether all requests have ended, ms. */
 const STOP_POLL_MS = 20;
 
+/** A constant, as making an error for each request costs time. */
+const REQUEST_ENDED = 'the request ended';
+
 const defaultAccount: Account = accountSchema.parse({});
 const defaultReporting = reportingSchema.parse({});
 
+/**
+ * Answer headers for the caller. A body that is still arriving has no stated
+ * length, or a caller could take a cut one for whole (R11).
+ */
+function getCallerHeaders(
+  request: DispatchRequest,
+  {answer, length}: RunAnswer,
+): Record<string, string> {
+  const headers = sanitizeAnswerHeaders(answer.headers);
+  if (request.method === 'HEAD') return headers;
+  delete headers['content-length'];
+  if (length !== null && length > 0) headers['content-length'] = String(length);
+  return headers;
+}
+
 /** Creates the dispatcher of an entry. */
 export function createDispatcher(
   context: Context,
@@ -63,7 +84,7 @@
   const {clock, metrics} = context;
   const random = options.random ?? Math.random;
   const logger = context.logger.part('dispatcher');
-  const book = createUpstreamBook(clock, control, membership);
+  const book = createUpstreamBook(clock, control, membership, random);
   const budgets = createRetryBudgets();
   const pump = createAdmissionPump(context);
   const connections = createAgentConnections(() =>
@@ -71,7 +92,18 @@
   );
   const cells: UsageCells = new Map();
   const hardStop = new AbortController();
+  // Every running request listens.
+  setMaxListeners(0, hardStop.signal);
   let isStopping = false;
+  let turn = 0;
+  const targetContext: TargetContext = {
+    membership,
+    book,
+    policy: options.policy ?? 'score',
+    domain: context.self.domain,
+    random,
+    getTurn: () => turn++,
+  };
 
   function getWindow(): number {
     const reporting = getBody(control.getState(), 'reporting', 'default');
@@ -142,7 +174,7 @@
   async function sendAdmitted(
     request: DispatchRequest,
     account: Account,
-    targets: ReturnType<typeof createTargets>,
+    targets: Targets,
     grant: Grant,
   ): Promise<Result<UpstreamAnswer, Refusal>> {
     const window = getWindow();
@@ -165,23 +197,24 @@
     });
     const outcome = await run();
     if (!outcome.ok) {
-      ended.abort();
+      ended.abort(REQUEST_ENDED);
       grant.finish();
       return outcome;
     }
     const {answer, upstream, agentEpoch, body, finished} = outcome.value;
     metrics.observe('vc_first_byte_ms', clock.now() - startedAt);
     void finished.then(result => {
-      ended.abort();
+      ended.abort(REQUEST_ENDED);
       metrics.observe('vc_dispatch_ms', clock.now() - startedAt);
       if (!result.ok) return grant.finish();
       const {usage} = result.value;
+      book.noteSuccess(upstream);
       budgets.credit(request.account, account.retryRatio, upstream);
       countUsage(request, upstream, window, agentEpoch, result.value);
       const tokens = usage.prompt + usage.generated;
       grant.finish(tokens > 0 ? tokens : undefined);
     });
-    const headers = sanitizeAnswerHeaders(answer.headers);
+    const headers = getCallerHeaders(request, outcome.value);
     return ok({status: answer.status, headers, upstream, body, finished});
   }
 
@@ -195,16 +228,7 @@
     const state = control.getState();
     const account = getBody(state, 'account', request.account);
     const limits = account ?? defaultAccount;
-    const targets = createTargets(
-      {
-        membership,
-        book,
-        policy: options.policy ?? 'score',
-        random,
-        domain: context.self.domain,
-      },
-      request,
-    );
+    const targets = createTargets(targetContext, request);
     if (targets.isEmpty) {
       const message = 'the pool has no upstream';
       return fail(createNotRun('no_upstream', message, 1));
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -9,6 +9,7 @@
 export * from './controlState.js';
 export * from './dedup.js';
 export * from './fencing.js';
+export * from './ejection.js';
 export * from './instances.js';
 export * from './lease.js';
 export * from './messages.js';
