Add the sample subsystem of an entry

Steps of trainers are generated through the dispatcher with fair shares, hedging and resumption.

A refusal of a cut answer carries what the agent observed of it, so that its labelled tokens can be continued with resume_tokens.

--- a/packages/daemon/src/answerWriter.ts
+++ b/packages/daemon/src/answerWriter.ts
@@ -15,7 +15,7 @@
   | {tag: 'callerGone'};
 
 /** Waits until the caller takes more bytes; false if it does not. */
-function waitForDrain(
+export function waitForDrain(
   response: ServerResponse,
   stallMs: number,
 ): Promise<boolean> {
--- a/packages/daemon/src/attempt.ts
+++ b/packages/daemon/src/attempt.ts
@@ -34,6 +34,8 @@
   chunks: AsyncGenerator<Buffer, void, undefined>;
   /** Resolves when the answer is over; null if it was cut. */
   ended: Promise<AnswerEnd | null>;
+  /** What the agent observed of a cut answer; null if it could not say. */
+  getPartial(): AnswerEnd | null;
   cancel(): void;
 }
 
@@ -116,13 +118,14 @@
 function readEnd(
   input: AttemptInput,
   response: IncomingMessage,
+  wanted: 'whole' | 'cut',
 ): AnswerEnd | null {
   const status = response.statusCode ?? 0;
   const values: TrailerValues = isBodiless(input.request.method, status)
     ? {...response.headers, ...response.trailers}
     : response.trailers;
   if (!response.complete) return null;
-  if (getText(values, HEADERS.outcome) !== 'whole') return null;
+  if (getText(values, HEADERS.outcome) !== wanted) return null;
   const attemptId = getText(values, HEADERS.attempt);
   if (attemptId !== undefined && attemptId !== input.attemptId) return null;
   const spans = readField(values, HEADERS.spans, spansSchema) ?? [];
@@ -151,7 +154,7 @@
   response: IncomingMessage,
 ): ArrivingAnswer {
   const ended = new Promise<AnswerEnd | null>(resolve => {
-    response.once('end', () => resolve(readEnd(input, response)));
+    response.once('end', () => resolve(readEnd(input, response, 'whole')));
     response.once('close', () => resolve(null));
   });
   return {
@@ -159,6 +162,7 @@
     headers: response.headers,
     chunks: readChunks(response),
     ended,
+    getPartial: () => readEnd(input, response, 'cut'),
     cancel: () => response.destroy(),
   };
 }
--- a/packages/daemon/src/callerServer.ts
+++ b/packages/daemon/src/callerServer.ts
@@ -71,7 +71,7 @@
 };
 
 /** The access table of the current control state, built once per state. */
-function createTableCache(
+export function createTableCache(
   control: ControlFollower,
 ): (state?: ControlState) => AccessTable {
   let lastState: ControlState | null = null;
--- /dev/null
+++ b/packages/daemon/src/deliveryStream.ts
@@ -0,0 +1,83 @@
+import {isYoungEnough} from '@vanillacross/domain';
+import type {DeliveryNumber} from '@vanillacross/domain';
+import type {ServerResponse} from 'node:http';
+
+import {waitForDrain} from './answerWriter.js';
+import type {SampleTask, StepRun} from './sampleTask.js';
+import type {Context} from './types.js';
+
+/** How a delivery ended. */
+export type DeliveryOutcome = 'whole' | 'cut' | 'replaced';
+
+function getLine(value: unknown): string {
+  return `${JSON.stringify(value)}\n`;
+}
+
+/**
+ * Sends the samples of a step as they become ready, one JSON line each, as
+ * fast as the trainer reads. The age is checked in the same turn in which a
+ * line is written (R2), and the line is counted as sent then (R3). `stallMs`
+ * is how long the trainer may read nothing.
+ */
+export async function streamDelivery(
+  context: Context,
+  task: SampleTask,
+  step: StepRun,
+  delivery: DeliveryNumber,
+  response: ServerResponse,
+  stallMs: number,
+): Promise<DeliveryOutcome> {
+  const {metrics} = context;
+  let delivered = 0;
+  let isClosed = response.destroyed;
+  response.once('close', () => {
+    isClosed = true;
+    step.notify();
+  });
+  response.writeHead(200, {'content-type': 'application/x-ndjson'});
+  response.flushHeaders();
+
+  const sendNext = async (): Promise<boolean> => {
+    const id = step.delivery.getNext(delivery);
+    if (id === null) return false;
+    const sample = step.samples.get(id);
+    const bound = task.getVersionBound(step);
+    const spans = sample?.spans ?? [];
+    if (!sample || !isYoungEnough(bound.newest, spans, bound.maxAge)) {
+      metrics.count('vc_samples_stale_dropped');
+      task.repeat(step, id);
+      return true;
+    }
+    if (!step.delivery.noteSent(delivery, id)) return true;
+    delivered += 1;
+    metrics.count('vc_samples_delivered');
+    const hasRoom = response.write(getLine(sample));
+    if (!hasRoom && !(await waitForDrain(response, stallMs))) isClosed = true;
+    return true;
+  };
+
+  for (;;) {
+    if (isClosed) {
+      metrics.count('vc_samples_connections_cut');
+      response.destroy();
+      return 'cut';
+    }
+    if (!step.delivery.isCurrent(delivery)) {
+      response.destroy();
+      return 'replaced';
+    }
+    const changed = step.waitForChange();
+    if (await sendNext()) continue;
+    if (step.delivery.isAllSent()) break;
+    await changed;
+  }
+  const missing = step.delivery.getCount('failed');
+  const finished = new Promise<boolean>(resolve => {
+    response.once('finish', () => resolve(true));
+    response.once('close', () => resolve(response.writableFinished));
+  });
+  response.end(getLine({end: true, delivered, missing}));
+  if (await finished) return 'whole';
+  metrics.count('vc_samples_connections_cut');
+  return 'cut';
+}
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -7,6 +7,7 @@
   createLogPort,
   createOrderingPort,
   createReportPort,
+  createScoringPort,
   createWeightStorePort,
 } from '@vanillacross/platform';
 
@@ -18,6 +19,7 @@
 import {createDispatcher} from './dispatcher.js';
 import {createSeedInstance} from './instanceDirectory.js';
 import {createMembership} from './membership.js';
+import {createNewestVersions} from './newestVersions.js';
 import {createOperatorActions} from './operatorActions.js';
 import {createPeerServer} from './peerServer.js';
 import type {RunningDaemon} from './process.js';
@@ -28,6 +30,7 @@
   startParts,
   stopParts,
 } from './process.js';
+import {createTrainerActions} from './trainerActions.js';
 import type {Part} from './types.js';
 
 /** Stands for the weight store where the settings name none. */
@@ -101,9 +104,25 @@
       retentionMs: settings.controller.retentionMs,
     },
   );
-  const actions = createOperatorActions(context, control, membership, {
+  const {scoring, weights} = settings.platform;
+  const versions = createNewestVersions(
+    context,
+    control,
+    membership,
+    weights ? createWeightStorePort(weights) : noWeightStore,
+  );
+  const trainers = createTrainerActions(context, control, dispatcher, {
+    logPort,
+    logClient,
+    scoring: scoring ? createScoringPort(scoring) : null,
+    getNewestVersion: versions.getNewest,
+    getVersions: versions.getVersions,
+    hasAuthority: () => membership.hasAuthority(),
+  });
+  const operatorActions = createOperatorActions(context, control, membership, {
     tokenHash: settings.operator.tokenHash,
   });
+  const actions = [...trainers.actions, ...operatorActions];
   const callerServer = createCallerServer(
     context,
     control,
@@ -125,13 +144,23 @@
     settings.listen.admin,
     () => !isDraining && control.getState().isWhole,
   );
-  await startParts([admin, control, membership, dispatcher, callerServer]);
+  await startParts([
+    admin,
+    control,
+    membership,
+    dispatcher,
+    versions,
+    trainers.part,
+    callerServer,
+  ]);
   context.self.address = callerServer.getAddress();
   await controller.start();
 
   // Callers drain first while control still works; listeners close last.
   const stopOrder: Part[] = [
     callerServer,
+    trainers.part,
+    versions,
     controller,
     dispatcher,
     membership,
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -10,4 +10,5 @@
 export * from './callerServer.js';
 export * from './dispatcher.js';
 export * from './controller.js';
+export * from './trainerActions.js';
 export type * from './types.js';
--- /dev/null
+++ b/packages/daemon/src/newestVersions.ts
@@ -0,0 +1,73 @@
+import {getDeadline} from '@vanillacross/common';
+import {getBodies} from '@vanillacross/domain';
+import type {WeightStorePort} from '@vanillacross/platform';
+
+import type {Loop} from './loop.js';
+import {createLoop} from './loop.js';
+import type {Context, ControlFollower, Membership} from './types.js';
+
+/** Newest weight versions as far as this entry knows. */
+export interface NewestVersions extends Loop {
+  /** Highest published or live version of a model; 0 if none is known. */
+  getNewest(model: string): number;
+  /** Live version of each upstream of a pool that reported one. */
+  getVersions(pool: string): ReadonlyMap<string, number>;
+}
+
+/** Interval at which the weight store is asked for versions, ms. */
+const POLL_MS = 1_000;
+
+/** Follows the versions of the models that trainers use. */
+export function createNewestVersions(
+  context: Context,
+  control: ControlFollower,
+  membership: Membership,
+  store: WeightStorePort,
+): NewestVersions {
+  const {clock, metrics} = context;
+  const published = new Map<string, number>();
+
+  async function poll(model: string): Promise<void> {
+    const versions = await store.getVersions(model);
+    if (!versions.ok) {
+      metrics.count('vc_weight_store_failures');
+      return;
+    }
+    const known = published.get(model) ?? 0;
+    const highest = versions.value.map(({version}) => version);
+    published.set(model, Math.max(known, ...highest));
+  }
+
+  const loop = createLoop(context, 'versions', async () => {
+    const trainers = getBodies(control.getState(), 'trainer');
+    const models = new Set(trainers.map(({body}) => body.model));
+    await Promise.all([...models].map(poll));
+    return getDeadline(clock.now(), POLL_MS);
+  });
+
+  function getVersions(pool: string): Map<string, number> {
+    const versions = new Map<string, number>();
+    for (const {instance, load} of membership.getPoolMembers(pool)) {
+      if (load) versions.set(instance.upstream.id, load.version);
+    }
+    return versions;
+  }
+
+  return {
+    ...loop,
+    getVersions,
+    getNewest: model => {
+      const state = control.getState();
+      const routed = getBodies(state, 'route')
+        .filter(({body}) => body.model === model)
+        .map(({body}) => body.pool);
+      const pools = getBodies(state, 'pool')
+        .filter(({body}) => body.kind === 'engine' && body.model === model)
+        .map(({id}) => id);
+      const live = [...new Set([...routed, ...pools])].flatMap(id => [
+        ...getVersions(id).values(),
+      ]);
+      return Math.max(published.get(model) ?? 0, 0, ...live);
+    },
+  };
+}
--- a/packages/daemon/src/refusals.ts
+++ b/packages/daemon/src/refusals.ts
@@ -24,6 +24,7 @@
   outcome_unknown: 504,
   cancelled: 499,
   step_conflict: 409,
+  step_unknown: 404,
   internal: 500,
 };
 
--- a/packages/daemon/src/requestRun.ts
+++ b/packages/daemon/src/requestRun.ts
@@ -123,7 +123,8 @@
       metrics.count('vc_answers_cut');
       const code = signal.aborted ? getAbortCode() : 'answer_cut';
       const message = MESSAGES[code] ?? 'the answer was cut';
-      return fail(createMaybeRun(code, message));
+      const partial = answer.getPartial() ?? undefined;
+      return fail({...createMaybeRun(code, message), partial});
     });
   }
 
--- /dev/null
+++ b/packages/daemon/src/sampleTask.ts
@@ -0,0 +1,668 @@
+import type {MonotonicMs, Result, SampleId} from '@vanillacross/common';
+import {
+  fail,
+  getDeadline,
+  getHash32,
+  getSha256,
+  ok,
+} from '@vanillacross/common';
+import type {
+  Pool,
+  SampleSpec,
+  SampleStart,
+  Span,
+  StepContent,
+  Trainer,
+} from '@vanillacross/domain';
+import {
+  accountSchema,
+  canStillBeYoung,
+  createAccessTable,
+  getBodies,
+  getBody,
+  getModelRoute,
+  getOldestVersion,
+  getPathRoutes,
+  getSampleSpecs,
+  getStepHash,
+  SampleSchedule,
+  StepDelivery,
+} from '@vanillacross/domain';
+import type {ScoringPort} from '@vanillacross/platform';
+import {randomUUID} from 'node:crypto';
+
+import {createLoop} from './loop.js';
+import {createNotRun} from './refusals.js';
+import type {SampleAttemptEnd, SampleProgress} from './sampleAttempt.js';
+import {getSampleBody, noProgress, runSampleAttempt} from './sampleAttempt.js';
+import type {
+  Context,
+  ControlFollower,
+  Dispatcher,
+  DispatchRequest,
+  Part,
+  Refusal,
+} from './types.js';
+
+/** A generated sample as the trainer gets it. */
+export interface Sample {
+  sampleId: SampleId;
+  group: string | number;
+  index: number;
+  text: string;
+  tokens: number;
+  spans: readonly Span[];
+  /** Null if no scoring service is set up or it gave no score. */
+  score: number | null;
+  engineEpoch: string;
+}
+
+interface Attempt {
+  controller: AbortController;
+  upstream: string;
+  /** Oldest version of the tokens so far; null before the first. */
+  oldest: number | null;
+  isDoomed: boolean;
+}
+
+/** Work on the samples of a step. */
+interface StepWork {
+  attempts: Map<SampleId, Set<Attempt>>;
+  /** Samples with a whole answer that is being scored. */
+  scoring: Set<SampleId>;
+  /** Tokens of cut attempts that the next attempt continues. */
+  progresses: Map<SampleId, SampleProgress>;
+}
+
+/** One step that this entry holds. */
+export interface StepRun {
+  trainer: string;
+  name: string;
+  hash: string;
+  specs: ReadonlyMap<SampleId, SampleSpec>;
+  delivery: StepDelivery;
+  /** Generated samples that the trainer is not known to have. */
+  samples: Map<SampleId, Sample>;
+  work: StepWork;
+  /** Delivery streams that are open. */
+  streams: number;
+  /** When the step is forgotten if its trainer does not call again. */
+  forgetAt: MonotonicMs;
+  /** Wakes all that wait for a change. */
+  notify(): void;
+  waitForChange(): Promise<void>;
+}
+
+/** Newest version of the model and the bound on the age of its samples. */
+export interface VersionBound {
+  newest: number;
+  maxAge: number;
+}
+
+/** Generates the samples of all steps that this entry holds. */
+export interface SampleTask extends Part {
+  /** Takes a step; samples in `acknowledged` are not generated. */
+  submit(
+    trainerId: string,
+    trainer: Trainer,
+    step: string,
+    content: StepContent,
+    acknowledged: ReadonlySet<string>,
+  ): Result<StepRun, Refusal>;
+  getStep(trainer: string, step: string): StepRun | null;
+  getVersionBound(step: StepRun): VersionBound;
+  /** Generates a sample anew that became too old. */
+  repeat(step: StepRun, id: SampleId): void;
+  /** Marks samples that the trainer has and ends work on them. */
+  acknowledge(step: StepRun, ids: Iterable<string>): void;
+  /** Notes that the trainer of a step called. */
+  touch(step: StepRun): void;
+}
+
+export interface SampleLimits {
+  /** Steps that this entry holds for one trainer. */
+  maxSteps: number;
+  /** Samples that are generated at the same time. */
+  maxRunning: number;
+  /** Time for one attempt at a sample, ms. */
+  attemptMs: number;
+  /** How long a step is held after its trainer's last call, ms. */
+  holdMs: number;
+  /** Attempts to score one sample. */
+  maxScoreAttempts: number;
+}
+
+export const defaultSampleLimits: SampleLimits = {
+  maxSteps: 16,
+  maxRunning: 256,
+  attemptMs: 300_000,
+  holdMs: 900_000,
+  maxScoreAttempts: 5,
+};
+
+/** What the sample task uses besides the entry's parts. */
+export interface SampleTaskOptions {
+  scoring: ScoringPort | null;
+  getNewestVersion(model: string): number;
+  /**
+   * Upstreams of a pool by their live weight version, if it is known. New
+   * work avoids those that are too old already.
+   */
+  getVersions?(pool: string): ReadonlyMap<string, number>;
+  limits: SampleLimits;
+}
+
+/** A second run of a straggler, from its start. */
+interface Hedge {
+  /** Upstreams that run the sample already. */
+  avoid: string[];
+}
+
+/** State of a trainer's generation besides its shares. */
+interface TrainerState {
+  running: number;
+  failures: number;
+  blockedUntil: MonotonicMs;
+}
+
+const COMPLETION_PATH = '/v1/completions';
+const TICK_MS = 50;
+const BACKOFF_MS = 50;
+const MAX_BACKOFF_MS = 2_000;
+/** Failures in a row that still lengthen the backoff. */
+const MAX_FAILURES = 16;
+/** Part of a prompt that decides where its prefix is cached, characters. */
+const PREFIX_LENGTH = 256;
+const BYTES_PER_TOKEN = 4;
+
+const defaultAccount = accountSchema.parse({});
+
+function createStepRun(
+  trainer: string,
+  name: string,
+  content: StepContent,
+  forgetAt: MonotonicMs,
+): StepRun {
+  const specs = new Map(
+    getSampleSpecs(trainer, name, content).map(spec => [spec.id, spec]),
+  );
+  let wake = () => {};
+  let changed = new Promise<void>(resolve => (wake = resolve));
+  return {
+    trainer,
+    name,
+    hash: getStepHash(content),
+    specs,
+    delivery: new StepDelivery([...specs.keys()]),
+    samples: new Map(),
+    work: {attempts: new Map(), scoring: new Set(), progresses: new Map()},
+    streams: 0,
+    forgetAt,
+    waitForChange: () => changed,
+    notify: () => {
+      wake();
+      changed = new Promise(resolve => (wake = resolve));
+    },
+  };
+}
+
+/** Creates the task that generates samples. */
+export function createSampleTask(
+  context: Context,
+  control: ControlFollower,
+  dispatcher: Dispatcher,
+  options: SampleTaskOptions,
+): SampleTask {
+  const {clock, metrics} = context;
+  const {limits} = options;
+  const logger = context.logger.part('samples');
+  const schedule = new SampleSchedule();
+  const steps = new Map<string, Map<string, StepRun>>();
+  const trainers = new Map<string, TrainerState>();
+  const newest = new Map<string, number>();
+  let running = 0;
+  let isStopping = false;
+
+  function getRecord(trainer: string): Trainer | null {
+    return getBody(control.getState(), 'trainer', trainer);
+  }
+
+  function getNewest(model: string): number {
+    // A version that was newest once does not become older again.
+    const known = newest.get(model) ?? 0;
+    const version = Math.max(known, options.getNewestVersion(model));
+    newest.set(model, version);
+    return version;
+  }
+
+  function getBound(trainer: string): VersionBound {
+    const record = getRecord(trainer);
+    if (!record) return {newest: Infinity, maxAge: 0};
+    return {newest: getNewest(record.model), maxAge: record.maxVersionAge};
+  }
+
+  function getTrainerState(id: string): TrainerState {
+    let state = trainers.get(id);
+    if (!state) {
+      state = {running: 0, failures: 0, blockedUntil: clock.now()};
+      trainers.set(id, state);
+    }
+    return state;
+  }
+
+  function getPool(model: string): {poolId: string; pool: Pool} | null {
+    const state = control.getState();
+    const table = createAccessTable(state);
+    const route = getModelRoute(
+      getPathRoutes(table, 'POST', COMPLETION_PATH).filter(
+        entry => entry.route.model === model,
+      ),
+      model,
+    )?.route;
+    const routed = route && getBody(state, 'pool', route.pool);
+    if (route && routed?.kind === 'engine') {
+      return {poolId: route.pool, pool: routed};
+    }
+    const found = getBodies(state, 'pool').find(
+      ({body}) => body.kind === 'engine' && body.model === model,
+    );
+    return found ? {poolId: found.id, pool: found.body} : null;
+  }
+
+  /** Upstreams whose weights are too old; null if no other is left. */
+  function getStaleUpstreams(
+    poolId: string,
+    {newest: version, maxAge}: VersionBound,
+  ): string[] | null {
+    const versions = options.getVersions?.(poolId) ?? new Map();
+    const stale = [...versions]
+      .filter(([, live]) => !canStillBeYoung(version, live, maxAge))
+      .map(([id]) => id as string);
+    return versions.size > 0 && stale.length === versions.size ? null : stale;
+  }
+
+  function mayStart(trainerId: string): boolean {
+    const record = getRecord(trainerId);
+    if (!record || isStopping) return false;
+    const state = getTrainerState(trainerId);
+    if (state.blockedUntil > clock.now()) return false;
+    const account =
+      getBody(control.getState(), 'account', record.account) ?? defaultAccount;
+    return state.running < account.maxConcurrent;
+  }
+
+  function block(trainerId: string, retryAfterMs: number): void {
+    const state = getTrainerState(trainerId);
+    // Runs that fail together count as one failure.
+    if (state.blockedUntil > clock.now()) return;
+    const backoffMs = Math.min(
+      BACKOFF_MS * 2 ** state.failures,
+      MAX_BACKOFF_MS,
+    );
+    state.failures = Math.min(state.failures + 1, MAX_FAILURES);
+    const spanMs = Math.max(backoffMs, Math.min(retryAfterMs, MAX_BACKOFF_MS));
+    state.blockedUntil = getDeadline(clock.now(), spanMs);
+  }
+
+  function createRequest(
+    start: SampleStart,
+    spec: SampleSpec,
+    record: Trainer,
+    attempt: Attempt,
+    progress: SampleProgress,
+    place: {poolId: string; pool: Pool; avoid: string[]},
+  ): DispatchRequest {
+    const body = getSampleBody(
+      record.model,
+      spec,
+      getHash32(spec.id),
+      progress,
+    );
+    const {model} = record;
+    const prefix = spec.prompt.slice(0, PREFIX_LENGTH);
+    return {
+      requestId: randomUUID(),
+      account: record.account,
+      poolId: place.poolId,
+      pool: place.pool,
+      method: 'POST',
+      path: COMPLETION_PATH,
+      headers: {'content-type': 'application/json'},
+      body,
+      repeat: 'idempotent',
+      fingerprint: getSha256(`POST\n${COMPLETION_PATH}\n${body.toString()}`),
+      priority: start.priority,
+      cost: Math.ceil(body.length / BYTES_PER_TOKEN) + spec.maxTokens,
+      affinity: getSha256(`${model}\n${prefix}`),
+      deadline: getDeadline(clock.now(), limits.attemptMs),
+      signal: attempt.controller.signal,
+      avoid: place.avoid,
+    };
+  }
+
+  /** Progress that may be continued; what is too old is made anew. */
+  function takeProgress(
+    {progresses}: StepWork,
+    id: SampleId,
+    bound: VersionBound,
+  ): SampleProgress {
+    const progress = progresses.get(id) ?? noProgress;
+    progresses.delete(id);
+    const oldest = getOldestVersion(progress.spans);
+    if (!canStillBeYoung(bound.newest, oldest, bound.maxAge)) {
+      return noProgress;
+    }
+    if (progress.tokens > 0) metrics.count('vc_samples_resumed');
+    return progress;
+  }
+
+  function checkDoomed(attempt: Attempt, bound: VersionBound): void {
+    if (attempt.isDoomed || attempt.controller.signal.aborted) return;
+    if (canStillBeYoung(bound.newest, attempt.oldest, bound.maxAge)) return;
+    attempt.isDoomed = true;
+    metrics.count('vc_samples_cancelled_early');
+    attempt.controller.abort();
+  }
+
+  async function generate(
+    start: SampleStart,
+    step: StepRun,
+    spec: SampleSpec,
+    attempt: Attempt,
+    hedge: Hedge | null,
+  ): Promise<SampleAttemptEnd> {
+    const record = getRecord(start.trainer);
+    const place = record && getPool(record.model);
+    const bound = getBound(start.trainer);
+    const stale = place && getStaleUpstreams(place.poolId, bound);
+    if (!record || !place || !stale) {
+      return {tag: 'refused', code: 'no_upstream', retryAfterMs: 0};
+    }
+    const avoid = [...stale, ...(hedge?.avoid ?? [])];
+    const progress = hedge
+      ? noProgress
+      : takeProgress(step.work, start.id, bound);
+    attempt.oldest = getOldestVersion(progress.spans);
+    const request = createRequest(start, spec, record, attempt, progress, {
+      ...place,
+      avoid,
+    });
+    return runSampleAttempt(dispatcher, request, progress, {
+      onUpstream: upstream => (attempt.upstream = upstream),
+      onVersion: version => {
+        attempt.oldest = Math.min(attempt.oldest ?? version, version);
+        checkDoomed(attempt, getBound(start.trainer));
+      },
+    });
+  }
+
+  async function getScore(
+    step: StepRun,
+    spec: SampleSpec,
+    text: string,
+  ): Promise<number | null> {
+    const port = options.scoring;
+    if (!port) return null;
+    for (let attempt = 0; attempt < limits.maxScoreAttempts; attempt++) {
+      const score = await port.score(spec.id, spec.prompt, text);
+      if (score.ok) return score.value;
+      const isWanted = step.delivery.getState(spec.id) === 'running';
+      if (score.error.tag === 'rejected' || !isWanted || isStopping) break;
+      const waitMs = Math.min(BACKOFF_MS * 2 ** attempt, MAX_BACKOFF_MS);
+      await clock.waitUntil(getDeadline(clock.now(), waitMs));
+    }
+    metrics.count('vc_samples_unscored');
+    return null;
+  }
+
+  async function finish(
+    step: StepRun,
+    spec: SampleSpec,
+    progress: SampleProgress,
+  ): Promise<void> {
+    step.work.scoring.add(spec.id);
+    const score = await getScore(step, spec, progress.text);
+    step.work.scoring.delete(spec.id);
+    if (!step.delivery.noteReady(spec.id)) return;
+    step.samples.set(spec.id, {
+      sampleId: spec.id,
+      group: spec.group,
+      index: spec.index,
+      text: progress.text,
+      tokens: progress.tokens,
+      spans: progress.spans,
+      score,
+      engineEpoch: progress.engineEpoch,
+    });
+    metrics.count('vc_samples_generated');
+    step.notify();
+  }
+
+  function abortAttempts({work}: StepRun, id: SampleId): void {
+    for (const attempt of work.attempts.get(id) ?? []) {
+      attempt.controller.abort();
+    }
+  }
+
+  function isHeld(step: StepRun): boolean {
+    return steps.get(step.trainer)?.get(step.name) === step;
+  }
+
+  /** Decides what follows the last attempt at a sample. */
+  function settle(
+    step: StepRun,
+    start: SampleStart,
+    attempt: Attempt,
+    end: SampleAttemptEnd,
+  ): void {
+    const {id, trainer} = start;
+    const isWanted = step.delivery.getState(id) === 'running';
+    if (!isHeld(step)) return;
+    if (!isWanted || step.work.scoring.has(id)) {
+      return schedule.noteEnd(start, 0, clock.now(), false);
+    }
+    if (end.tag === 'rejected') {
+      logger.warn('a sample cannot be generated', {
+        sample: id,
+        detail: end.detail,
+      });
+      metrics.count('vc_samples_rejected');
+      step.delivery.noteFailed(id);
+      schedule.noteEnd(start, 0, clock.now(), false);
+      return step.notify();
+    }
+    if (end.tag === 'cut' && end.progress && !attempt.isDoomed) {
+      step.work.progresses.set(id, end.progress);
+    }
+    if (end.tag === 'refused') {
+      metrics.count('vc_samples_refused', {reason: end.code});
+    }
+    block(trainer, end.tag === 'refused' ? end.retryAfterMs : 0);
+    step.delivery.noteAgain(id);
+    schedule.noteEnd(start, 0, clock.now(), true);
+  }
+
+  async function run(start: SampleStart, hedge: Hedge | null): Promise<void> {
+    const {id, trainer} = start;
+    const step = steps.get(trainer)?.get(start.step);
+    const spec = step?.specs.get(id);
+    if (!step || !spec) return;
+    const attempt: Attempt = {
+      controller: new AbortController(),
+      upstream: '',
+      oldest: null,
+      isDoomed: false,
+    };
+    const state = getTrainerState(trainer);
+    const {attempts, scoring} = step.work;
+    const own = attempts.get(id) ?? new Set();
+    attempts.set(id, own.add(attempt));
+    running += 1;
+    state.running += 1;
+    step.delivery.noteRunning(id);
+    let end: SampleAttemptEnd = {tag: 'cut', progress: null};
+    try {
+      end = await generate(start, step, spec, attempt, hedge);
+    } catch (error) {
+      logger.error('a sample attempt failed', {detail: String(error)});
+    }
+    running -= 1;
+    state.running -= 1;
+    own.delete(attempt);
+    if (own.size === 0) attempts.delete(id);
+    if (end.tag === 'discarded') {
+      metrics.count('vc_samples_discarded', {reason: end.fault});
+    }
+    const isFirst =
+      !scoring.has(id) && step.delivery.getState(id) === 'running';
+    if (end.tag === 'whole' && isFirst && isHeld(step)) {
+      state.failures = 0;
+      schedule.noteEnd(start, end.progress.tokens, clock.now(), false);
+      const finished = finish(step, spec, end.progress);
+      abortAttempts(step, id);
+      pump();
+      return finished;
+    }
+    if (own.size === 0) settle(step, start, attempt, end);
+    pump();
+  }
+
+  function launch(start: SampleStart, hedge: Hedge | null = null): void {
+    run(start, hedge).catch(error =>
+      logger.error('a sample was lost', {detail: String(error)}),
+    );
+  }
+
+  function pump(): void {
+    while (running < limits.maxRunning) {
+      const start = schedule.takeNext(clock.now(), mayStart);
+      if (!start) return;
+      launch(start);
+    }
+  }
+
+  function startHedges(): void {
+    for (const start of schedule.takeHedges(clock.now())) {
+      const work = steps.get(start.trainer)?.get(start.step)?.work;
+      if (!work || work.scoring.has(start.id)) continue;
+      const avoid = [...(work.attempts.get(start.id) ?? [])]
+        .map(({upstream}) => upstream)
+        .filter(upstream => upstream !== '');
+      metrics.count('vc_samples_hedged');
+      launch(start, {avoid});
+    }
+  }
+
+  function cancelDoomed(): void {
+    for (const [trainerId, held] of steps) {
+      const bound = getBound(trainerId);
+      for (const step of held.values()) {
+        for (const running of step.work.attempts.values()) {
+          for (const attempt of running) checkDoomed(attempt, bound);
+        }
+      }
+    }
+  }
+
+  function remove(step: StepRun): void {
+    const held = steps.get(step.trainer);
+    held?.delete(step.name);
+    if (held?.size === 0) steps.delete(step.trainer);
+    schedule.removeStep(step.trainer, step.name);
+    for (const id of step.work.attempts.keys()) abortAttempts(step, id);
+    step.delivery.reserve();
+    step.notify();
+  }
+
+  function forgetSteps(): void {
+    for (const held of [...steps.values()]) {
+      for (const step of [...held.values()]) {
+        const isOver = step.streams === 0 && step.forgetAt <= clock.now();
+        if (isOver || !getRecord(step.trainer)) remove(step);
+      }
+    }
+  }
+
+  /** Makes room for a step by forgetting one that is over. */
+  function hasRoom(trainerId: string): boolean {
+    const held = steps.get(trainerId);
+    if (!held || held.size < limits.maxSteps) return true;
+    for (const step of held.values()) {
+      if (step.streams > 0 || !step.delivery.isFinished()) continue;
+      remove(step);
+      return true;
+    }
+    return false;
+  }
+
+  function acknowledge(step: StepRun, ids: Iterable<string>): void {
+    for (const id of step.delivery.acknowledge(ids)) {
+      step.samples.delete(id);
+      step.work.progresses.delete(id);
+      schedule.drop(step.trainer, step.name, id);
+      abortAttempts(step, id);
+    }
+    step.notify();
+  }
+
+  const loop = createLoop(context, 'samples', async () => {
+    forgetSteps();
+    cancelDoomed();
+    startHedges();
+    pump();
+    return getDeadline(clock.now(), TICK_MS);
+  });
+
+  return {
+    name: 'samples',
+    start: () => {
+      metrics.gauge('vc_samples_running', () => running);
+      return loop.start();
+    },
+    stop: async signal => {
+      isStopping = true;
+      await loop.stop(signal);
+      for (const held of [...steps.values()]) {
+        for (const step of [...held.values()]) remove(step);
+      }
+    },
+    submit: (trainerId, trainer, name, content, acknowledged) => {
+      const known = steps.get(trainerId)?.get(name);
+      if (known && known.hash !== getStepHash(content)) {
+        const message = 'the step was submitted with other content';
+        return fail(createNotRun('step_conflict', message));
+      }
+      if (known) return ok(known);
+      if (!hasRoom(trainerId)) {
+        const message = `the trainer has ${limits.maxSteps} unfinished steps`;
+        return fail(createNotRun('account_limit', message, 1));
+      }
+      const forgetAt = getDeadline(clock.now(), limits.holdMs);
+      const step = createStepRun(trainerId, name, content, forgetAt);
+      step.delivery.acknowledge(acknowledged);
+      const held = steps.get(trainerId) ?? new Map<string, StepRun>();
+      steps.set(trainerId, held.set(name, step));
+      schedule.addStep(
+        trainerId,
+        trainer.weight,
+        name,
+        [...step.specs.values()],
+        id => step.delivery.getState(id) === 'pending',
+      );
+      pump();
+      return ok(step);
+    },
+    getStep: (trainer, step) => steps.get(trainer)?.get(step) ?? null,
+    getVersionBound: step => getBound(step.trainer),
+    repeat: (step, id) => {
+      if (!step.delivery.noteAgain(id)) return;
+      step.samples.delete(id);
+      schedule.repeat(step.trainer, step.name, id);
+      pump();
+    },
+    acknowledge,
+    touch: step => {
+      step.forgetAt = getDeadline(clock.now(), limits.holdMs);
+    },
+  };
+}
--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -121,6 +121,8 @@
   | 'outcome_unknown'
   | 'cancelled'
   | 'step_conflict'
+  /** This entry does not hold the step; its trainer submits it again. */
+  | 'step_unknown'
   | 'internal';
 
 /** A refusal or failure of a request. */
@@ -131,6 +133,8 @@
   notRun: boolean;
   /** When the caller may try again, seconds. */
   retryAfter?: number;
+  /** What an agent observed of an answer that was cut, if it could say so. */
+  partial?: AnswerEnd;
 }
 
 /** One request on its way to some upstream of a pool. */
--- /dev/null
+++ b/packages/domain/src/samples.ts
@@ -0,0 +1,174 @@
+import type {SampleId} from '@vanillacross/common';
+import {as, getSha256} from '@vanillacross/common';
+import {z} from 'zod';
+
+import type {Span} from './messages.js';
+
+/** Samples of one step, for all groups together. */
+export const MAX_STEP_SAMPLES = 4_096;
+/** Tokens of one sample that a trainer may ask for. */
+const MAX_SAMPLE_TOKENS = 1_000_000;
+
+/** Ids must not contain the separator of sample ids. */
+const partSchema = z
+  .string()
+  .regex(
+    /^[a-zA-Z0-9][a-zA-Z0-9._-]{0,63}$/,
+    'an id of letters, digits, ".", "_" or "-"',
+  );
+
+const groupSchema = z.strictObject({
+  group: z.union([partSchema, z.number().int().min(0)]),
+  prompt: z.string(),
+  count: z.number().int().min(1).max(MAX_STEP_SAMPLES),
+  maxTokens: z.number().int().min(1).max(MAX_SAMPLE_TOKENS),
+});
+
+/** Body of a step as the trainer submits it. */
+export const stepSchema = z
+  .strictObject({
+    groups: z.array(groupSchema).min(1),
+    /** Version of the policy that the trainer has; kept with the step. */
+    policyVersion: z.number().int().min(0),
+  })
+  .refine(
+    ({groups}) =>
+      new Set(groups.map(({group}) => String(group))).size === groups.length,
+    'each group may appear once',
+  )
+  .refine(
+    ({groups}) =>
+      groups.reduce((sum, {count}) => sum + count, 0) <= MAX_STEP_SAMPLES,
+    `a step has at most ${MAX_STEP_SAMPLES} samples`,
+  );
+
+export type StepContent = z.infer<typeof stepSchema>;
+
+/** One sample of a step before it is generated. */
+export interface SampleSpec {
+  id: SampleId;
+  group: string | number;
+  index: number;
+  prompt: string;
+  maxTokens: number;
+}
+
+/** The deterministic id of a sample. */
+export function getSampleId(
+  trainer: string,
+  step: string,
+  group: string | number,
+  index: number,
+): SampleId {
+  return as<SampleId>(`${trainer}/${step}/${group}/${index}`);
+}
+
+/** The trainer and step of a sample id; null if it is not one. */
+export function parseSampleId(
+  id: string,
+): {trainer: string; step: string} | null {
+  const parts = id.split('/');
+  if (parts.length !== 4 || parts.some(part => part === '')) return null;
+  return {trainer: parts[0], step: parts[1]};
+}
+
+/** All samples of a step, group by group. */
+export function getSampleSpecs(
+  trainer: string,
+  step: string,
+  {groups}: StepContent,
+): SampleSpec[] {
+  return groups.flatMap(({group, prompt, count, maxTokens}) =>
+    Array.from({length: count}, (_, index) => ({
+      id: getSampleId(trainer, step, group, index),
+      group,
+      index,
+      prompt,
+      maxTokens,
+    })),
+  );
+}
+
+/** Hash of a step's content; equal for equal content in any field order. */
+export function getStepHash({groups, policyVersion}: StepContent): string {
+  const rows = groups.map(({group, prompt, count, maxTokens}) => [
+    String(group),
+    prompt,
+    count,
+    maxTokens,
+  ]);
+  return getSha256(JSON.stringify([policyVersion, rows]));
+}
+
+/** Tokens of all spans. */
+export function getSpanTokens(spans: readonly Span[]): number {
+  return spans.reduce((sum, [, tokens]) => sum + tokens, 0);
+}
+
+/** Why spans cannot label a sample. */
+export type SpanFault = 'empty' | 'mismatch' | 'count';
+
+/**
+ * Checks that spans label all tokens of a text with real versions (R1). An
+ * agent marks tokens whose label it could not confirm with version -1.
+ */
+export function checkSpans(
+  spans: readonly Span[],
+  tokens: number,
+): SpanFault | null {
+  if (spans.length === 0) return 'empty';
+  const isLabelled = ([version, count]: Span) => version >= 0 && count > 0;
+  if (!spans.every(isLabelled)) return 'mismatch';
+  return getSpanTokens(spans) === tokens ? null : 'count';
+}
+
+/** Joins the spans of an interrupted answer and of its continuation. */
+export function joinSpans(
+  first: readonly Span[],
+  second: readonly Span[],
+): Span[] {
+  const joined = first.map(span => [...span] as Span);
+  for (const [version, tokens] of second) {
+    const last = joined.at(-1);
+    if (last && last[0] === version) last[1] += tokens;
+    else joined.push([version, tokens]);
+  }
+  return joined;
+}
+
+/** The oldest version in spans; null if there are none. */
+export function getOldestVersion(spans: readonly Span[]): number | null {
+  if (spans.length === 0) return null;
+  return spans.reduce((oldest, [v]) => Math.min(oldest, v), Infinity);
+}
+
+/**
+ * Age of a sample in versions: the newest version of the model minus the
+ * oldest version that made any of its tokens. Infinite without spans.
+ */
+export function getSampleAge(newest: number, spans: readonly Span[]): number {
+  const oldest = getOldestVersion(spans);
+  return oldest === null ? Infinity : Math.max(0, newest - oldest);
+}
+
+/** True if a sample may be delivered now (R2). */
+export function isYoungEnough(
+  newest: number,
+  spans: readonly Span[],
+  maxVersionAge: number,
+): boolean {
+  return getSampleAge(newest, spans) <= maxVersionAge;
+}
+
+/**
+ * True if unfinished work can still be delivered. Versions only grow, so work
+ * whose oldest token is too old now stays too old. `oldest` is null if no
+ * token was made yet.
+ */
+export function canStillBeYoung(
+  newest: number,
+  oldest: number | null,
+  maxVersionAge: number,
+): boolean {
+  return oldest === null || newest - oldest <= maxVersionAge;
+}
