--- a/packages/daemon/src/sampleTask.ts
+++ b/packages/daemon/src/sampleTask.ts
@@ -235,6 +235,12 @@
     return version;
   }
 
+  /** A version that made tokens is live, whether or not it was reported. */
+  function noteVersions(model: string, spans: readonly Span[]): void {
+    const highest = spans.reduce((max, [v]) => Math.max(max, v), 0);
+    newest.set(model, Math.max(newest.get(model) ?? 0, highest));
+  }
+
   function getBound(trainer: string): VersionBound {
     const record = getRecord(trainer);
     if (!record) return {newest: Infinity, maxAge: 0};
@@ -420,6 +426,8 @@
     spec: SampleSpec,
     progress: SampleProgress,
   ): Promise<void> {
+    const record = getRecord(step.trainer);
+    if (record) noteVersions(record.model, progress.spans);
     step.work.scoring.add(spec.id);
     const score = await getScore(step, spec, progress.text);
     step.work.scoring.delete(spec.id);
--- /dev/null
+++ b/packages/integration/src/samples.test.ts
@@ -0,0 +1,283 @@
+import {getHash32, parseJson} from '@vanillacross/common';
+import type {FaultProxy} from '@vanillacross/standins';
+import {createFaultProxy, getTokenText} from '@vanillacross/standins';
+import * as assert from 'node:assert/strict';
+import * as http from 'node:http';
+import {after, before, describe, it} from 'node:test';
+
+import type {Deployment, EntryMember} from './deployment.js';
+import {
+  createAccountRecords,
+  createRecord,
+  startDeployment,
+  waitUntil,
+} from './deployment.js';
+
+const KEY = 'sk-coach';
+const MODEL = 'coach';
+const MAX_AGE = 1;
+const MAX_TOKENS = 60;
+const STEP_TIMEOUT_MS = 60_000;
+const GROUPS = Array.from({length: 12}, (_, group) => ({
+  group,
+  prompt: `pump ${group} shows fault ${group * 7}`,
+  count: 4,
+  maxTokens: MAX_TOKENS,
+}));
+const SAMPLE_COUNT = 48;
+
+interface Line {
+  sampleId: string;
+  group: number;
+  index: number;
+  text: string;
+  tokens: number;
+  spans: Array<[number, number]>;
+  score: number;
+}
+
+interface End {
+  end: true;
+  delivered: number;
+  missing: number;
+}
+
+interface Delivery {
+  status: number;
+  lines: Line[];
+  /** Null if the stream was truncated. */
+  end: End | null;
+}
+
+/** A trainer that keeps each sample it gets and all entries it got it from. */
+class Coach {
+  readonly samples = new Map<string, Line>();
+  readonly repeated: string[] = [];
+  readonly tooOld: string[] = [];
+
+  constructor(private readonly step: string) {}
+
+  private post(
+    base: string,
+    path: string,
+    body: unknown,
+    onChunk: (text: string, request: http.ClientRequest) => void,
+  ): Promise<number> {
+    return new Promise(resolve => {
+      let status = 0;
+      const request = http.request(
+        `${base}/v1/trainers/coach/steps/${this.step}${path}`,
+        {method: 'POST', headers: {authorization: `Bearer ${KEY}`}},
+      );
+      request.on('error', () => resolve(status));
+      request.on('response', response => {
+        status = response.statusCode ?? 0;
+        response.setEncoding('utf8');
+        response.on('data', (text: string) => onChunk(text, request));
+        response.on('error', () => {});
+        response.on('close', () => resolve(status));
+      });
+      request.end(JSON.stringify(body));
+    });
+  }
+
+  async call(base: string, path: string, body: unknown) {
+    let text = '';
+    const status = await this.post(base, path, body, part => (text += part));
+    const json = parseJson(text);
+    return {status, body: json.ok ? json.value : null};
+  }
+
+  submit(base: string) {
+    return this.call(base, '', {groups: GROUPS, policyVersion: 1});
+  }
+
+  /** Reads a delivery; ends it after `limit` samples. */
+  async deliver(
+    base: string,
+    received: string[] = [...this.samples.keys()],
+    limit = Infinity,
+  ): Promise<Delivery> {
+    const delivery: Delivery = {status: 0, lines: [], end: null};
+    let rest = '';
+    let newest = 0;
+    const readLine = (text: string) => {
+      const line = JSON.parse(text) as Line | End;
+      if ('end' in line) {
+        delivery.end = line;
+        return;
+      }
+      delivery.lines.push(line);
+      if (this.samples.has(line.sampleId)) this.repeated.push(line.sampleId);
+      this.samples.set(line.sampleId, line);
+      const versions = line.spans.map(([version]) => version);
+      newest = Math.max(newest, ...versions);
+      if (newest - Math.min(...versions) > MAX_AGE) {
+        this.tooOld.push(line.sampleId);
+      }
+    };
+    delivery.status = await this.post(
+      base,
+      '/deliveries',
+      {received},
+      (text, request) => {
+        const lines = (rest + text).split('\n');
+        rest = lines.pop() ?? '';
+        for (const line of lines) readLine(line);
+        if (delivery.lines.length >= limit) request.destroy();
+      },
+    );
+    return delivery;
+  }
+}
+
+/** The text that the weights named by the spans make for a sample. */
+function getExpectedText({sampleId, group, spans}: Line): string {
+  const {prompt} = GROUPS[group];
+  const seed = getHash32(sampleId);
+  let index = 0;
+  let text = '';
+  for (const [weightVersion, tokens] of spans) {
+    for (let i = 0; i < tokens; i++) {
+      text += getTokenText({prompt, seed, weightVersion}, index++);
+    }
+  }
+  return text;
+}
+
+function checkSamples(coach: Coach): void {
+  assert.deepEqual(coach.repeated, [], 'no sample arrives twice');
+  assert.deepEqual(coach.tooOld, [], 'no sample is too old');
+  for (const sample of coach.samples.values()) {
+    assert.equal(sample.tokens, MAX_TOKENS);
+    assert.equal(sample.text, getExpectedText(sample), sample.sampleId);
+    assert.equal(typeof sample.score, 'number');
+  }
+}
+
+describe('samples', {timeout: 180_000}, () => {
+  let deployment: Deployment;
+  let proxy: FaultProxy;
+  let first: EntryMember;
+  let second: EntryMember;
+
+  before(async () => {
+    deployment = await startDeployment({
+      domains: ['domain-a', 'domain-b'],
+      entries: 2,
+      pools: [
+        {
+          id: 'engines',
+          body: {kind: 'engine', model: MODEL, maxConcurrent: 4},
+          upstreams: 4,
+          engine: {model: MODEL, weightVersion: 1, tokenMs: 8},
+        },
+      ],
+      records: [
+        ...createAccountRecords('coach', KEY),
+        ...createAccountRecords('other', 'sk-other'),
+        createRecord('trainer', 'coach', {
+          account: 'coach',
+          model: MODEL,
+          maxVersionAge: MAX_AGE,
+        }),
+      ],
+    });
+    deployment.platform.weights.publish(MODEL, 1, 1_000);
+    [first, second] = deployment.entries;
+    proxy = await createFaultProxy({target: new URL(first.url).host});
+  });
+  after(async () => {
+    await proxy?.close();
+    await deployment?.stop();
+  });
+
+  it('delivers each sample once, labelled and young, over swaps, cuts and the death of an entry (guards: R1, R2, R3)', async () => {
+    const {weights} = deployment.platform;
+    const coach = new Coach('step-1');
+    const submitted = await coach.submit(proxy.url);
+    assert.deepEqual(submitted.body, {
+      accepted: true,
+      sampleCount: SAMPLE_COUNT,
+    });
+    // Cuts at several lengths: in the head, within lines and between lines.
+    const [, engine] = deployment.agents;
+    for (const bytes of [40, 300, 1_500, 2_500]) {
+      proxy.setFault({backward: {resetAfterBytes: bytes}});
+      const cut = await coach.deliver(proxy.url);
+      assert.equal(cut.end, null, 'a cut stream has no end line');
+    }
+    proxy.clear();
+    weights.publish(MODEL, 2, 1_000);
+    const started = coach.samples.size;
+    await coach.deliver(proxy.url, undefined, 8);
+    assert.ok(coach.samples.size > started);
+    weights.publish(MODEL, 3, 1_000);
+    await coach.deliver(proxy.url, undefined, 4);
+
+    // Some are acknowledged and recorded, the others only received.
+    const acknowledged = [...coach.samples.keys()].slice(0, 4);
+    const answer = await coach.call(proxy.url, '/acknowledgements', {
+      sampleIds: acknowledged,
+    });
+    assert.deepEqual(answer.body, {recorded: true});
+    assert.ok(coach.samples.size < SAMPLE_COUNT, 'the entry dies in mid-step');
+    await deployment.remove(first);
+
+    const unknown = await coach.deliver(second.url);
+    assert.equal(unknown.status, 404, 'the other entry asks for the step');
+    assert.equal((await coach.submit(second.url)).status, 200);
+    const rest = await coach.deliver(second.url);
+    assert.equal(rest.end?.missing, 0);
+    assert.equal(rest.end?.delivered, rest.lines.length);
+    assert.equal(coach.samples.size, SAMPLE_COUNT);
+    checkSamples(coach);
+    await waitUntil('a swap reached an engine', () =>
+      (engine.engine?.getAudit().orders ?? []).some(
+        ({action, outcome}) =>
+          action !== 'stage' && outcome.status === 'done',
+      ),
+    );
+  });
+
+  it('sends nothing again to a trainer that lost its state (guards: acknowledgements that only one entry knows)', async () => {
+    const coach = new Coach('step-2');
+    await coach.submit(second.url);
+    const whole = await coach.deliver(second.url);
+    assert.equal(whole.lines.length, SAMPLE_COUNT);
+    checkSamples(coach);
+    const answer = await coach.call(second.url, '/acknowledgements', {
+      sampleIds: [...coach.samples.keys()],
+    });
+    assert.deepEqual(answer.body, {recorded: true});
+    const third = await deployment.addEntry('domain-a');
+    const fresh = new Coach('step-2');
+    await waitUntil(
+      'the new entry takes the step',
+      async () => (await fresh.submit(third.url)).status === 200,
+      STEP_TIMEOUT_MS,
+    );
+    const nothing = await fresh.deliver(third.url, []);
+    assert.deepEqual(nothing.end, {end: true, delivered: 0, missing: 0});
+  });
+
+  it('refuses other accounts and changed steps (guards: R4)', async () => {
+    const path = `${second.url}/v1/trainers/coach/steps/step-3`;
+    const body = (count: number) =>
+      JSON.stringify({
+        groups: [{group: 0, prompt: 'p', count, maxTokens: 1}],
+        policyVersion: 1,
+      });
+    const send = (key: string, count: number) =>
+      fetch(path, {
+        method: 'POST',
+        headers: {authorization: `Bearer ${key}`},
+        body: body(count),
+      });
+    assert.equal((await send('sk-other', 1)).status, 403);
+    assert.equal((await send('sk-none', 1)).status, 401);
+    assert.equal((await send(KEY, 1)).status, 200);
+    assert.equal((await send(KEY, 2)).status, 409);
+    assert.equal((await send(KEY, 5_000)).status, 400);
+  });
+});
