--- a/packages/domain/src/controlRecords.ts
+++ b/packages/domain/src/controlRecords.ts
@@ -75,7 +75,9 @@
   asOf: z.number().int().min(-1),
   entries: z.array(carriedSchema),
   lastSealed: z.number().int().min(-1),
-  /** The lease as of `asOf`; readers without older records need it. */
+  /** Set on the last record of a cycle: where the cycle began. */
+  cycleStart: z.number().int().min(0).optional(),
+  /** The lease as of `asOf`, for readers of a truncated log. */
   lease: z
     .object({
       holder: z.string(),
@@ -84,8 +86,10 @@
       isReleased: z.boolean(),
     })
     .optional(),
-  /** Set on the last record of a cycle: where the cycle began. */
-  cycleStart: z.number().int().min(0).optional(),
+  /** Tombstones that every process forgets at this record. */
+  dropped: z
+    .array(z.object({key: z.string(), offset: z.number().int().min(0)}))
+    .optional(),
 });
 
 /** A request fingerprint that crashes upstreams. */
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -1,11 +1,11 @@
 /** Schemas of records and pure decision functions. */
 export * from './agentView.js';
-export * from './checkpointCycle.js';
 export * from './access.js';
 export * from './admission.js';
 export * from './checkpointPlan.js';
 export * from './constants.js';
 export * from './controlRecords.js';
+export * from './controlReplay.js';
 export * from './controlState.js';
 export * from './dedup.js';
 export * from './delivery.js';
