--- a/packages/domain/src/sampleSchedule.ts
+++ b/packages/domain/src/sampleSchedule.ts
@@ -132,10 +132,9 @@
     });
   }
 
+  /** Removes a step; what its trainer has used stays counted. */
   removeStep(trainerId: string, name: string): void {
-    const trainer = this.trainers.get(trainerId);
-    trainer?.steps.delete(name);
-    if (trainer?.steps.size === 0) this.trainers.delete(trainerId);
+    this.trainers.get(trainerId)?.steps.delete(name);
   }
 
   /** Takes the next sample of a trainer that may start one now. */
