--- /dev/null
+++ b/packages/daemon/src/trainerActions.test.ts
@@ -0,0 +1,404 @@
+import {fail, getSha256, ok, parseJson} from '@vanillacross/common';
+import type {Span} from '@vanillacross/domain';
+import type {LogPort, StreamRecord} from '@vanillacross/platform';
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import * as http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import * as net from 'node:net';
+import {afterEach, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import {createContext, createFakeControl} from './entryFakes.test.js';
+import {createMaybeRun} from './refusals.js';
+import type {Sample} from './sampleTask.js';
+import {createTrainerActions} from './trainerActions.js';
+import type {
+  AnswerEnd,
+  Context,
+  Dispatcher,
+  DispatchRequest,
+  Part,
+} from './types.js';
+
+const KEY = 'sk-trainer';
+const HEAD_END = '\r\n\r\n';
+
+/** How the fake engine answers one request. */
+interface Script {
+  /** Versions of the tokens that the stream brings. */
+  labels: number[];
+  /** What the agent says; by default the same as the labels. */
+  spans?: Span[];
+  isCut?: boolean;
+  /** Makes no further token until the request is cancelled. */
+  isHung?: boolean;
+}
+
+type Engine = (body: Body, request: DispatchRequest) => Script;
+
+interface Body {
+  prompt: string;
+  max_tokens: number;
+  resume_tokens?: unknown[];
+}
+
+function getSpans(labels: readonly number[]): Span[] {
+  const spans: Span[] = [];
+  for (const label of labels) {
+    const last = spans.at(-1);
+    if (last?.[0] === label) last[1] += 1;
+    else spans.push([label, 1]);
+  }
+  return spans;
+}
+
+async function* getEvents(
+  {labels, isHung}: Script,
+  signal: AbortSignal,
+): AsyncIterable<Buffer> {
+  for (const label of labels) {
+    const event = {weight_version: label, choices: [{text: `v${label} `}]};
+    yield Buffer.from(`data: ${JSON.stringify(event)}\n\n`);
+  }
+  if (isHung && !signal.aborted) await once(signal, 'abort');
+}
+
+function createFakeDispatcher(engine: Engine): Dispatcher {
+  return {
+    name: 'dispatcher',
+    start: () => {},
+    stop: async () => {},
+    getCells: () => [],
+    dispatch: async request => {
+      const body = JSON.parse(request.body.toString()) as Body;
+      const script = engine(body, request);
+      const {labels, spans = getSpans(labels), isCut, isHung} = script;
+      const usage = {prompt: 1, generated: labels.length};
+      const end: AnswerEnd = {spans, usage, engineEpoch: 'engine'};
+      const cut = {...createMaybeRun('answer_cut', 'cut'), partial: end};
+      return ok({
+        status: 200,
+        headers: {},
+        upstream: 'u1',
+        body: getEvents(script, request.signal),
+        finished: Promise.resolve(isCut || isHung ? fail(cut) : ok(end)),
+      });
+    },
+  };
+}
+
+interface FakeLog extends LogPort {
+  records: StreamRecord[];
+  isUp: boolean;
+}
+
+function createFakeLog(): FakeLog {
+  const log: FakeLog = {
+    records: [],
+    isUp: true,
+    append: async (_stream, appends) => {
+      if (!log.isUp) return fail({tag: 'unavailable', detail: 'down'});
+      const first = log.records.length;
+      appends.forEach((append, i) =>
+        log.records.push({...append, offset: first + i}),
+      );
+      return ok(appends.map((_, i) => first + i));
+    },
+    read: async (_stream, from) => {
+      if (!log.isUp) return fail({tag: 'unavailable', detail: 'down'});
+      const records = log.records.slice(from);
+      return ok({records, earliest: 0, next: log.records.length});
+    },
+  };
+  return log;
+}
+
+interface FakeEntry {
+  url: string;
+  port: number;
+  context: Context;
+  newest: number;
+  part: Part;
+}
+
+const cleanups: Array<() => Promise<void>> = [];
+const usual: Engine = ({max_tokens: count}) => ({
+  labels: Array.from({length: count}, () => 1),
+});
+
+async function startEntry(
+  engine: Engine,
+  log: LogPort = createFakeLog(),
+): Promise<FakeEntry> {
+  const context = createContext();
+  const control = createFakeControl({
+    'account/one': {},
+    'key/k1': {account: 'one', hash: getSha256(KEY), state: 'active'},
+    'pool/engines': {kind: 'engine', model: 'm'},
+    'trainer/t': {account: 'one', model: 'm', maxVersionAge: 1},
+  });
+  const {actions, part} = createTrainerActions(
+    context,
+    control,
+    createFakeDispatcher(engine),
+    {
+      logPort: log,
+      scoring: {score: async (_id, _prompt, text) => ok(text.length)},
+      getNewestVersion: () => entry.newest,
+      limits: {batchMs: 20},
+    },
+  );
+  const server = http.createServer((request, response) => {
+    const path = request.url ?? '';
+    const action = actions.find(({matches}) => matches('POST', path));
+    void action?.perform(request, response);
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  const url = `http://127.0.0.1:${port}/v1/trainers/t/steps/s`;
+  const entry: FakeEntry = {url, port, context, newest: 1, part};
+  await part.start();
+  cleanups.push(async () => {
+    server.closeAllConnections();
+    server.close();
+    await part.stop(AbortSignal.abort());
+  });
+  return entry;
+}
+
+/** Sends a request and waits for the head of its answer. */
+function open(entry: FakeEntry, path: string, body: unknown) {
+  return fetch(entry.url + path, {
+    method: 'POST',
+    headers: {authorization: `Bearer ${KEY}`},
+    body: JSON.stringify(body),
+  });
+}
+
+async function post(entry: FakeEntry, path: string, body: unknown) {
+  const answer = await open(entry, path, body);
+  return {status: answer.status, text: await answer.text()};
+}
+
+function submit(entry: FakeEntry, count = 4, maxTokens = 3) {
+  const groups = [{group: 'g', prompt: 'p', count, maxTokens}];
+  return post(entry, '', {groups, policyVersion: 1});
+}
+
+type Line = Sample & {end?: true; delivered?: number; missing?: number};
+
+/** Whole lines of a delivery, as a trainer reads them. */
+function getLines(text: string): Line[] {
+  const lines = text.split('\n').slice(0, -1);
+  return lines.map(line => JSON.parse(line) as Line);
+}
+
+async function deliver(entry: FakeEntry, received: string[] = []) {
+  const {text} = await post(entry, '/deliveries', {received});
+  return getLines(text);
+}
+
+/** Reads a delivery until `isEnough` and resets the connection then. */
+function deliverCut(
+  entry: FakeEntry,
+  received: string[],
+  isEnough: (bytes: string) => string | null,
+): Promise<string> {
+  const body = JSON.stringify({received});
+  const {pathname} = new URL(entry.url);
+  return new Promise(resolve => {
+    let bytes = '';
+    const socket = net.connect(entry.port, '127.0.0.1');
+    const check = () => {
+      const taken = isEnough(bytes);
+      if (taken === null) return;
+      socket.resetAndDestroy();
+      resolve(taken);
+    };
+    socket.on('error', () => {});
+    socket.setEncoding('latin1');
+    socket.on('data', (chunk: string) => {
+      bytes += chunk;
+      check();
+    });
+    socket.write(
+      `POST ${pathname}/deliveries HTTP/1.0\r\nauthorization: Bearer ${KEY}\r\n` +
+        `content-length: ${body.length}\r\n\r\n${body}`,
+      check,
+    );
+  });
+}
+
+function getBody(bytes: string): string {
+  const start = bytes.indexOf(HEAD_END);
+  return start < 0 ? '' : bytes.slice(start + HEAD_END.length);
+}
+
+/** Takes the body up to a place once it has arrived. */
+function takeUntil(find: (body: string) => number) {
+  return (bytes: string) => {
+    const end = find(getBody(bytes));
+    return end < 0 ? null : getBody(bytes).slice(0, end);
+  };
+}
+
+const endOfLine = (body: string, line: number) =>
+  [...body.matchAll(/\n/g)][line]?.index ?? -1;
+
+const boundaries: Record<string, (bytes: string) => string | null> = {
+  'before the first byte': () => '',
+  'within a line': takeUntil(body => endOfLine(body, 1)),
+  'at a line end': takeUntil(body => {
+    const end = endOfLine(body, 1);
+    return end < 0 ? -1 : end + 1;
+  }),
+  'before the end line': takeUntil(body => body.indexOf('{"end"')),
+  'within the end line': takeUntil(body => body.indexOf('"delivered"')),
+  'after the end line': takeUntil(body => {
+    const start = body.indexOf('{"end"');
+    const end = start < 0 ? -1 : body.indexOf('\n', start);
+    return end < 0 ? -1 : end + 1;
+  }),
+};
+
+describe('trainer actions', {timeout: 60_000}, () => {
+  afterEach(async () => {
+    for (const cleanup of cleanups.splice(0)) await cleanup();
+  });
+
+  for (const [name, isEnough] of Object.entries(boundaries)) {
+    for (const isOther of [false, true]) {
+      const where = isOther ? 'another entry' : 'the same entry';
+      it(`continues at ${where} after a cut ${name} (guards: repeated and lost samples)`, async () => {
+        const log = createFakeLog();
+        const first = await startEntry(usual, log);
+        assert.equal((await submit(first)).status, 200);
+        const text = await deliverCut(first, [], isEnough);
+        const had = getLines(text).filter(({end}) => !end);
+        const received = had.map(({sampleId}) => sampleId as string);
+        const next = isOther ? await startEntry(usual, log) : first;
+        assert.equal((await submit(next)).status, 200);
+        const rest = await deliver(next, received);
+        const end = rest.pop();
+        assert.deepEqual(end, {end: true, delivered: rest.length, missing: 0});
+        const ids = [...received, ...rest.map(({sampleId}) => sampleId)];
+        assert.equal(ids.length, 4);
+        assert.equal(new Set(ids).size, 4);
+      });
+    }
+  }
+
+  it('names both versions of a sample that a swap divided (guards: R1)', async () => {
+    const entry = await startEntry(() => ({labels: [1, 1, 2]}));
+    await submit(entry, 1);
+    const [sample] = await deliver(entry);
+    assert.deepEqual(sample.spans, [[1, 2], [2, 1]]); // prettier-ignore
+    assert.equal(sample.text, 'v1 v1 v2 ');
+    assert.equal(sample.tokens, 3);
+    assert.equal(sample.score, sample.text.length);
+  });
+
+  it('generates stale samples anew instead of delivering them (guards: R2)', async () => {
+    const entry = await startEntry(() => ({labels: [entry.newest, 9]}));
+    await submit(entry, 2, 2);
+    // Ready with version 1 before the newest version makes them too old.
+    entry.newest = 9;
+    const lines = await deliver(entry);
+    assert.deepEqual(lines[0].spans, [[9, 2]]);
+    const {metrics} = entry.context;
+    const replaced =
+      metrics.getCount('vc_samples_stale_dropped') +
+      metrics.getCount('vc_samples_cancelled_early');
+    assert.ok(replaced >= 2);
+  });
+
+  it('cancels running work that can only become stale (guards: engines busy with lost work)', async () => {
+    const entry = await startEntry(() =>
+      entry.newest === 9 ? {labels: [9]} : {labels: [1], isHung: true},
+    );
+    await submit(entry, 2, 1);
+    const lines = deliver(entry);
+    entry.newest = 9;
+    assert.deepEqual((await lines)[0].spans, [[9, 1]]);
+    const {metrics} = entry.context;
+    assert.equal(metrics.getCount('vc_samples_cancelled_early'), 2);
+  });
+
+  it('runs a straggler a second time elsewhere (guards: a step that waits for one engine)', async () => {
+    let sends = 0;
+    const avoided: unknown[] = [];
+    const entry = await startEntry((_body, {avoid}) => {
+      avoided.push(avoid);
+      return {labels: [1], isHung: ++sends === 2};
+    });
+    await submit(entry, 4, 1);
+    const lines = await deliver(entry);
+    assert.equal(lines.length, 5);
+    assert.deepEqual(avoided.at(-1), ['u1']);
+    assert.equal(entry.context.metrics.getCount('vc_samples_hedged'), 1);
+  });
+
+  it('discards samples whose labels contradict the agent (guards: mislabelled samples)', async () => {
+    const scripts: Script[] = [
+      {labels: [1, 1], spans: []},
+      {labels: [1, 1], spans: [[-1, 2]]},
+      {labels: [1, 1], spans: [[1, 3]]},
+    ];
+    const entry = await startEntry(
+      () => scripts.shift() ?? {labels: [1, 1, 1]},
+    );
+    await submit(entry, 1);
+    const [sample] = await deliver(entry);
+    assert.equal(sample.tokens, 3);
+    for (const reason of ['empty', 'mismatch', 'count']) {
+      const labels = {reason};
+      const {metrics} = entry.context;
+      assert.equal(metrics.getCount('vc_samples_discarded', labels), 1);
+    }
+  });
+
+  it('continues a cut sample from its labelled tokens (guards: lost work and lost spans)', async () => {
+    const resumed: unknown[] = [];
+    const entry = await startEntry(({resume_tokens: tokens}) => {
+      resumed.push(tokens);
+      return tokens ? {labels: [2]} : {labels: [1, 1], isCut: true};
+    });
+    await submit(entry, 1);
+    const [sample] = await deliver(entry);
+    assert.deepEqual(resumed, [undefined, ['v1 ', 'v1 ']]);
+    assert.deepEqual(sample.spans, [[1, 2], [2, 1]]); // prettier-ignore
+    assert.equal(sample.text, 'v1 v1 v2 ');
+  });
+
+  it('keeps acknowledgements while the log is down (guards: repeats after an outage)', async () => {
+    const log = createFakeLog();
+    const entry = await startEntry(usual, log);
+    await submit(entry);
+    const lines = (await deliver(entry)).filter(({end}) => !end);
+    const sampleIds = lines.map(({sampleId}) => sampleId);
+    log.isUp = false;
+    const down = await post(entry, '/acknowledgements', {sampleIds});
+    assert.deepEqual(parseJson(down.text), ok({recorded: false}));
+    log.isUp = true;
+    while (log.records.length === 0) await sleep(20);
+    const other = await startEntry(usual, log);
+    await submit(other);
+    const again = await deliver(other, []);
+    assert.deepEqual(again, [{end: true, delivered: 0, missing: 0}]);
+  });
+
+  it('ends an older delivery when a newer one opens (guards: two streams of one step)', async () => {
+    let isOpen = false;
+    const entry = await startEntry(body =>
+      isOpen ? usual(body, {} as DispatchRequest) : {labels: []},
+    );
+    await submit(entry);
+    const older = await open(entry, '/deliveries', {received: []});
+    const newer = deliver(entry, []);
+    await assert.rejects(older.text(), 'the older stream has no normal end');
+    isOpen = true;
+    assert.equal((await newer).length, 5);
+  });
+});
