--- a/packages/domain/src/dedup.ts
+++ b/packages/domain/src/dedup.ts
@@ -57,10 +57,13 @@
   epoch: z.string(),
   /** Says whether the agent knows all keys of the dedup window. */
   isInformed: z.boolean(),
+  /** Number of holders of the key as the agent sees it. */
+  holders: z.number().int(),
   answer: z.discriminatedUnion('tag', [
     z.object({tag: z.literal('granted')}),
     z.object({tag: z.literal('absent')}),
-    z.object({tag: z.literal('full')}),
+    /** The agent has no memory left, or holds no keys like this one. */
+    z.object({tag: z.literal('declined')}),
     z.object({tag: z.literal('known'), entry: keyEntrySchema}),
   ]),
 });
@@ -90,6 +93,8 @@
 /** Answer to `dedup.sync`, one page. */
 export const syncAnswerSchema = z.object({
   isInformed: z.boolean(),
+  /** Members that left within the dedup window. */
+  removed: z.array(z.object({id: z.string(), leftMs: z.number()})),
   entries: z.array(
     z.object({
       key: z.string(),
@@ -127,6 +132,8 @@
 export class DeadlineTable<Value> {
   private readonly kept = new Map<string, Kept<Value>>();
   private sequence = 0;
+  /** No entry passes its deadline before, ms; avoids useless searches. */
+  private nextDeadline = 0;
 
   constructor(private readonly capacity: number) {}
 
@@ -143,9 +150,11 @@
   /** Stores a value; false if the table is full of live entries. */
   set(key: string, value: Value, deadline: number, nowMs: number): boolean {
     const previous = this.kept.get(key);
-    if (!previous && this.kept.size >= this.capacity) this.prune(nowMs);
+    const isFull = !previous && this.kept.size >= this.capacity;
+    if (isFull && nowMs >= this.nextDeadline) this.prune(nowMs);
     if (!previous && this.kept.size >= this.capacity) return false;
     this.kept.delete(key);
+    this.nextDeadline = Math.min(this.nextDeadline, deadline);
     this.sequence += 1;
     this.kept.set(key, {value, deadline, sequence: this.sequence});
     return true;
@@ -167,8 +176,10 @@
 
   /** Drops entries that are past their deadline. */
   prune(nowMs: number): void {
+    this.nextDeadline = Infinity;
     for (const [key, kept] of this.kept) {
       if (kept.deadline <= nowMs) this.kept.delete(key);
+      else this.nextDeadline = Math.min(this.nextDeadline, kept.deadline);
     }
   }
 }
