--- a/packages/daemon/src/deliveryStream.ts
+++ b/packages/daemon/src/deliveryStream.ts
@@ -3,7 +3,8 @@
 import type {ServerResponse} from 'node:http';
 
 import {waitForDrain} from './answerWriter.js';
-import type {SampleTask, StepRun} from './sampleTask.js';
+import type {SampleTask} from './sampleTask.js';
+import type {StepRun} from './stepRun.js';
 import type {Context} from './types.js';
 
 /** How a delivery ended. */
--- a/packages/daemon/src/newestVersions.ts
+++ b/packages/daemon/src/newestVersions.ts
@@ -26,6 +26,8 @@
 ): NewestVersions {
   const {clock, metrics} = context;
   const published = new Map<string, number>();
+  const pools = new Map<string, readonly string[]>();
+  let records = control.getState().records;
 
   async function poll(model: string): Promise<void> {
     const versions = await store.getVersions(model);
@@ -53,18 +55,29 @@
     return versions;
   }
 
+  /** Pools that serve a model, found once per control state. */
+  function getModelPools(model: string): readonly string[] {
+    const state = control.getState();
+    if (records !== state.records) pools.clear();
+    records = state.records;
+    const known = pools.get(model);
+    if (known) return known;
+    const routed = getBodies(state, 'route')
+      .filter(({body}) => body.model === model)
+      .map(({body}) => body.pool);
+    const stated = getBodies(state, 'pool')
+      .filter(({body}) => body.kind === 'engine' && body.model === model)
+      .map(({id}) => id);
+    const found = [...new Set([...routed, ...stated])];
+    pools.set(model, found);
+    return found;
+  }
+
   return {
     ...loop,
     getVersions,
     getNewest: model => {
-      const state = control.getState();
-      const routed = getBodies(state, 'route')
-        .filter(({body}) => body.model === model)
-        .map(({body}) => body.pool);
-      const pools = getBodies(state, 'pool')
-        .filter(({body}) => body.kind === 'engine' && body.model === model)
-        .map(({id}) => id);
-      const live = [...new Set([...routed, ...pools])].flatMap(id => [
+      const live = getModelPools(model).flatMap(id => [
         ...getVersions(id).values(),
       ]);
       return Math.max(published.get(model) ?? 0, 0, ...live);
--- a/packages/daemon/src/sampleTask.ts
+++ b/packages/daemon/src/sampleTask.ts
@@ -1,13 +1,6 @@
 import type {MonotonicMs, Result, SampleId} from '@vanillacross/common';
-import {
-  fail,
-  getDeadline,
-  getHash32,
-  getSha256,
-  ok,
-} from '@vanillacross/common';
+import {fail, getDeadline, ok} from '@vanillacross/common';
 import type {
-  Pool,
   SampleSpec,
   SampleStart,
   Span,
@@ -17,82 +10,30 @@
 import {
   accountSchema,
   canStillBeYoung,
-  createAccessTable,
-  getBodies,
   getBody,
-  getModelRoute,
   getOldestVersion,
-  getPathRoutes,
-  getSampleSpecs,
   getStepHash,
   SampleSchedule,
-  StepDelivery,
 } from '@vanillacross/domain';
 import type {ScoringPort} from '@vanillacross/platform';
-import {randomUUID} from 'node:crypto';
 
+import {createTableCache} from './callerServer.js';
 import {createLoop} from './loop.js';
 import {createNotRun} from './refusals.js';
 import type {SampleAttemptEnd, SampleProgress} from './sampleAttempt.js';
-import {getSampleBody, noProgress, runSampleAttempt} from './sampleAttempt.js';
+import {noProgress, runSampleAttempt} from './sampleAttempt.js';
+import {createSampleRequest, getSamplePlace} from './sampleRequest.js';
+import {scoreSample} from './sampleScoring.js';
+import type {Attempt, StepRun, StepWork} from './stepRun.js';
+import {createStepRun} from './stepRun.js';
 import type {
   Context,
   ControlFollower,
   Dispatcher,
-  DispatchRequest,
   Part,
   Refusal,
 } from './types.js';
 
-/** A generated sample as the trainer gets it. */
-export interface Sample {
-  sampleId: SampleId;
-  group: string | number;
-  index: number;
-  text: string;
-  tokens: number;
-  spans: readonly Span[];
-  /** Null if no scoring service is set up or it gave no score. */
-  score: number | null;
-  engineEpoch: string;
-}
-
-interface Attempt {
-  controller: AbortController;
-  upstream: string;
-  /** Oldest version of the tokens so far; null before the first. */
-  oldest: number | null;
-  isDoomed: boolean;
-}
-
-/** Work on the samples of a step. */
-interface StepWork {
-  attempts: Map<SampleId, Set<Attempt>>;
-  /** Samples with a whole answer that is being scored. */
-  scoring: Set<SampleId>;
-  /** Tokens of cut attempts that the next attempt continues. */
-  progresses: Map<SampleId, SampleProgress>;
-}
-
-/** One step that this entry holds. */
-export interface StepRun {
-  trainer: string;
-  name: string;
-  hash: string;
-  specs: ReadonlyMap<SampleId, SampleSpec>;
-  delivery: StepDelivery;
-  /** Generated samples that the trainer is not known to have. */
-  samples: Map<SampleId, Sample>;
-  work: StepWork;
-  /** Delivery streams that are open. */
-  streams: number;
-  /** When the step is forgotten if its trainer does not call again. */
-  forgetAt: MonotonicMs;
-  /** Wakes all that wait for a change. */
-  notify(): void;
-  waitForChange(): Promise<void>;
-}
-
 /** Newest version of the model and the bound on the age of its samples. */
 export interface VersionBound {
   newest: number;
@@ -165,47 +106,14 @@
   blockedUntil: MonotonicMs;
 }
 
-const COMPLETION_PATH = '/v1/completions';
 const TICK_MS = 50;
 const BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 2_000;
 /** Failures in a row that still lengthen the backoff. */
 const MAX_FAILURES = 16;
-/** Part of a prompt that decides where its prefix is cached, characters. */
-const PREFIX_LENGTH = 256;
-const BYTES_PER_TOKEN = 4;
 
 const defaultAccount = accountSchema.parse({});
 
-function createStepRun(
-  trainer: string,
-  name: string,
-  content: StepContent,
-  forgetAt: MonotonicMs,
-): StepRun {
-  const specs = new Map(
-    getSampleSpecs(trainer, name, content).map(spec => [spec.id, spec]),
-  );
-  let wake = () => {};
-  let changed = new Promise<void>(resolve => (wake = resolve));
-  return {
-    trainer,
-    name,
-    hash: getStepHash(content),
-    specs,
-    delivery: new StepDelivery([...specs.keys()]),
-    samples: new Map(),
-    work: {attempts: new Map(), scoring: new Set(), progresses: new Map()},
-    streams: 0,
-    forgetAt,
-    waitForChange: () => changed,
-    notify: () => {
-      wake();
-      changed = new Promise(resolve => (wake = resolve));
-    },
-  };
-}
-
 /** Creates the task that generates samples. */
 export function createSampleTask(
   context: Context,
@@ -217,6 +125,7 @@
   const {limits} = options;
   const logger = context.logger.part('samples');
   const schedule = new SampleSchedule();
+  const getTable = createTableCache(control);
   const steps = new Map<string, Map<string, StepRun>>();
   const trainers = new Map<string, TrainerState>();
   const newest = new Map<string, number>();
@@ -247,6 +156,14 @@
     return {newest: getNewest(record.model), maxAge: record.maxVersionAge};
   }
 
+  /** The bound as of the last tick; cheap enough for each token. */
+  function getRecentBound(trainer: string): VersionBound {
+    const record = getRecord(trainer);
+    if (!record) return {newest: Infinity, maxAge: 0};
+    const version = newest.get(record.model) ?? 0;
+    return {newest: version, maxAge: record.maxVersionAge};
+  }
+
   function getTrainerState(id: string): TrainerState {
     let state = trainers.get(id);
     if (!state) {
@@ -256,34 +173,15 @@
     return state;
   }
 
-  function getPool(model: string): {poolId: string; pool: Pool} | null {
-    const state = control.getState();
-    const table = createAccessTable(state);
-    const route = getModelRoute(
-      getPathRoutes(table, 'POST', COMPLETION_PATH).filter(
-        entry => entry.route.model === model,
-      ),
-      model,
-    )?.route;
-    const routed = route && getBody(state, 'pool', route.pool);
-    if (route && routed?.kind === 'engine') {
-      return {poolId: route.pool, pool: routed};
-    }
-    const found = getBodies(state, 'pool').find(
-      ({body}) => body.kind === 'engine' && body.model === model,
-    );
-    return found ? {poolId: found.id, pool: found.body} : null;
-  }
-
   /** Upstreams whose weights are too old; null if no other is left. */
   function getStaleUpstreams(
     poolId: string,
     {newest: version, maxAge}: VersionBound,
   ): string[] | null {
-    const versions = options.getVersions?.(poolId) ?? new Map();
+    const versions = options.getVersions?.(poolId) ?? new Map<string, number>();
     const stale = [...versions]
       .filter(([, live]) => !canStillBeYoung(version, live, maxAge))
-      .map(([id]) => id as string);
+      .map(([id]) => id);
     return versions.size > 0 && stale.length === versions.size ? null : stale;
   }
 
@@ -310,42 +208,6 @@
     state.blockedUntil = getDeadline(clock.now(), spanMs);
   }
 
-  function createRequest(
-    start: SampleStart,
-    spec: SampleSpec,
-    record: Trainer,
-    attempt: Attempt,
-    progress: SampleProgress,
-    place: {poolId: string; pool: Pool; avoid: string[]},
-  ): DispatchRequest {
-    const body = getSampleBody(
-      record.model,
-      spec,
-      getHash32(spec.id),
-      progress,
-    );
-    const {model} = record;
-    const prefix = spec.prompt.slice(0, PREFIX_LENGTH);
-    return {
-      requestId: randomUUID(),
-      account: record.account,
-      poolId: place.poolId,
-      pool: place.pool,
-      method: 'POST',
-      path: COMPLETION_PATH,
-      headers: {'content-type': 'application/json'},
-      body,
-      repeat: 'idempotent',
-      fingerprint: getSha256(`POST\n${COMPLETION_PATH}\n${body.toString()}`),
-      priority: start.priority,
-      cost: Math.ceil(body.length / BYTES_PER_TOKEN) + spec.maxTokens,
-      affinity: getSha256(`${model}\n${prefix}`),
-      deadline: getDeadline(clock.now(), limits.attemptMs),
-      signal: attempt.controller.signal,
-      avoid: place.avoid,
-    };
-  }
-
   /** Progress that may be continued; what is too old is made anew. */
   function takeProgress(
     {progresses}: StepWork,
@@ -378,7 +240,8 @@
     hedge: Hedge | null,
   ): Promise<SampleAttemptEnd> {
     const record = getRecord(start.trainer);
-    const place = record && getPool(record.model);
+    const place =
+      record && getSamplePlace(control.getState(), getTable(), record.model);
     const bound = getBound(start.trainer);
     const stale = place && getStaleUpstreams(place.poolId, bound);
     if (!record || !place || !stale) {
@@ -389,38 +252,25 @@
       ? noProgress
       : takeProgress(step.work, start.id, bound);
     attempt.oldest = getOldestVersion(progress.spans);
-    const request = createRequest(start, spec, record, attempt, progress, {
-      ...place,
+    const request = createSampleRequest(clock, {
+      spec,
+      trainer: record,
+      place,
+      progress,
+      priority: start.priority,
       avoid,
+      attemptMs: limits.attemptMs,
+      signal: attempt.controller.signal,
     });
     return runSampleAttempt(dispatcher, request, progress, {
       onUpstream: upstream => (attempt.upstream = upstream),
       onVersion: version => {
         attempt.oldest = Math.min(attempt.oldest ?? version, version);
-        checkDoomed(attempt, getBound(start.trainer));
+        checkDoomed(attempt, getRecentBound(start.trainer));
       },
     });
   }
 
-  async function getScore(
-    step: StepRun,
-    spec: SampleSpec,
-    text: string,
-  ): Promise<number | null> {
-    const port = options.scoring;
-    if (!port) return null;
-    for (let attempt = 0; attempt < limits.maxScoreAttempts; attempt++) {
-      const score = await port.score(spec.id, spec.prompt, text);
-      if (score.ok) return score.value;
-      const isWanted = step.delivery.getState(spec.id) === 'running';
-      if (score.error.tag === 'rejected' || !isWanted || isStopping) break;
-      const waitMs = Math.min(BACKOFF_MS * 2 ** attempt, MAX_BACKOFF_MS);
-      await clock.waitUntil(getDeadline(clock.now(), waitMs));
-    }
-    metrics.count('vc_samples_unscored');
-    return null;
-  }
-
   async function finish(
     step: StepRun,
     spec: SampleSpec,
@@ -429,7 +279,14 @@
     const record = getRecord(step.trainer);
     if (record) noteVersions(record.model, progress.spans);
     step.work.scoring.add(spec.id);
-    const score = await getScore(step, spec, progress.text);
+    const score = await scoreSample(
+      context,
+      options.scoring,
+      spec,
+      progress.text,
+      limits.maxScoreAttempts,
+      () => !isStopping && step.delivery.getState(spec.id) === 'running',
+    );
     step.work.scoring.delete(spec.id);
     if (!step.delivery.noteReady(spec.id)) return;
     step.samples.set(spec.id, {
--- a/packages/daemon/src/trainerActions.test.ts
+++ b/packages/daemon/src/trainerActions.test.ts
@@ -11,7 +11,7 @@
 
 import {createContext, createFakeControl} from './entryFakes.test.js';
 import {createMaybeRun} from './refusals.js';
-import type {Sample} from './sampleTask.js';
+import type {Sample} from './stepRun.js';
 import {createTrainerActions} from './trainerActions.js';
 import type {
   AnswerEnd,
