Use the agent's name for a full upstream in the entry

Cause: the entry expected the refusal limit, agents send at_limit, so a full agent counted as a failure against the retry budget.

--- a/packages/daemon/src/attemptDecision.ts
+++ b/packages/daemon/src/attemptDecision.ts
@@ -32,7 +32,7 @@
 /** Says whether the agent refused only because its upstream has no room. */
 export function isFull(failure: AttemptFailure): boolean {
   if (!failure.isNotRun) return false;
-  if (failure.reason === 'limit') return true;
+  if (failure.reason === 'at_limit') return true;
   if (LEAVING_REFUSALS.has(failure.reason)) return false;
   return failure.load !== null && failure.load.running >= failure.load.limit;
 }
--- a/packages/daemon/src/dispatcher.test.ts
+++ b/packages/daemon/src/dispatcher.test.ts
@@ -285,7 +285,7 @@
       const rig = await startRig([
         response =>
           refusals-- > 0
-            ? sendNotRun(response, 'limit', full)
+            ? sendNotRun(response, 'at_limit', full)
             : sendWhole(response, 'ok'),
         answerOk,
         answerOk,
