Work the target size out of the measured slopes

Cause: the capacity page must follow from measurements by a formula that can be read and rerun. Change: capacity.ts with the target, the budgets and one line per role; slope runs use a small heap so that garbage does not count as memory.

--- a/packages/bench/src/slopeRuns.ts
+++ b/packages/bench/src/slopeRuns.ts
@@ -28,6 +28,8 @@
 const CHANGES = 10;
 const KEY = 'slope-key';
 const MAX_PUTS = 250;
+/** Bounds garbage that was not collected yet, which would count as memory. */
+const SMALL_HEAP = ['--max-semi-space-size=2', '--max-old-space-size=96'];
 
 function getEntryInstance(
   deployment: Deployment,
@@ -57,6 +59,7 @@
     const deployment = await startDeployment({
       domains: DOMAINS,
       entries: 1,
+      nodeArgs: SMALL_HEAP,
       records: [{key: 'pool/engines', body: {kind: 'engine', model: 'm'}}],
     });
     const [entry] = deployment.entries;
@@ -112,11 +115,11 @@
   }
   const per = 'polling agent';
   return [
-    {name: 'entry: idle processor', per, unit: 'ms/s', points: idleCpu},
-    {name: 'entry: idle polls', per, unit: 'B/s', points: idleBytes},
-    {name: 'entry: change, processor', per, unit: 'ms', points: changeCpu},
-    {name: 'entry: change, traffic', per, unit: 'B', points: changeBytes},
-    {name: 'entry: agent memory', per, unit: 'B', points: memory},
+    {name: 'poll processor', per, unit: 'ms/s', points: idleCpu},
+    {name: 'poll traffic', per, unit: 'B/s', points: idleBytes},
+    {name: 'change processor', per, unit: 'ms', points: changeCpu},
+    {name: 'change traffic', per, unit: 'B', points: changeBytes},
+    {name: 'agent memory at entry', per, unit: 'B', points: memory},
   ];
 }
 
@@ -129,7 +132,11 @@
   const recordCpu: Slope['points'] = [];
   const listHeap: Slope['points'] = [];
   const listCpu: Slope['points'] = [];
-  const deployment = await startDeployment({domains: DOMAINS, entries: 1});
+  const deployment = await startDeployment({
+    domains: DOMAINS,
+    entries: 1,
+    nodeArgs: SMALL_HEAP,
+  });
   const [entry] = deployment.entries;
   try {
     let published = 0;
@@ -177,25 +184,25 @@
   }
   return [
     {
-      name: 'entry: record memory',
+      name: 'record memory',
       per: 'record',
       unit: 'B',
       points: recordHeap,
     },
     {
-      name: 'entry: one change by records held',
+      name: 'change by records held',
       per: 'record',
       unit: 'ms',
       points: recordCpu,
     },
     {
-      name: 'entry: instance memory',
+      name: 'instance memory',
       per: 'listed instance',
       unit: 'B',
       points: listHeap,
     },
     {
-      name: 'entry: instance list, processor',
+      name: 'instance list processor',
       per: 'listed instance',
       unit: 'ms',
       points: listCpu,
@@ -216,6 +223,7 @@
     const deployment = await startDeployment({
       domains: DOMAINS,
       entries: size,
+      nodeArgs: SMALL_HEAP,
       proxied: ['log', 'instances'],
       pools: [
         {id: 'engines', body: {kind: 'engine', model: 'm'}, upstreams: 2},
@@ -255,13 +263,13 @@
   }
   const per = 'entry in the deployment';
   return [
-    {name: 'agent: idle processor', per, unit: 'ms/s', points: agentCpu},
-    {name: 'agent: memory', per, unit: 'B', points: agentMemory},
-    {name: 'entry: idle processor', per, unit: 'ms/s', points: entryCpu},
-    {name: 'entry: memory', per, unit: 'B', points: entryMemory},
-    {name: 'entry: log tail', per, unit: 'B/s', points: logBytes},
-    {name: 'entry: instance list', per, unit: 'B/s', points: listBytes},
-    {name: 'log: appends', per, unit: '1/s', points: appends},
+    {name: 'agent processor', per, unit: 'ms/s', points: agentCpu},
+    {name: 'agent memory', per, unit: 'B', points: agentMemory},
+    {name: 'entry processor', per, unit: 'ms/s', points: entryCpu},
+    {name: 'entry memory', per, unit: 'B', points: entryMemory},
+    {name: 'log tail traffic', per, unit: 'B/s', points: logBytes},
+    {name: 'instance list traffic', per, unit: 'B/s', points: listBytes},
+    {name: 'log appends', per, unit: '1/s', points: appends},
   ];
 }
 
@@ -356,25 +364,25 @@
   }
   return [
     {
-      name: 'entry: request',
+      name: 'entry request',
       per: 'request',
       unit: 'ms',
       points: slopes.entryRequest,
     },
     {
-      name: 'agent: request',
+      name: 'agent request',
       per: 'request',
       unit: 'ms',
       points: slopes.agentRequest,
     },
     {
-      name: 'entry: streamed token',
+      name: 'entry token',
       per: 'token',
       unit: 'ms',
       points: slopes.entryToken,
     },
     {
-      name: 'agent: streamed token',
+      name: 'agent token',
       per: 'token',
       unit: 'ms',
       points: slopes.agentToken,
--- a/packages/bench/src/slopes.ts
+++ b/packages/bench/src/slopes.ts
@@ -1,3 +1,4 @@
+import {getCapacityLines, getVerdict} from './capacity.js';
 import {
   runAgentSlopes,
   runIdleSlopes,
@@ -33,6 +34,15 @@
     ...(await runIdleSlopes(ENTRY_SIZES)),
     ...(await runAgentSlopes(AGENT_SIZES)),
   ];
+  const lines = new Map(
+    slopes.map(slope => [slope.name, fitLine(slope.points)]),
+  );
+  const target = getCapacityLines(lines).map(line => [
+    `target, ${line.role}: ${line.line}`,
+    `${line.value.toPrecision(4)} ${line.unit}`,
+    Number.isNaN(line.budget) ? '' : `budget ${line.budget}`,
+    getVerdict(line),
+  ]);
   const details = Object.fromEntries(
     slopes.map(slope => [
       `${slope.name}, ${slope.unit} per ${slope.per}`,
@@ -41,7 +51,7 @@
   );
   return {
     headers: ['line', 'slope', 'at zero', 'measured (size: value)'],
-    rows: slopes.map(getRow),
+    rows: [...slopes.map(getRow), ...target],
     figure: slopes.length,
     baseline: 0,
     details,
