--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,4 +1,6 @@
+import {passthrough} from './passthrough.js';
+import {slopesBench} from './slopes.js';
 import type {Bench} from './types.js';
 
 /** All benches by name. */
-export const benches: readonly Bench[] = [];
+export const benches: readonly Bench[] = [passthrough, slopesBench];
