--- a/packages/integration/src/demo.ts
+++ b/packages/integration/src/demo.ts
@@ -12,6 +12,7 @@
 } from './commandLine.js';
 import type {CheckStep} from './demoSteps.js';
 import {createDemoPage} from './demoSteps.js';
+import {demoTrainer} from './demoTrainer.js';
 import type {AgentMember, Deployment} from './deployment.js';
 import {createRecord, startDeployment, waitUntil} from './deployment.js';
 
@@ -39,6 +40,7 @@
 const RECORDS = {
   'account/desk': {weight: 1},
   'account/meter': {weight: 1},
+  'account/trainers': {weight: 1},
   'route/lookups': {
     pathPrefix: '/seats',
     methods: ['GET'],
@@ -61,6 +63,7 @@
     repeat: 'idempotent',
     timeoutMs: 60_000,
   },
+  'trainer/coach-1': {account: 'trainers', model: MODEL, maxVersionAge: 1},
 };
 
 interface Demo {
@@ -110,10 +113,10 @@
   } finally {
     await rm(directory, {recursive: true, force: true});
   }
-  for (const account of ['desk', 'meter']) {
+  for (const account of ['desk', 'meter', 'trainers']) {
     keys[account] = await createKey(run, `${account}-1`, account);
   }
-  check('two keys were created and shown once', true);
+  check('three keys were created and shown once', true);
   const status = await run('status');
   checkCommand(check, 'status answers', status);
 }
@@ -398,6 +401,18 @@
       await page.step('A failure domain leaves and returns', check =>
         demoDomain(current, check),
       );
+      await page.step('A trainer receives each sample once', check =>
+        demoTrainer(
+          {
+            entry: current.deployment.entries[0].url,
+            weights: current.deployment.platform.weights.url,
+            trainer: 'coach-1',
+            model: MODEL,
+            key: current.keys['trainers'],
+          },
+          check,
+        ),
+      );
       await page.step('Usage is reported to the platform', check =>
         demoReport(current, check),
       );
@@ -415,7 +430,8 @@
       ? `Every check held (${seconds} s).`
       : `Some checks did not hold (${seconds} s).`,
   );
-  process.exitCode = page.hasPassed() ? 0 : 1;
+  // Connections of the HTTP clients that stay open must not delay the end.
+  process.exit(page.hasPassed() ? 0 : 1);
 }
 
 await main();
--- a/packages/integration/src/demoTrainer.ts
+++ b/packages/integration/src/demoTrainer.ts
@@ -26,6 +26,8 @@
 const SAMPLES_PER_GROUP = 4;
 const MAX_TOKENS = 8;
 const STEP = 1;
+/** Engines of the demo start with version 1. */
+const PUBLISHED_VERSION = 2;
 const WEIGHT_BYTES = 1_000_000;
 
 async function post(
@@ -73,7 +75,7 @@
 ): Promise<void> {
   const {entry, weights, trainer, model, key} = demo;
   const url = `${entry}/v1/trainers/${trainer}/steps/${STEP}`;
-  const version = {version: 1, bytes: WEIGHT_BYTES, trainer};
+  const version = {version: PUBLISHED_VERSION, bytes: WEIGHT_BYTES, trainer};
   await post(`${weights}/v1/weights/${model}`, key, version);
   const groups = Array.from({length: GROUPS}, (_, group) => ({
     group,
--- a/packages/integration/src/deployment.ts
+++ b/packages/integration/src/deployment.ts
@@ -197,6 +197,14 @@
   return waitUntil(`${member.id} is ready`, () => isReady(member));
 }
 
+/** Says whether an agent has received a view of the configuration. */
+async function hasView(agent: Member): Promise<boolean> {
+  const url = `http://${agent.admin}/metrics`;
+  const answer = await fetch(url).catch(() => null);
+  const text = (await answer?.text()) ?? '';
+  return /^vc_agent_view_offset \d/m.test(text);
+}
+
 function isAccepted(outcome: {tag: string}): boolean {
   return outcome.tag === 'accepted';
 }
@@ -226,16 +234,21 @@
   };
 }
 
-function getDeploymentRecords(
+function getDomainRecords(
   spec: DeploymentSpec,
   domains: string[],
-  agents: AgentMember[],
 ): RecordInput[] {
   const region = spec.region ?? 'region-1';
+  return domains.map(id => createRecord('domain', id, {region, state: 'in'}));
+}
+
+function getDeploymentRecords(
+  spec: DeploymentSpec,
+  agents: AgentMember[],
+): RecordInput[] {
   const pools = spec.pools ?? [];
   const checking = pools.filter(pool => pool.checksFencing).map(({id}) => id);
   return [
-    ...domains.map(id => createRecord('domain', id, {region, state: 'in'})),
     ...pools.map(({id, body}): RecordInput => ({key: `pool/${id}`, body})),
     ...agents
       .filter(agent => checking.includes(agent.pool))
@@ -487,7 +500,14 @@
     if (failed) throw failed.reason;
     // Tests pick agents by index, whichever process was ready first.
     agents.sort((a, b) => a.id.localeCompare(b.id, 'en', {numeric: true}));
-    await publish(getDeploymentRecords(spec, domains, agents));
+    await publish(getDomainRecords(spec, domains));
+    // An agent that first saw its pool record complete cannot know whether
+    // calls ran before it started, and refuses unknown idempotency keys.
+    for (const agent of agents) {
+      await waitUntil(`${agent.id} has a view`, () => hasView(agent));
+    }
+    const records = getDeploymentRecords(spec, agents);
+    if (records.length > 0) await publish(records);
     for (const member of agents) await waitReady(member);
   };
   try {
