--- a/packages/integration/src/samples.test.ts
+++ b/packages/integration/src/samples.test.ts
@@ -16,15 +16,15 @@
 const KEY = 'sk-coach';
 const MODEL = 'coach';
 const MAX_AGE = 1;
-const MAX_TOKENS = 60;
+const MAX_TOKENS = 100;
 const STEP_TIMEOUT_MS = 60_000;
-const GROUPS = Array.from({length: 12}, (_, group) => ({
+const GROUPS = Array.from({length: 20}, (_, group) => ({
   group,
   prompt: `pump ${group} shows fault ${group * 7}`,
   count: 4,
   maxTokens: MAX_TOKENS,
 }));
-const SAMPLE_COUNT = 48;
+const SAMPLE_COUNT = 80;
 
 interface Line {
   sampleId: string;
@@ -92,11 +92,16 @@
     return this.call(base, '', {groups: GROUPS, policyVersion: 1});
   }
 
-  /** Reads a delivery; ends it after `limit` samples. */
+  getVersions(): Set<number> {
+    const spans = [...this.samples.values()].flatMap(sample => sample.spans);
+    return new Set(spans.map(([version]) => version));
+  }
+
+  /** Reads a delivery; cuts it once the trainer has enough. */
   async deliver(
     base: string,
     received: string[] = [...this.samples.keys()],
-    limit = Infinity,
+    isEnough: () => boolean = () => false,
   ): Promise<Delivery> {
     const delivery: Delivery = {status: 0, lines: [], end: null};
     let rest = '';
@@ -124,7 +129,7 @@
         const lines = (rest + text).split('\n');
         rest = lines.pop() ?? '';
         for (const line of lines) readLine(line);
-        if (delivery.lines.length >= limit) request.destroy();
+        if (isEnough()) request.destroy();
       },
     );
     return delivery;
@@ -183,7 +188,18 @@
         }),
       ],
     });
-    deployment.platform.weights.publish(MODEL, 1, 1_000);
+    // New agents take no orders until those of a predecessor have expired.
+    deployment.platform.weights.publish(MODEL, 2, 1_000);
+    await waitUntil('all engines serve version 2', () =>
+      deployment.agents.every(({engine}) =>
+        engine
+          ?.getAudit()
+          .orders.some(
+            ({action, version, outcome}) =>
+              action !== 'stage' && version === 2 && outcome.status === 'done',
+          ),
+      ),
+    );
     [first, second] = deployment.entries;
     proxy = await createFaultProxy({target: new URL(first.url).host});
   });
@@ -201,19 +217,21 @@
       sampleCount: SAMPLE_COUNT,
     });
     // Cuts at several lengths: in the head, within lines and between lines.
-    const [, engine] = deployment.agents;
     for (const bytes of [40, 300, 1_500, 2_500]) {
       proxy.setFault({backward: {resetAfterBytes: bytes}});
       const cut = await coach.deliver(proxy.url);
       assert.equal(cut.end, null, 'a cut stream has no end line');
     }
     proxy.clear();
-    weights.publish(MODEL, 2, 1_000);
-    const started = coach.samples.size;
-    await coach.deliver(proxy.url, undefined, 8);
-    assert.ok(coach.samples.size > started);
     weights.publish(MODEL, 3, 1_000);
-    await coach.deliver(proxy.url, undefined, 4);
+    await coach.deliver(proxy.url, undefined, () => coach.getVersions().has(3));
+    weights.publish(MODEL, 4, 1_000);
+    const enough = coach.samples.size + 4;
+    await coach.deliver(
+      proxy.url,
+      undefined,
+      () => coach.samples.size >= enough,
+    );
 
     // Some are acknowledged and recorded, the others only received.
     const acknowledged = [...coach.samples.keys()].slice(0, 4);
@@ -232,12 +250,11 @@
     assert.equal(rest.end?.delivered, rest.lines.length);
     assert.equal(coach.samples.size, SAMPLE_COUNT);
     checkSamples(coach);
-    await waitUntil('a swap reached an engine', () =>
-      (engine.engine?.getAudit().orders ?? []).some(
-        ({action, outcome}) =>
-          action !== 'stage' && outcome.status === 'done',
-      ),
+    assert.ok(coach.getVersions().has(4), 'weights changed in mid-step');
+    const divided = [...coach.samples.values()].filter(
+      ({spans}) => spans.length > 1,
     );
+    assert.ok(divided.length > 0, 'a swap divided some sample');
   });
 
   it('sends nothing again to a trainer that lost its state (guards: acknowledgements that only one entry knows)', async () => {
