Do not reset a socket whose orderly end is under way

Cause: test processes and the demo sometimes spun at full processor time after their last line. A debugger showed node::Environment::CleanupHandles waiting for one TCP handle: resetAndDestroy() fails with EINVAL while a shutdown is pending and leaves the handle open for ever. Ruled out: loops in the tests, the token clock, unread answers. Change: such sockets are destroyed instead of reset.

--- a/packages/standins/src/faultProxy.ts
+++ b/packages/standins/src/faultProxy.ts
@@ -5,6 +5,7 @@
 
 import type {Service, ServiceOptions} from './service.js';
 import {createRoute, createService} from './service.js';
+import {resetSocket} from './resetSocket.js';
 
 const linkFaultSchema = z.strictObject({
   /** Delays each part of the data, ms. */
@@ -98,7 +99,7 @@
 
   const closeLink = (link: Link, isReset: boolean) => {
     for (const socket of [link.client, link.target]) {
-      if (isReset) socket.resetAndDestroy();
+      if (isReset) resetSocket(socket);
       else socket.destroySoon();
     }
     links.delete(link);
@@ -167,7 +168,7 @@
   };
   const accept = (client: net.Socket) => {
     counts.connections++;
-    if (fault.refuse) return void client.resetAndDestroy();
+    if (fault.refuse) return resetSocket(client);
     if (fault.halfOpen) {
       halfOpen.add(client);
       client.on('error', () => client.destroy());
@@ -193,7 +194,7 @@
   const getCounts = () => ({...counts, open: links.size + halfOpen.size});
   const resetConnections = () => {
     for (const link of [...links]) closeLink(link, true);
-    for (const client of halfOpen) client.resetAndDestroy();
+    for (const client of halfOpen) resetSocket(client);
   };
   const control: Service = await createService([
     createRoute('PUT /fault', ({parse}) => {
--- a/packages/standins/src/faults.ts
+++ b/packages/standins/src/faults.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {z} from 'zod';
+import {resetSocket} from './resetSocket.js';
 
 /**
  * One fault of a stand-in. The first fault that matches a request applies;
@@ -44,7 +45,7 @@
 ) => Promise<boolean> | boolean;
 
 function reset(response: ServerResponse): void {
-  response.socket?.resetAndDestroy();
+  if (response.socket) resetSocket(response.socket);
 }
 
 function loseAnswer(response: ServerResponse): void {
--- a/packages/standins/src/service.ts
+++ b/packages/standins/src/service.ts
@@ -13,6 +13,7 @@
 import {MAX_BODY_BYTES} from './constants.js';
 import type {Fault} from './faults.js';
 import {createFaultTable} from './faults.js';
+import {resetSocket} from './resetSocket.js';
 
 /** Options that every stand-in takes. */
 export interface ServiceOptions {
@@ -154,7 +155,7 @@
   if (!at) throw new Error(`expected ip:port, got ${options.listen}`);
   const address = await listen(server, at);
   const resetConnections = () => {
-    for (const socket of sockets) socket.resetAndDestroy();
+    for (const socket of sockets) resetSocket(socket);
   };
   return {
     url: `http://${address}`,
