Ask whether an order or report may be written after the connect

A slow connect could delay the first byte of an order or report past the end of the lease, because the permission was checked before the connection was made. The adapters now ask mayWrite when the socket is connected, immediately before the request is written, and give up as unavailable without writing if it says no. A failure before the first byte counts as refused, since nothing can have taken effect.

--- a/packages/common/src/http.ts
+++ b/packages/common/src/http.ts
@@ -32,6 +32,11 @@
   signal?: AbortSignal;
   /** Largest accepted answer, bytes. */
   maxBytes?: number;
+  /**
+   * Asked when the socket is connected, immediately before the first byte is
+   * written; if it says no, nothing is written and the exchange is `refused`.
+   */
+  mayWrite?: () => boolean;
 }
 
 export type BodyFailure =
@@ -130,8 +135,10 @@
       clearTimeout(timer);
       resolve(result);
     };
+    let isWritten = false;
     outgoing.on('error', (error: NodeJS.ErrnoException) => {
-      const tag = REFUSED_CODES.has(error.code ?? '') ? 'refused' : 'unknown';
+      const isRefused = !isWritten || REFUSED_CODES.has(error.code ?? '');
+      const tag = isRefused ? 'refused' : 'unknown';
       finish(fail({tag, detail: error.message}));
     });
     outgoing.on('response', answer => {
@@ -149,7 +156,22 @@
         },
       );
     });
-    outgoing.end(text);
+    const write = () => {
+      if (outgoing.destroyed) return;
+      isWritten = true;
+      outgoing.end(text);
+    };
+    const {mayWrite} = request;
+    if (!mayWrite) return write();
+    // Without `end` Node writes nothing when the socket connects.
+    outgoing.once('socket', socket => {
+      const ask = () => {
+        if (mayWrite()) write();
+        else outgoing.destroy(new Error('not written: no longer permitted'));
+      };
+      if (socket.connecting) socket.once('connect', ask);
+      else ask();
+    });
   });
 }
 
--- a/packages/platform/src/orderingPort.ts
+++ b/packages/platform/src/orderingPort.ts
@@ -1,5 +1,6 @@
 import type {JsonAnswer, Result} from '@vanillacross/common';
 import {fail, ok} from '@vanillacross/common';
+import type {AgentOptions} from 'node:http';
 import {z} from 'zod';
 
 import {createPlatformCaller} from './platformCall.js';
@@ -24,12 +25,15 @@
 }
 
 /** Creates the adapter of the ordering interface of one failure domain. */
-export function createOrderingPort(baseUrl: string): OrderingPort {
-  const caller = createPlatformCaller(baseUrl);
+export function createOrderingPort(
+  baseUrl: string,
+  connection?: AgentOptions,
+): OrderingPort {
+  const caller = createPlatformCaller(baseUrl, connection);
   const getPath = (orderId: string) =>
     `/v1/orders/${encodeURIComponent(orderId)}`;
   return {
-    order: ({orderId, ...order}, timeoutMs) =>
+    order: ({orderId, ...order}, timeoutMs, mayWrite) =>
       caller.call({
         method: 'PUT',
         path: getPath(orderId),
@@ -37,6 +41,7 @@
         schema: statusSchema,
         hasEffect: true,
         timeoutMs,
+        mayWrite,
         onStatus: getStaleFailure,
       }),
     getOrder: orderId =>
--- a/packages/platform/src/platformCall.ts
+++ b/packages/platform/src/platformCall.ts
@@ -5,7 +5,7 @@
 import type {ZodType} from 'zod';
 import {z} from 'zod';
 
-import type {PlatformFailure} from './types.js';
+import type {MayWrite, PlatformFailure} from './types.js';
 
 /** Connections to one platform interface that stay open between calls. */
 const MAX_SOCKETS = 64;
@@ -25,6 +25,7 @@
   hasEffect: boolean;
   timeoutMs?: number;
   signal?: AbortSignal;
+  mayWrite?: MayWrite;
   /** Meaning of other status codes; undefined applies the general rule. */
   onStatus?: (answer: JsonAnswer) => Result<Body, PlatformFailure> | undefined;
 }
@@ -57,9 +58,19 @@
   return createLostFailure(hasEffect, detail);
 }
 
-/** Creates a caller with its own keep-alive connections. */
-export function createPlatformCaller(baseUrl: string): PlatformCaller {
-  const agent = new http.Agent({keepAlive: true, maxSockets: MAX_SOCKETS});
+/**
+ * Creates a caller with its own keep-alive connections; `connection` changes
+ * how they are made.
+ */
+export function createPlatformCaller(
+  baseUrl: string,
+  connection: http.AgentOptions = {},
+): PlatformCaller {
+  const agent = new http.Agent({
+    keepAlive: true,
+    maxSockets: MAX_SOCKETS,
+    ...connection,
+  });
   const base = baseUrl.replace(/\/+$/, '');
   return {
     call: async call => {
@@ -69,6 +80,7 @@
         body: call.body,
         timeoutMs: call.timeoutMs ?? CALL_TIMEOUT_MS,
         signal: call.signal,
+        mayWrite: call.mayWrite,
         agent,
       });
       if (!answer.ok) {
--- a/packages/platform/src/ports.test.ts
+++ b/packages/platform/src/ports.test.ts
@@ -84,6 +84,71 @@
     assert.equal(result.ok ? 'ok' : result.error.tag, 'unavailable');
   });
 
+  describe('with a slow connect', () => {
+    type Lookup = NonNullable<http.AgentOptions['lookup']>;
+    /** Connects only when the returned function is called. */
+    const holdConnect = () => {
+      let start = () => {};
+      const held = new Promise<void>(resolve => {
+        start = resolve;
+      });
+      let noteAsked = () => {};
+      const asked = new Promise<void>(resolve => {
+        noteAsked = resolve;
+      });
+      const lookup: Lookup = (_, options, callback) => {
+        noteAsked();
+        const address = [{address: '127.0.0.1', family: 4}];
+        void held.then(() =>
+          options.all
+            ? callback(null, address)
+            : callback(null, address[0].address, 4),
+        );
+      };
+      return {asked, start, connection: {lookup}};
+    };
+    const getSlowBase = () => base.replace('127.0.0.1', 'slow.test');
+    const calls = {
+      order: (connection: http.AgentOptions, mayWrite: () => boolean) =>
+        createOrderingPort(getSlowBase(), connection).order(
+          order,
+          60_000,
+          mayWrite,
+        ),
+      report: (connection: http.AgentOptions, mayWrite: () => boolean) =>
+        createReportPort(getSlowBase(), connection).report(
+          1,
+          {},
+          2,
+          60_000,
+          mayWrite,
+        ),
+    };
+    for (const [name, call] of Object.entries(calls)) {
+      it(`prevents a late ${name} after the lease has ended`, async () => {
+        reply = {status: 200, body: {status: 'done'}};
+        seen = '';
+        let isHolder = true;
+        const {asked, start, connection} = holdConnect();
+        const answer = call(connection, () => isHolder);
+        await asked;
+        isHolder = false;
+        start();
+        const result = await answer;
+        assert.equal(result.ok ? 'ok' : result.error.tag, 'unavailable');
+        assert.equal(seen, '');
+      });
+
+      it(`prevents a lost ${name} while the lease is held`, async () => {
+        reply = {status: 200, body: {status: 'done'}};
+        const {start, connection} = holdConnect();
+        start();
+        const result = await call(connection, () => true);
+        assert.equal(result.ok, true);
+      });
+    }
+  });
+
   it('prevents a wrong path and a lost record in a read', async () => {
     const record = {offset: 5, appendId: 'a', payload: {type: 'x'}};
     const body = {records: [record], earliest: 0, next: 6};
--- a/packages/platform/src/reportPort.ts
+++ b/packages/platform/src/reportPort.ts
@@ -1,14 +1,18 @@
 import {ok} from '@vanillacross/common';
+import type {AgentOptions} from 'node:http';
 import {z} from 'zod';
 
 import {createPlatformCaller} from './platformCall.js';
 import type {ReportPort} from './types.js';
 
 /** Creates the adapter of the platform's interface for usage reports. */
-export function createReportPort(baseUrl: string): ReportPort {
-  const caller = createPlatformCaller(baseUrl);
+export function createReportPort(
+  baseUrl: string,
+  connection?: AgentOptions,
+): ReportPort {
+  const caller = createPlatformCaller(baseUrl, connection);
   return {
-    report: async (window, figures, sealOffset, timeoutMs) => {
+    report: async (window, figures, sealOffset, timeoutMs, mayWrite) => {
       const answer = await caller.call({
         method: 'PUT',
         path: `/v1/reports/${window}`,
@@ -16,6 +20,7 @@
         schema: z.unknown(),
         hasEffect: true,
         timeoutMs,
+        mayWrite,
       });
       return answer.ok ? ok(null) : answer;
     },
