Collect sums from live entries and cells only of dead ones

The controller collected every cell from every entry: 400 entries with 400 own cells each, and three copies of each cell from the agents. An entry that is alive now answers with sums per account. A second call, usage.orphans, gets the agents' cells of entries that did not answer, and of links on which an entry missed the end of an answer. The list of live epochs is sent when it changes, and windows are named by a content hash, so unchanged ones are not sent again. Totals of an entry are the larger of its newest sums and of the cells of all its links, so an entry that answers late is not counted twice.

A request whose answer's end was missed is now recorded at the entry (getMissedEnds); an answer without an agent epoch leaves all links of that window open instead of being left out.

--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -1,5 +1,5 @@
 import type {RpcMethods} from '@vanillacross/common';
-import type {UsageCell} from '@vanillacross/domain';
+import type {MissedEnd, UsageCell} from '@vanillacross/domain';
 import type {
   OrderingPort,
   ReportPort,
@@ -33,6 +33,8 @@
 export interface ControllerOptions {
   /** Usage cells counted by this entry. */
   getCells: () => readonly UsageCell[];
+  /** Answers whose end this entry did not read. */
+  getMissedEnds?: () => readonly MissedEnd[];
   /** How long the platform's log keeps records, ms. */
   retentionMs?: number;
   /** Creates clients for peer listeners; tests pass their own. */
@@ -43,7 +45,7 @@
 export interface Controller extends Part {
   /** Null while this entry may not send orders. */
   getTenure(): Tenure | null;
-  /** `usage.collect`, `load.collect` and `crash.report`. */
+  /** `usage.collect`, `usage.orphans`, `load.collect` and `crash.report`. */
   rpcMethods: RpcMethods;
 }
 
@@ -70,7 +72,7 @@
     control,
     membership,
     createClient,
-    options.getCells,
+    options,
   );
   const crashes = createCrashReports(
     context,
--- a/packages/daemon/src/dispatcher.ts
+++ b/packages/daemon/src/dispatcher.ts
@@ -7,6 +7,7 @@
   UsageCells,
 } from '@vanillacross/domain';
 import {
+  ANY_AGENT,
   accountSchema,
   addUsage,
   dropUsageBefore,
@@ -70,6 +71,8 @@
     metrics.count('vc_late_answers'),
   );
   const cells: UsageCells = new Map();
+  /** Epochs of agents with missed ends, by window. */
+  const missed = new Map<number, Set<string>>();
   const hardStop = new AbortController();
   let isStopping = false;
 
@@ -88,6 +91,20 @@
     return defaultReporting;
   }
 
+  /** The agent may have counted a request that this entry did not. */
+  function noteMissedEnd(
+    window: number,
+    upstream: string,
+    agentEpoch: string | null,
+  ): void {
+    const known = agentEpoch ?? membership.getAgent(upstream)?.epoch;
+    const agents = missed.get(window) ?? new Set();
+    missed.set(window, agents.add(known ?? ANY_AGENT));
+    for (const old of missed.keys()) {
+      if (old < window - KEPT_WINDOWS) missed.delete(old);
+    }
+  }
+
   function countUsage(
     request: DispatchRequest,
     upstream: string,
@@ -99,6 +116,7 @@
     if (epoch === null) {
       // A cell without the agent's epoch would not merge with the agent's.
       metrics.count('vc_usage_unattributed');
+      noteMissedEnd(window, upstream, null);
       return;
     }
     const id = {
@@ -162,6 +180,8 @@
       maxBufferedAnswer: options.maxBufferedAnswer ?? MAX_BUFFERED_ANSWER,
       signal: createRequestSignal(request, ended.signal),
       onSent: () => grant.noteSent(),
+      onMissedEnd: (upstream, agentEpoch) =>
+        noteMissedEnd(window, upstream, agentEpoch),
     });
     const outcome = await run();
     if (!outcome.ok) {
@@ -244,5 +264,9 @@
       return result;
     },
     getCells: (): readonly UsageCell[] => [...cells.values()],
+    getMissedEnds: () =>
+      [...missed].flatMap(([window, agents]) =>
+        [...agents].map(agentEpoch => ({window, agentEpoch})),
+      ),
   };
 }
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -98,6 +98,7 @@
     createControllerPorts(settings),
     {
       getCells: () => dispatcher.getCells(),
+      getMissedEnds: () => dispatcher.getMissedEnds?.() ?? [],
       retentionMs: settings.controller.retentionMs,
     },
   );
--- a/packages/daemon/src/reportTask.ts
+++ b/packages/daemon/src/reportTask.ts
@@ -2,7 +2,6 @@
 import {getDeadline} from '@vanillacross/common';
 import type {ControlState, Reporting, Seal} from '@vanillacross/domain';
 import {
-  UsageWindows,
   getBodies,
   getSealContent,
   getWindowToSeal,
@@ -42,13 +41,13 @@
   const {clock, metrics} = context;
   const logger = context.logger.part('reports');
   let tenureFencing = -1;
-  let collected = new UsageWindows();
+  let collector = usage.createCollector();
   let confirmed = new Set<number>();
   let collectUntil: {window: number; deadline: MonotonicMs} | null = null;
 
   function reset(fencing: number): void {
     tenureFencing = fencing;
-    collected = new UsageWindows();
+    collector = usage.createCollector();
     confirmed = new Set();
     collectUntil = null;
   }
@@ -65,9 +64,7 @@
       collectUntil = {window, deadline};
     }
     const {deadline} = collectUntil;
-    const {cells, sources, isComplete} = await usage.collect(window);
-    const dropped = collected.merge(cells);
-    if (dropped > 0) metrics.count('vc_usage_cells_dropped', {}, dropped);
+    const {sources, isComplete} = await collector.collect(window);
     if (isComplete || clock.now() >= deadline) return sources;
     return null;
   }
@@ -76,7 +73,12 @@
     const {seals, lastSealed} = control.getState();
     const tenure = lease.getTenure();
     if (tenure?.fencing !== tenureFencing || lastSealed >= window) return;
-    const content = getSealContent(collected, seals, lastSealed, window);
+    const content = getSealContent(
+      collector.windows,
+      seals,
+      lastSealed,
+      window,
+    );
     const result = await control.append({
       type: 'seal',
       window,
@@ -99,14 +101,14 @@
   async function sealNext(): Promise<void> {
     const state = control.getState();
     const newest = getNewestEnded(state);
-    const window = getWindowToSeal(collected, state.lastSealed, newest);
+    const window = getWindowToSeal(collector.windows, state.lastSealed, newest);
     if (window === null) return;
     const sources = await collect(window);
     // Collection may have shown an older open window.
     const {lastSealed} = control.getState();
-    const still = getWindowToSeal(collected, lastSealed, newest);
+    const still = getWindowToSeal(collector.windows, lastSealed, newest);
     if (sources && still === window) await seal(window, sources);
-    collected.prune(control.getState().lastSealed);
+    collector.windows.prune(control.getState().lastSealed);
   }
 
   async function report(item: Seal & {offset: number}): Promise<void> {
--- a/packages/daemon/src/requestRun.ts
+++ b/packages/daemon/src/requestRun.ts
@@ -41,6 +41,8 @@
   signal: AbortSignal;
   /** Called when an upstream's own in-flight count includes the request. */
   onSent: () => void;
+  /** Called for each attempt that may have run and whose end was not read. */
+  onMissedEnd?: (upstream: string, agentEpoch: string | null) => void;
 }
 
 /** An answer that may be passed on. */
@@ -114,12 +116,14 @@
   }
 
   function getFinished(
-    answer: ArrivingAnswer,
+    {answer, agentEpoch}: Extract<AttemptOutcome, {tag: 'answer'}>,
+    upstream: string,
     end: () => void,
   ): Promise<Result<AnswerEnd, Refusal>> {
     return answer.ended.then(result => {
       end();
       if (result) return ok(result);
+      input.onMissedEnd?.(upstream, agentEpoch);
       metrics.count('vc_answers_cut');
       const code = signal.aborted ? getAbortCode() : 'answer_cut';
       const message = MESSAGES[code] ?? 'the answer was cut';
@@ -137,6 +141,7 @@
     const start = await readAnswerStart(answer, input.maxBufferedAnswer);
     if (start.tag === 'cut') {
       end();
+      input.onMissedEnd?.(upstream, agentEpoch);
       return {
         tag: 'failure',
         failure: {
@@ -147,7 +152,7 @@
         },
       };
     }
-    const finished = getFinished(answer, end);
+    const finished = getFinished(outcome, upstream, end);
     const body = start.tag === 'whole' ? getSingle(start.body) : start.body;
     return {
       tag: 'answer',
@@ -187,7 +192,10 @@
     }
     end();
     const isNotRun = outcome.tag === 'notRun';
-    if (!isNotRun) mayHaveRun = true;
+    if (!isNotRun) {
+      mayHaveRun = true;
+      input.onMissedEnd?.(upstream, null);
+    }
     const {reason, load, isConnected} = outcome;
     if (!isConnected && !signal.aborted) membership.noteFailure(upstream);
     return {tag: 'failure', failure: {isNotRun, reason, load, isConnected}};
--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -15,6 +15,7 @@
   CrashReport,
   Instance,
   Load,
+  MissedEnd,
   Pool,
   Span,
   UsageCell,
@@ -185,6 +186,8 @@
   dispatch(request: DispatchRequest): Promise<Result<UpstreamAnswer, Refusal>>;
   /** Usage cells counted by this entry. */
   getCells(): readonly UsageCell[];
+  /** Answers whose end this entry did not read, in recent windows. */
+  getMissedEnds?(): readonly MissedEnd[];
 }
 
 /** A handler of the caller listener: the first that matches performs. */
--- /dev/null
+++ b/packages/daemon/src/usageCollection.test.ts
@@ -0,0 +1,261 @@
+import type {Epoch} from '@vanillacross/common';
+import {
+  ManualClock,
+  Metrics,
+  as,
+  createLogger,
+  fail,
+  ok,
+} from '@vanillacross/common';
+import type {Instance, MissedEnd, UsageCells} from '@vanillacross/domain';
+import {addUsage, emptyControlState} from '@vanillacross/domain';
+import fc from 'fast-check';
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {AgentUsage} from './agentUsage.js';
+import type {Context, ControlFollower, Membership} from './types.js';
+import type {UsageCollection, UsageCollector} from './usageCollection.js';
+import {createUsageCollection} from './usageCollection.js';
+
+const WINDOW = 3;
+const load = {running: 0, limit: 1, waiting: 0, epoch: '', version: 0};
+const idleLoad = {...load, cold: false};
+
+interface Entry {
+  epoch: string;
+  cells: UsageCells;
+  missed: MissedEnd[];
+  usage: UsageCollection;
+  collector: UsageCollector;
+}
+
+interface Agent {
+  epoch: string;
+  usage: AgentUsage;
+  /** Entry epochs of requests that no entry has got a cell of. */
+  pending: Set<string>;
+  /** Epochs of entries that keep the cells that were handed over. */
+  copies: Set<string>;
+  hasMissedEnds: boolean;
+}
+
+/** Entries and agents in one process; killed ones start again empty. */
+class World {
+  done = 0;
+  bytes = 0;
+  readonly entries: Entry[];
+  readonly agents: Agent[];
+  /** Entries that do not answer. */
+  readonly cut = new Set<number>();
+  private epochs = 0;
+  private readonly lost: Agent[] = [];
+
+  constructor(entries: number, agents: number) {
+    this.entries = [];
+    this.agents = [];
+    for (let i = 0; i < entries; i++) this.entries.push(this.createEntry(i));
+    for (let i = 0; i < agents; i++) this.agents.push(this.createAgent());
+  }
+
+  private createAgent(): Agent {
+    const epoch = `a${++this.epochs}`;
+    const usage = new AgentUsage(epoch, () => assert.fail('dropped'));
+    return {
+      epoch,
+      usage,
+      pending: new Set(),
+      copies: new Set(),
+      hasMissedEnds: false,
+    };
+  }
+
+  private createEntry(index: number): Entry {
+    const epoch = `e${++this.epochs}`;
+    const cells: UsageCells = new Map();
+    const missed: MissedEnd[] = [];
+    const getPeers = () =>
+      this.entries.flatMap((_, i) =>
+        i === index ? [] : [{id: `${i}`, peerAddress: `${i}`}],
+      ) as unknown as Instance[];
+    const usage = createUsageCollection(
+      {
+        self: {id: `${index}`} as Instance,
+        epoch: as<Epoch>(epoch),
+        clock: new ManualClock(),
+        logger: createLogger('usage', 'silent'),
+        metrics: new Metrics(),
+        clusterSecret: 's',
+      } satisfies Context,
+      {getState: () => emptyControlState} as ControlFollower,
+      {getPeers} as unknown as Membership,
+      address => ({
+        call: async (name, params) => {
+          const target = Number(address);
+          if (this.cut.has(target)) return fail({tag: 'unknown', detail: ''});
+          const method = this.entries[target].usage.rpcMethods[name];
+          const parsed = method.params.parse(params) as never;
+          const text = JSON.stringify(await method.perform(parsed));
+          this.bytes += JSON.stringify(params).length + text.length;
+          return ok(JSON.parse(text) as unknown);
+        },
+      }),
+      {
+        getCells: () => [...cells.values()],
+        getMissedEnds: () => missed,
+      },
+    );
+    const collector = usage.createCollector();
+    return {epoch, cells, missed, usage, collector};
+  }
+
+  request(entryIndex: number, agentIndex: number, isEndMissed = false): void {
+    const entry = this.entries[entryIndex];
+    const agent = this.agents[agentIndex];
+    const id = {window: WINDOW, entryEpoch: entry.epoch, account: 'c'};
+    this.done++;
+    agent.usage.add({...id, promptTokens: 2, generatedTokens: 3});
+    agent.pending.add(entry.epoch);
+    if (isEndMissed) {
+      agent.hasMissedEnds = true;
+      entry.missed.push({window: WINDOW, agentEpoch: agent.epoch});
+      return;
+    }
+    const figures = {requests: 1, promptTokens: 2, generatedTokens: 3};
+    addUsage(entry.cells, {...id, agentEpoch: agent.epoch}, figures);
+  }
+
+  handOver(agentIndex: number): void {
+    const agent = this.agents[agentIndex];
+    for (const {epoch, usage} of this.entries) {
+      const report = agent.usage.getReport(idleLoad, epoch);
+      usage.note(report.cells);
+      agent.usage.markReported(report, epoch);
+    }
+    agent.pending.clear();
+    agent.copies = new Set(this.entries.map(({epoch}) => epoch));
+  }
+
+  killAgent(index: number): void {
+    const agent = this.agents[index];
+    const live = this.entries.map(({epoch}) => epoch);
+    const isOnlyEnd = [...agent.pending].some(epoch => !live.includes(epoch));
+    // Maximum per link cannot restore what both ends of the link have lost.
+    if (agent.hasMissedEnds || isOnlyEnd) this.handOver(index);
+    if (agent.copies.size + agent.pending.size > 0) this.lost.push(agent);
+    this.agents[index] = this.createAgent();
+  }
+
+  /** Kills an entry unless that would be the loss of both ends of a link. */
+  killEntry(index: number): void {
+    const {epoch} = this.entries[index];
+    const isNeeded = ({pending, copies}: Agent) =>
+      pending.has(epoch) || (copies.size === 1 && copies.has(epoch));
+    if (this.lost.some(isNeeded)) return;
+    for (const {copies} of this.lost) copies.delete(epoch);
+    this.entries[index] = this.createEntry(index);
+  }
+
+  async collect(index: number): Promise<number> {
+    const {collector} = this.entries[index];
+    await collector.collect(WINDOW);
+    const figures = collector.windows.getTotals(WINDOW)['c'];
+    assert.equal(figures?.generatedTokens ?? 0, 3 * (figures?.requests ?? 0));
+    return figures?.requests ?? 0;
+  }
+}
+
+describe('usage collection', () => {
+  it('prevents the loss of usage that only agents still have', async () => {
+    const world = new World(3, 2);
+    for (const agent of [0, 1, 1]) world.request(0, agent);
+    world.request(1, 0);
+    world.handOver(0);
+    world.handOver(1);
+    world.killEntry(0);
+    assert.equal(await world.collect(2), 4);
+    assert.equal(await world.collect(2), 4);
+  });
+
+  it('prevents the loss of usage of an agent that was killed', async () => {
+    const world = new World(3, 2);
+    world.request(0, 0);
+    world.request(1, 0);
+    world.killAgent(0);
+    world.request(1, 0);
+    assert.equal(await world.collect(2), 3);
+  });
+
+  it('prevents a missed end from losing what the agent counted', async () => {
+    const world = new World(3, 1);
+    world.request(0, 0);
+    world.request(0, 0, true);
+    assert.equal(await world.collect(1), 1);
+    world.handOver(0);
+    assert.equal(await world.collect(1), 2);
+  });
+
+  it('prevents double counts of an entry that answers late', async () => {
+    const world = new World(3, 2);
+    world.request(0, 0);
+    world.request(0, 1);
+    world.handOver(0);
+    world.cut.add(0);
+    assert.equal(await world.collect(1), 1);
+    world.cut.clear();
+    assert.equal(await world.collect(1), 2);
+    world.cut.add(0);
+    world.handOver(1);
+    assert.equal(await world.collect(1), 2);
+  });
+
+  it('prevents loss and double counts under kills and repeats', async () => {
+    const index = fc.nat({max: 2});
+    const step = fc.oneof(
+      {weight: 6, arbitrary: fc.tuple(fc.constant('request'), index, index)},
+      {weight: 1, arbitrary: fc.tuple(fc.constant('missed'), index, index)},
+      {weight: 2, arbitrary: fc.tuple(fc.constant('handOver'), index)},
+      {weight: 1, arbitrary: fc.tuple(fc.constant('killEntry'), index)},
+      {weight: 1, arbitrary: fc.tuple(fc.constant('killAgent'), index)},
+      {weight: 2, arbitrary: fc.tuple(fc.constant('collect'), index)},
+      {weight: 1, arbitrary: fc.tuple(fc.constant('cut'), index)},
+    );
+    const property = fc.asyncProperty(
+      fc.array(step, {minLength: 5, maxLength: 40}),
+      async steps => {
+        const world = new World(3, 3);
+        for (const [name, a, b = 0] of steps) {
+          if (name === 'request') world.request(a, b);
+          if (name === 'missed') world.request(a, b, true);
+          if (name === 'handOver') world.handOver(a);
+          if (name === 'killEntry') world.killEntry(a);
+          if (name === 'killAgent') world.killAgent(a);
+          if (name === 'cut') {
+            if (!world.cut.delete(a)) world.cut.add(a);
+          }
+          if (name === 'collect') {
+            assert.ok((await world.collect(a)) <= world.done);
+          }
+        }
+        world.cut.clear();
+        for (const agent of world.agents.keys()) world.handOver(agent);
+        for (const entry of world.entries.keys()) {
+          assert.equal(await world.collect(entry), world.done);
+        }
+      },
+    );
+    await fc.assert(property, {seed: 20_261_204, numRuns: 1_000});
+  });
+
+  it('prevents repeated transfers of cells that did not change', async () => {
+    const world = new World(3, 600);
+    for (let i = 0; i < 1_800; i++) world.request(i % 3, i % 600);
+    for (const agent of world.agents.keys()) world.handOver(agent);
+    world.killEntry(0);
+    await world.collect(1);
+    const first = world.bytes;
+    world.bytes = 0;
+    await world.collect(1);
+    assert.ok(world.bytes < first / 4, `${world.bytes} of ${first} bytes`);
+  });
+});
--- a/packages/domain/src/usageWindows.ts
+++ b/packages/domain/src/usageWindows.ts
@@ -1,5 +1,7 @@
 import type {Figures, Seal, WindowFigures} from './controlRecords.js';
 import type {UsageCell} from './messages.js';
+import type {EntryTotals} from './usageRows.js';
+import {ANY_AGENT, decodeUsageRows, getLinkHash} from './usageRows.js';
 
 /** Usage cells that one process keeps. */
 export const MAX_USAGE_CELLS = 250_000;
@@ -47,9 +49,53 @@
   return `${cell.entryEpoch}\u0000${cell.agentEpoch}\u0000${cell.account}`;
 }
 
+function getSums(cells: readonly UsageCell[]): WindowFigures {
+  const sums: WindowFigures = {};
+  for (const cell of cells) addFigures(sums, cell.account, cell);
+  return sums;
+}
+
+function combineMax(a: WindowFigures, b: WindowFigures): WindowFigures {
+  const largest: WindowFigures = {...a};
+  for (const [account, figures] of Object.entries(b)) {
+    largest[account] = combine(a[account] ?? noFigures, figures, Math.max);
+  }
+  return largest;
+}
+
+function isOpen({links}: EntryWindow, cell: UsageCell): boolean {
+  if (links.size === 0) return false;
+  const {entryEpoch, agentEpoch} = cell;
+  return [agentEpoch, ANY_AGENT].some(agent =>
+    links.has(getLinkHash(entryEpoch, agent)),
+  );
+}
+
+/** Totals of an entry and the open cells that they do not contain. */
+function getOwnSums(
+  entry: EntryWindow,
+  cells: readonly UsageCell[],
+): WindowFigures {
+  const sums = getSums(cells.filter(cell => isOpen(entry, cell)));
+  for (const [account, total] of Object.entries(entry.totals)) {
+    const [requests, promptTokens, generatedTokens] = total;
+    addFigures(sums, account, {requests, promptTokens, generatedTokens});
+  }
+  return sums;
+}
+
+/** What an entry said of one window. */
+interface EntryWindow {
+  totals: EntryTotals['totals'];
+  /** Links that the totals do not contain. */
+  links: ReadonlySet<string>;
+}
+
 /** Usage cells by window, merged by maximum. Bounded. */
 export class UsageWindows {
   private readonly windows = new Map<number, Map<string, UsageCell>>();
+  /** By window and entry epoch. */
+  private readonly entries = new Map<number, Map<string, EntryWindow>>();
   private size = 0;
 
   constructor(private readonly maxCells = MAX_USAGE_CELLS) {}
@@ -63,6 +109,29 @@
     return dropped;
   }
 
+  /**
+   * Takes the newest totals of an entry for its own links, in place of its
+   * earlier ones. Returns how many cells were dropped.
+   */
+  noteTotals(entryEpoch: string, item: EntryTotals): number {
+    const cells = decodeUsageRows(item.window, item.open);
+    const entries = this.entries.get(item.window) ?? new Map();
+    this.entries.set(item.window, entries);
+    entries.set(entryEpoch, {
+      totals: item.totals,
+      links: new Set(item.links),
+    });
+    return this.merge(cells);
+  }
+
+  /** Links of which agents' counts are needed. */
+  getOpenLinks(): string[] {
+    const links = [...this.entries.values()]
+      .flatMap(entries => [...entries.values()])
+      .flatMap(entry => [...entry.links]);
+    return [...new Set(links)];
+  }
+
   private mergeCell(cell: UsageCell): boolean {
     const key = getCellKey(cell);
     const window = this.windows.get(cell.window);
@@ -85,6 +154,9 @@
       this.size -= cells.size;
       this.windows.delete(window);
     }
+    for (const window of this.entries.keys()) {
+      if (window <= lastSealed - LATE_WINDOWS) this.entries.delete(window);
+    }
   }
 
   /** Cells of a window and the earlier ones that are kept. */
@@ -96,14 +168,32 @@
 
   /** Windows with cells, ascending. */
   getWindows(): number[] {
-    return [...this.windows.keys()].sort((a, b) => a - b);
+    const windows = new Set([...this.windows.keys(), ...this.entries.keys()]);
+    return [...windows].sort((a, b) => a - b);
   }
 
-  /** Sum of the cells of a window by account. */
+  /**
+   * Figures of a window by account. Of an entry that named totals, the larger
+   * of these, with its open cells, and of the cells of all its links counts:
+   * an entry that died later may have missed what its agents counted.
+   */
   getTotals(window: number): WindowFigures {
     const totals: WindowFigures = {};
+    const byEntry = new Map<string, UsageCell[]>();
     for (const cell of this.windows.get(window)?.values() ?? []) {
-      addFigures(totals, cell.account, cell);
+      const cells = byEntry.get(cell.entryEpoch);
+      if (cells) cells.push(cell);
+      else byEntry.set(cell.entryEpoch, [cell]);
+    }
+    const entries = this.entries.get(window) ?? new Map<string, EntryWindow>();
+    for (const epoch of new Set([...byEntry.keys(), ...entries.keys()])) {
+      const cells = byEntry.get(epoch) ?? [];
+      const sums = getSums(cells);
+      const entry = entries.get(epoch);
+      const figures = entry ? combineMax(getOwnSums(entry, cells), sums) : sums;
+      for (const [account, item] of Object.entries(figures)) {
+        addFigures(totals, account, item);
+      }
     }
     return totals;
   }
