List each agent's load once for the controller, in compact rows

Every entry answered load.collect with full reports of all agents that it heard, so each agent came three times, every 5 s. Now the entry that is first in rendezvous order lists an agent. Rows (version, epoch, limit, flags) are named by a hash and sent only when they change; the number of running and waiting requests is sent each time, one number per row. Per-pool sums were not used: a number per agent takes 2 to 3 bytes and scale-down needs to know which upstream is empty. Agents of an entry that did not answer are listed by the next one in order, and a new entry takes over its agents after 20 s. The interval is 50 ms per entry but at least 5 s, so that the headers of the calls also fit: 20 s at 400 entries.

--- /dev/null
+++ b/packages/daemon/src/agentLoads.test.ts
@@ -0,0 +1,181 @@
+import type {Epoch} from '@vanillacross/common';
+import {
+  ManualClock,
+  Metrics,
+  as,
+  createLogger,
+  fail,
+  getDeadline,
+  getRendezvousOrder,
+  ok,
+} from '@vanillacross/common';
+import type {Instance} from '@vanillacross/domain';
+import {
+  applyControlRecords,
+  emptyControlState,
+  getEntriesOfAgent,
+} from '@vanillacross/domain';
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import type {AgentLoads} from './agentLoads.js';
+import {createAgentLoads} from './agentLoads.js';
+import type {LeaseTask} from './leaseTask.js';
+import {settle} from './testFakes.js';
+import type {AgentPresence, ControlFollower, Membership} from './types.js';
+
+const AGENTS = 200;
+const LOAD = {limit: 20, waiting: 1, version: 7, cold: false};
+
+const state = applyControlRecords(emptyControlState, [
+  {
+    offset: 0,
+    appendId: 'a',
+    payload: {
+      type: 'put',
+      key: 'pool/p',
+      baseRevision: 0,
+      schemaVersion: 1,
+      body: {kind: 'engine', model: 'm'},
+      operator: 'o',
+    },
+  },
+]);
+
+function createWorld() {
+  const clock = new ManualClock();
+  const entries = Array.from({length: 12}, (_, i): Instance => {
+    const id = `entry-${i}`;
+    const place = {domain: `d${i % 3}`, address: '', peerAddress: id};
+    return {id, role: 'entry', state: 'live', ...place};
+  });
+  const agents = Array.from({length: AGENTS}, (_, i) => ({
+    id: `agent-${i}`,
+    domain: `d${i % 3}`,
+    upstream: {id: `upstream-${i}`, pool: 'p'},
+  }));
+  const running = new Map(agents.map(({id}, i) => [id, i]));
+  const cut = new Set<string>();
+  const traffic = {bytes: 0, rows: 0, calls: 0};
+  const loads = new Map<string, AgentLoads>();
+  for (const self of entries) {
+    const getMembers = () =>
+      agents
+        .filter(({id, domain}) =>
+          getEntriesOfAgent(id, domain, entries).includes(self),
+        )
+        .map(instance => ({
+          instance,
+          isLeaving: false,
+          heardAt: clock.now(),
+          load: {...LOAD, running: running.get(instance.id), epoch: 'e'},
+        })) as unknown as AgentPresence[];
+    const membership = {
+      getPeers: () => entries.filter(entry => entry !== self),
+      getPoolMembers: getMembers,
+      getAgent: (upstream: string) =>
+        getMembers().find(m => m.instance.upstream.id === upstream) ?? null,
+    } as unknown as Membership;
+    const context = {
+      self,
+      epoch: as<Epoch>(self.id),
+      clock,
+      logger: createLogger('loads', 'silent'),
+      metrics: new Metrics(),
+      clusterSecret: 's',
+    };
+    const getTenure = () =>
+      self.id === 'entry-0'
+        ? {fencing: 1, deadline: getDeadline(clock.now(), 1_000)}
+        : null;
+    const created = createAgentLoads(
+      context,
+      {getState: () => state} as ControlFollower,
+      membership,
+      {getTenure} as LeaseTask,
+      address => ({
+        call: async (name, params) => {
+          const method = loads.get(address)?.rpcMethods[name];
+          if (!method || cut.has(address)) {
+            return fail({tag: 'unknown', detail: 'cut'});
+          }
+          const parsed = method.params.parse(params) as never;
+          const text = JSON.stringify(await method.perform(parsed));
+          const answer = JSON.parse(text) as {rows?: unknown[]};
+          traffic.bytes += text.length + JSON.stringify(params).length;
+          traffic.rows += answer.rows?.length ?? 0;
+          traffic.calls++;
+          return ok(answer);
+        },
+      }),
+    );
+    loads.set(self.id, created);
+  }
+  const holder = loads.get('entry-0')!;
+  const collect = async () => {
+    Object.assign(traffic, {bytes: 0, rows: 0, calls: 0});
+    clock.advance(5_000);
+    await settle();
+    return {...traffic};
+  };
+  const getBusy = () =>
+    agents.map(({upstream}) => {
+      const load = holder.getLoad(upstream.id)?.load;
+      return load ? load.running + load.waiting : null;
+    });
+  const stop = () => holder.stop(AbortSignal.abort());
+  const start = async () => {
+    await holder.start();
+    await settle();
+  };
+  const entryIds = entries.map(({id}) => id);
+  return {
+    agents,
+    entryIds,
+    collect,
+    cut,
+    getBusy,
+    running,
+    start,
+    stop,
+    traffic,
+  };
+}
+
+describe('agent loads', () => {
+  it('prevents agents from being listed twice or by no entry', async () => {
+    const {agents, entryIds, getBusy, start, stop, traffic, running} =
+      createWorld();
+    await start();
+    const expected = agents.map(({id}) => running.get(id)! + 1);
+    assert.deepEqual(getBusy(), expected);
+    // Agents whose first entry is the holder are in no list.
+    const listed = agents.filter(
+      ({id}) => getRendezvousOrder(id, entryIds)[0] !== 'entry-0',
+    );
+    assert.equal(traffic.rows, listed.length);
+    assert.equal(traffic.calls, 11);
+    await stop();
+  });
+
+  it('prevents rows from being sent again for changes of demand', async () => {
+    const {agents, collect, getBusy, start, stop, running} = createWorld();
+    await start();
+    for (const {id} of agents) running.set(id, 9);
+    const {rows, bytes} = await collect();
+    assert.equal(rows, 0);
+    assert.ok(bytes < 10 * AGENTS, `${bytes} bytes`);
+    assert.deepEqual(new Set(getBusy()), new Set([10]));
+    await stop();
+  });
+
+  it('prevents agents of a silent entry from missing for long', async () => {
+    const {collect, cut, getBusy, start, stop} = createWorld();
+    cut.add('entry-3').add('entry-4');
+    await start();
+    assert.ok(getBusy().includes(null));
+    await collect();
+    assert.ok(!getBusy().includes(null));
+    await stop();
+  });
+});
--- a/packages/daemon/src/agentLoads.ts
+++ b/packages/daemon/src/agentLoads.ts
@@ -1,7 +1,12 @@
 import type {MonotonicMs, RpcMethods} from '@vanillacross/common';
-import {defineMethod, getDeadline} from '@vanillacross/common';
-import type {ControlState, Load} from '@vanillacross/domain';
-import {ENTRIES_PER_AGENT, getBodies, loadSchema} from '@vanillacross/domain';
+import {
+  defineMethod,
+  getDeadline,
+  getRendezvousOrder,
+  getSha256,
+} from '@vanillacross/common';
+import type {ControlState, Instance, Load} from '@vanillacross/domain';
+import {ENTRIES_PER_AGENT, getBodies} from '@vanillacross/domain';
 import PQueue from 'p-queue';
 import {z} from 'zod';
 
@@ -13,22 +18,64 @@
 
 /** Age after which a load report no longer counts, ms. */
 export const LOAD_MAX_AGE_MS = 30_000;
-/** Interval of collection from the other entries, ms. */
+/** Shortest interval of collection from the other entries, ms. */
 const COLLECT_INTERVAL_MS = 5_000;
+/**
+ * Collection interval per entry: a call takes about 900 bytes with all
+ * headers, and 20 calls a second fit the budget of a node, ms.
+ */
+const INTERVAL_PER_ENTRY_MS = 50;
+/** Collections after which what an entry listed last is dropped. */
+const KEPT_INTERVALS = 2.5;
 const COLLECT_TIMEOUT_MS = 2_000;
 const COLLECT_CONCURRENCY = 16;
+const HASH_LENGTH = 12;
 
-/** Load of one agent as some entry heard it. */
-const heardLoadSchema = z.object({
-  upstream: z.string(),
-  load: loadSchema,
-  isLeaving: z.boolean(),
-  ageMs: z.number().min(0),
+/** Age after which an entry no longer lists an agent, ms. */
+const LISTED_MAX_AGE_MS = 15_000;
+/**
+ * Time until a new entry takes over its agents in the lists: agents read the
+ * instance list every 10 s, ms.
+ */
+const SETTLING_MS = 20_000;
+
+const FLAG_COLD = 1;
+const FLAG_LEAVING = 2;
+
+/** `[upstream, version, epoch, limit, flags]`; seldom changes. */
+const rowSchema = z.tuple([
+  z.string(),
+  z.number(),
+  z.string(),
+  z.number(),
+  z.number().int().min(0),
+]);
+
+const collectSchema = z.object({
+  /** Hash of the rows that the holder has; '' if none. */
+  known: z.string().default(''),
+  /** Entries that did not answer; the next in order list their agents. */
+  without: z.array(z.string()).default([]),
 });
 
-const loadAnswerSchema = z.object({loads: z.array(heardLoadSchema)});
+const answerSchema = z.object({
+  hash: z.string(),
+  /** Requests that run or wait, in the order of the rows. */
+  busy: z.array(z.number()),
+  /** Absent if the holder has them. */
+  rows: z.array(rowSchema).optional(),
+});
+
+type Row = z.infer<typeof rowSchema>;
+type Answer = z.infer<typeof answerSchema>;
 
-type HeardLoad = z.infer<typeof heardLoadSchema>;
+/** What one entry listed last. */
+interface EntryLoads {
+  hash: string;
+  busy: number[];
+  rows: Row[];
+  heardAt: MonotonicMs;
+}
 
 /** The newest known load of an agent. */
 export interface AgentLoad {
@@ -54,7 +101,12 @@
 ): AgentLoads {
   const {clock} = context;
   const queue = new PQueue({concurrency: COLLECT_CONCURRENCY});
-  let collected = new Map<string, AgentLoad>();
+  /** By the entry's instance id. */
+  let collected = new Map<string, EntryLoads>();
+  let newest = new Map<string, AgentLoad>();
+  let silent: string[] = [];
+  const seenAt = new Map<string, MonotonicMs>();
+  let firsts = {key: '', byAgent: new Map<string, string>()};
 
   function getOwn(upstream: string): AgentLoad | null {
     const agent = membership.getAgent(upstream);
@@ -63,55 +115,133 @@
     return {load, isLeaving, heardAt};
   }
 
-  function getHeard(state: ControlState): HeardLoad[] {
-    return getBodies(state, 'pool')
-      .flatMap(({id}) => membership.getPoolMembers(id))
-      .flatMap(({instance, load, isLeaving, heardAt}) => {
-        if (!load || heardAt === null) return [];
-        const ageMs = Math.max(0, clock.now() - heardAt);
-        if (ageMs > LOAD_MAX_AGE_MS) return [];
-        return [{upstream: instance.upstream.id, load, isLeaving, ageMs}];
-      });
+  /** Notes new entries; those that were there at the start are settled. */
+  function noteEntries(ids: readonly string[]): void {
+    const isFirst = seenAt.size === 0;
+    const settledAt = getDeadline(clock.now(), -SETTLING_MS);
+    for (const id of ids) {
+      if (!seenAt.has(id)) seenAt.set(id, isFirst ? settledAt : clock.now());
+    }
+    const known = new Set(ids);
+    for (const id of seenAt.keys()) if (!known.has(id)) seenAt.delete(id);
+  }
+
+  /** Says whether this entry lists the agent, so that each is listed once. */
+  function createIsFirst(
+    without: readonly string[],
+  ): (agentId: string) => boolean {
+    const own = context.self.id;
+    const ids = membership.getPeers().map(peer => peer.id);
+    noteEntries(ids);
+    const settled = getDeadline(clock.now(), -SETTLING_MS);
+    const others = ids.filter(
+      id => !without.includes(id) && (seenAt.get(id) ?? 0) <= settled,
+    );
+    const entries = [own, ...others.sort()];
+    const key = entries.join();
+    if (firsts.key !== key) firsts = {key, byAgent: new Map()};
+    const {byAgent} = firsts;
+    return agentId => {
+      let first = byAgent.get(agentId);
+      if (first === undefined) {
+        [first] = getRendezvousOrder(agentId, entries);
+        byAgent.set(agentId, first);
+      }
+      return first === own;
+    };
   }
 
-  async function collectFrom(address: string): Promise<HeardLoad[]> {
-    const client = createClient(address);
-    const answer = await client.call('load.collect', {}, COLLECT_TIMEOUT_MS);
-    const parsed = loadAnswerSchema.safeParse(answer.ok ? answer.value : null);
-    return parsed.success ? parsed.data.loads : [];
+  function getAnswer(
+    state: ControlState,
+    request: z.infer<typeof collectSchema>,
+  ): Answer {
+    const isFirst = createIsFirst(request.without);
+    const busy: number[] = [];
+    const rows: Row[] = [];
+    for (const {id: pool} of getBodies(state, 'pool')) {
+      for (const member of membership.getPoolMembers(pool)) {
+        const {instance, load, isLeaving, heardAt} = member;
+        if (!load || heardAt === null || !isFirst(instance.id)) continue;
+        if (clock.now() - heardAt > LISTED_MAX_AGE_MS) continue;
+        busy.push(load.running + load.waiting);
+        rows.push([
+          instance.upstream.id,
+          load.version,
+          load.epoch,
+          load.limit,
+          (load.cold ? FLAG_COLD : 0) + (isLeaving ? FLAG_LEAVING : 0),
+        ]);
+      }
+    }
+    const hash = getSha256(JSON.stringify(rows)).slice(0, HASH_LENGTH);
+    return {hash, busy, ...(hash === request.known ? {} : {rows})};
+  }
+
+  async function collectFrom(peer: Instance): Promise<boolean> {
+    const known = collected.get(peer.id);
+    const answer = await createClient(peer.peerAddress).call(
+      'load.collect',
+      {known: known?.hash ?? '', without: silent},
+      COLLECT_TIMEOUT_MS,
+    );
+    const parsed = answerSchema.safeParse(answer.ok ? answer.value : null);
+    if (!parsed.success) return false;
+    const {hash, busy, rows} = parsed.data;
+    collected.set(peer.id, {
+      hash,
+      busy,
+      rows: rows ?? known?.rows ?? [],
+      heardAt: clock.now(),
+    });
+    return true;
   }
 
-  function merge(into: Map<string, AgentLoad>, heard: HeardLoad): void {
-    const heardAt = getDeadline(clock.now(), -heard.ageMs);
-    const known = into.get(heard.upstream);
-    if (known && known.heardAt >= heardAt) return;
-    into.set(heard.upstream, {
-      load: heard.load,
-      isLeaving: heard.isLeaving,
-      heardAt,
+  function noteRows(entry: EntryLoads): void {
+    entry.rows.forEach(([upstream, version, epoch, limit, flags], position) => {
+      const running = entry.busy[position];
+      if (running === undefined) return;
+      const cold = (flags & FLAG_COLD) !== 0;
+      newest.set(upstream, {
+        load: {running, limit, waiting: 0, epoch, version, cold},
+        isLeaving: (flags & FLAG_LEAVING) !== 0,
+        heardAt: entry.heardAt,
+      });
     });
   }
 
   async function step(): Promise<MonotonicMs> {
-    const next = getDeadline(clock.now(), COLLECT_INTERVAL_MS);
     const peers = membership.getPeers();
+    const intervalMs = Math.max(
+      COLLECT_INTERVAL_MS,
+      peers.length * INTERVAL_PER_ENTRY_MS,
+    );
+    const keptMs = KEPT_INTERVALS * intervalMs;
+    const next = getDeadline(clock.now(), intervalMs);
     // With so few entries every agent polls this one.
     const isComplete = peers.length < ENTRIES_PER_AGENT;
     if (isComplete || !lease.getTenure()) {
       collected = new Map();
-      return next;
+      newest = new Map();
+      silent = [];
+      return getDeadline(clock.now(), COLLECT_INTERVAL_MS);
     }
-    const fresh = new Map<string, AgentLoad>();
-    await Promise.all(
-      peers.map(peer =>
-        queue.add(async () => {
-          for (const heard of await collectFrom(peer.peerAddress)) {
-            merge(fresh, heard);
-          }
-        }),
-      ),
+    const answered = await Promise.all(
+      peers.map(peer => queue.add(() => collectFrom(peer))),
+    );
+    silent = peers.filter((_, i) => !answered[i]).map(peer => peer.id);
+    const ids = new Set(peers.map(peer => peer.id));
+    for (const [id, {heardAt}] of collected) {
+      const isOld = clock.now() - heardAt > keptMs;
+      if (isOld || !ids.has(id)) collected.delete(id);
+    }
+    const sorted = [...collected.values()].sort(
+      (a, b) => a.heardAt - b.heardAt,
     );
-    collected = fresh;
+    // Agents that move from one entry's list to another's stay for a while.
+    for (const entry of sorted) noteRows(entry);
+    for (const [upstream, {heardAt}] of newest) {
+      if (clock.now() - heardAt > keptMs) newest.delete(upstream);
+    }
     return next;
   }
 
@@ -119,18 +249,18 @@
     ...createLoop(context, 'agent-loads', step),
     getLoad: upstream => {
       const own = getOwn(upstream);
-      const other = collected.get(upstream) ?? null;
-      const newest =
-        own && other ? (own.heardAt >= other.heardAt ? own : other) : own;
-      const chosen = newest ?? other;
-      if (!chosen) return null;
-      const isRecent = clock.now() - chosen.heardAt <= LOAD_MAX_AGE_MS;
-      return isRecent ? chosen : null;
+      const isOwnRecent =
+        own !== null && clock.now() - own.heardAt <= LOAD_MAX_AGE_MS;
+      const other = newest.get(upstream);
+      if (own && isOwnRecent && (!other || own.heardAt >= other.heardAt)) {
+        return own;
+      }
+      return other ?? (isOwnRecent ? own : null);
     },
     rpcMethods: {
-      'load.collect': defineMethod(z.object({}), () => ({
-        loads: getHeard(control.getState()),
-      })),
+      'load.collect': defineMethod(collectSchema, request =>
+        getAnswer(control.getState(), request),
+      ),
     },
   };
 }
