Answer in-force from what is known and hold the rest of the questions

Each GET in-force asked all entries for the offset of every agent that polls them. The others are asked with control.status {offset}, which is held for up to 2 s and answers counts and at most 32 names. The entry that is first in an agent's order speaks for the agent; the agent's other entries are asked only if it does not poll that one, and the next in order if that one does not answer. The answer of GET in-force got agents.behindCount, as agents.behind is limited to 32.

The existing test advances the clock now, because the question is held until the lagging agent has the offset; its checks are unchanged, and a check that known entries are not asked again was added.

--- a/packages/common/src/hash.ts
+++ b/packages/common/src/hash.ts
@@ -49,3 +49,20 @@
   scored.sort((a, b) => b.score - a.score || (a.node < b.node ? -1 : 1));
   return scored.map(entry => entry.node);
 }
+
+/**
+ * Says whether a node comes before all others in the rendezvous order of a
+ * key. Stops at the first better one, so it is cheap where it is not.
+ */
+export function isFirstInOrder(
+  key: string,
+  node: string,
+  others: readonly string[],
+): boolean {
+  const getScore = (other: string) => getHash32(`${key}\u0000${other}`);
+  const own = getScore(node);
+  return others.every(other => {
+    const score = getScore(other);
+    return score < own || (score === own && node <= other);
+  });
+}
--- a/packages/daemon/src/agentLoads.ts
+++ b/packages/daemon/src/agentLoads.ts
@@ -1,15 +1,11 @@
 import type {MonotonicMs, RpcMethods} from '@vanillacross/common';
-import {
-  defineMethod,
-  getDeadline,
-  getRendezvousOrder,
-  getSha256,
-} from '@vanillacross/common';
+import {defineMethod, getDeadline, getSha256} from '@vanillacross/common';
 import type {ControlState, Instance, Load} from '@vanillacross/domain';
 import {ENTRIES_PER_AGENT, getBodies} from '@vanillacross/domain';
 import PQueue from 'p-queue';
 import {z} from 'zod';
 
+import {createFirstEntries} from './firstEntries.js';
 import type {LeaseTask} from './leaseTask.js';
 import type {Loop} from './loop.js';
 import {createLoop} from './loop.js';
@@ -33,12 +29,6 @@
 
 /** Age after which an entry no longer lists an agent, ms. */
 const LISTED_MAX_AGE_MS = 15_000;
-/**
- * Time until a new entry takes over its agents in the lists: agents read the
- * instance list every 10 s, ms.
- */
-const SETTLING_MS = 20_000;
-
 const FLAG_COLD = 1;
 const FLAG_LEAVING = 2;
 
@@ -105,8 +95,7 @@
   let collected = new Map<string, EntryLoads>();
   let newest = new Map<string, AgentLoad>();
   let silent: string[] = [];
-  const seenAt = new Map<string, MonotonicMs>();
-  let firsts = {key: '', byAgent: new Map<string, string>()};
+  const firsts = createFirstEntries(context, membership.getPeers);
 
   function getOwn(upstream: string): AgentLoad | null {
     const agent = membership.getAgent(upstream);
@@ -115,47 +104,11 @@
     return {load, isLeaving, heardAt};
   }
 
-  /** Notes new entries; those that were there at the start are settled. */
-  function noteEntries(ids: readonly string[]): void {
-    const isFirst = seenAt.size === 0;
-    const settledAt = getDeadline(clock.now(), -SETTLING_MS);
-    for (const id of ids) {
-      if (!seenAt.has(id)) seenAt.set(id, isFirst ? settledAt : clock.now());
-    }
-    const known = new Set(ids);
-    for (const id of seenAt.keys()) if (!known.has(id)) seenAt.delete(id);
-  }
-
-  /** Says whether this entry lists the agent, so that each is listed once. */
-  function createIsFirst(
-    without: readonly string[],
-  ): (agentId: string) => boolean {
-    const own = context.self.id;
-    const ids = membership.getPeers().map(peer => peer.id);
-    noteEntries(ids);
-    const settled = getDeadline(clock.now(), -SETTLING_MS);
-    const others = ids.filter(
-      id => !without.includes(id) && (seenAt.get(id) ?? 0) <= settled,
-    );
-    const entries = [own, ...others.sort()];
-    const key = entries.join();
-    if (firsts.key !== key) firsts = {key, byAgent: new Map()};
-    const {byAgent} = firsts;
-    return agentId => {
-      let first = byAgent.get(agentId);
-      if (first === undefined) {
-        [first] = getRendezvousOrder(agentId, entries);
-        byAgent.set(agentId, first);
-      }
-      return first === own;
-    };
-  }
-
   function getAnswer(
     state: ControlState,
     request: z.infer<typeof collectSchema>,
   ): Answer {
-    const isFirst = createIsFirst(request.without);
+    const isFirst = firsts.createCheck(request.without);
     const busy: number[] = [];
     const rows: Row[] = [];
     for (const {id: pool} of getBodies(state, 'pool')) {
--- a/packages/daemon/src/membership.ts
+++ b/packages/daemon/src/membership.ts
@@ -24,7 +24,14 @@
 import {setMaxListeners} from 'node:events';
 import {z} from 'zod';
 
+import {createFirstEntries} from './firstEntries.js';
 import {createInstanceDirectory, isSeed} from './instanceDirectory.js';
+import type {OffsetQuestion, OffsetStatus} from './offsetStatus.js';
+import {
+  createOffsetStatus,
+  isOffsetQuestion,
+  offsetQuestionSchema,
+} from './offsetStatus.js';
 import type {CallPeer} from './peerCalls.js';
 import {createCallPeer} from './peerCalls.js';
 import type {
@@ -60,6 +67,8 @@
 /** What operators may learn from the membership of one entry. */
 export interface EntryMembership extends Membership {
   getEntryStatus(): EntryStatus;
+  /** How far this entry and the agents it speaks for are; held at most 2 s. */
+  getOffsetStatus(question: OffsetQuestion): Promise<OffsetStatus>;
   /** Every known agent, also leaving and unreachable ones. */
   getAgents(): readonly AgentPresence[];
   /** Marks this entry as leaving in its answers to peers. */
@@ -605,6 +614,22 @@
     };
   };
 
+  const getOffsetStatus = createOffsetStatus(
+    context,
+    control,
+    createFirstEntries(context, getPeers),
+    isWanted =>
+      [...members.values()]
+        .filter(member => isWanted(member.instance.id))
+        .map(member => ({
+          instance: member.instance,
+          offset: member.offset,
+          isPolling: isRecent(member.polledAt, ALIVE_MS),
+          isLeaving: isMemberLeaving(member),
+        })),
+    stopped.signal,
+  );
+
   return {
     name: 'membership',
     start: async () => {
@@ -653,13 +678,20 @@
     onReport: listener => void reportListeners.add(listener),
     hasAuthority,
     getEntryStatus,
+    getOffsetStatus,
     setLeaving: () => {
       isSelfLeaving = true;
     },
     getHeardDomains,
     rpcMethods: {
       'control.pull': defineMethod(pullSchema, pull),
-      'control.status': defineMethod(z.unknown(), getEntryStatus),
+      'control.status': defineMethod(
+        z.union([offsetQuestionSchema, z.strictObject({})]),
+        question =>
+          isOffsetQuestion(question)
+            ? getOffsetStatus(question)
+            : getEntryStatus(),
+      ),
       'member.ping': defineMethod(pingSchema, params => {
         notePing(params);
         return createPing();
--- /dev/null
+++ b/packages/daemon/src/offsetStatus.ts
@@ -0,0 +1,142 @@
+import {getDeadline} from '@vanillacross/common';
+import type {MonotonicMs} from '@vanillacross/common';
+import type {AgentInstance} from '@vanillacross/domain';
+import {getAgentViewChange} from '@vanillacross/domain';
+import {z} from 'zod';
+
+import type {FirstEntries} from './firstEntries.js';
+import type {Context, ControlFollower} from './types.js';
+
+/** Instances that an answer names. */
+export const MAX_NAMED_BEHIND = 32;
+/** Longest hold of a question, ms. */
+export const STATUS_HOLD_MS = 2_000;
+/** Interval at which a held question looks again, ms. */
+const CHECK_INTERVAL_MS = 50;
+
+export const offsetQuestionSchema = z.object({
+  offset: z.number().int(),
+  waitMs: z.number().min(0).max(STATUS_HOLD_MS).default(0),
+  /** Entries that do not answer; the next in order speak for their agents. */
+  without: z.array(z.string()).default([]),
+  /** Agents that do not poll the entry that speaks for them. */
+  unheard: z.array(z.string()).max(MAX_NAMED_BEHIND).default([]),
+});
+
+export const behindAgentSchema = z.object({
+  id: z.string(),
+  upstream: z.string(),
+  /** Null if the agent does not poll. */
+  offset: z.number().int().nullable(),
+});
+
+/** Answer to `control.status` about an offset. */
+export const offsetStatusSchema = z.object({
+  id: z.string(),
+  epoch: z.string(),
+  highest: z.number().int(),
+  isWhole: z.boolean(),
+  /** Agents for which this entry speaks. */
+  agents: z.number().int(),
+  agentsBehind: z.number().int(),
+  /** The first `MAX_NAMED_BEHIND` of these agents. */
+  behind: z.array(behindAgentSchema),
+  /** Those of `unheard` that poll this entry and have the offset. */
+  reached: z.array(z.string()).default([]),
+});
+
+export type OffsetQuestion = z.infer<typeof offsetQuestionSchema>;
+export type BehindAgent = z.infer<typeof behindAgentSchema>;
+export type OffsetStatus = z.infer<typeof offsetStatusSchema>;
+
+/** What the question needs to know of an agent. */
+export interface AgentProgress {
+  instance: AgentInstance;
+  /** Offset of the agent's view. */
+  offset: number;
+  /** False if the agent has not polled lately. */
+  isPolling: boolean;
+  isLeaving: boolean;
+}
+
+/** A question without an offset asks for the whole status. */
+export function isOffsetQuestion(
+  question: OffsetQuestion | Record<string, never>,
+): question is OffsetQuestion {
+  return question.offset !== undefined;
+}
+
+/** Says whether an entry and its agents have an offset. */
+export function isSettledAt(status: OffsetStatus, offset: number): boolean {
+  if (!status.isWhole || status.highest < offset) return false;
+  return status.agentsBehind === 0;
+}
+
+/**
+ * Creates the answer to questions about an offset. It is held until the entry
+ * and the agents for which it speaks have the offset.
+ */
+export function createOffsetStatus(
+  context: Context,
+  control: ControlFollower,
+  firsts: FirstEntries,
+  getAgents: (isWanted: (agentId: string) => boolean) => AgentProgress[],
+  signal: AbortSignal,
+): (question: OffsetQuestion) => Promise<OffsetStatus> {
+  const {clock, epoch, self} = context;
+
+  function getReached({instance, offset}: AgentProgress): number {
+    const state = control.getState();
+    // An unchanged view is in force up to the offset of this entry.
+    const isCurrent =
+      state.isWhole && offset >= getAgentViewChange(state, instance);
+    return isCurrent ? Math.max(offset, state.highest) : offset;
+  }
+
+  function getStatus({offset, without, unheard}: OffsetQuestion): OffsetStatus {
+    const state = control.getState();
+    const isFirst = firsts.createCheck(without);
+    const agents = getAgents(isFirst)
+      .filter(agent => !agent.isLeaving)
+      // Agents may not know a new entry yet; the others speak for them.
+      .filter(agent => agent.isPolling || !firsts.isNew());
+    const behind = agents.flatMap((agent): BehindAgent[] => {
+      const {instance, isPolling} = agent;
+      const reached = getReached(agent);
+      if (isPolling && reached >= offset) return [];
+      const {id, upstream} = instance;
+      return [{id, upstream: upstream.id, offset: isPolling ? reached : null}];
+    });
+    // Agents that poll come first, as the hold waits for these.
+    behind.sort(
+      (a, b) => Number(a.offset === null) - Number(b.offset === null),
+    );
+    return {
+      id: self.id,
+      epoch,
+      highest: state.highest,
+      isWhole: state.isWhole,
+      agents: agents.length,
+      agentsBehind: behind.length,
+      behind: behind.slice(0, MAX_NAMED_BEHIND),
+      reached: getAgents(id => unheard.includes(id))
+        .filter(agent => agent.isPolling && getReached(agent) >= offset)
+        .map(agent => agent.instance.id),
+    };
+  }
+
+  return async question => {
+    const deadline = getDeadline(clock.now(), question.waitMs);
+    for (;;) {
+      const status = getStatus(question);
+      // Agents that do not poll this entry may poll others; no wait for them.
+      const isEntryBehind = !status.isWhole || status.highest < question.offset;
+      const isWorthWaiting =
+        isEntryBehind || status.behind.some(agent => agent.offset !== null);
+      if (!isWorthWaiting) return status;
+      if (clock.now() >= deadline || signal.aborted) return status;
+      const next = getDeadline(clock.now(), CHECK_INTERVAL_MS);
+      await clock.waitUntil(Math.min(next, deadline) as MonotonicMs, signal);
+    }
+  };
+}
--- a/packages/daemon/src/operatorActions.test.ts
+++ b/packages/daemon/src/operatorActions.test.ts
@@ -21,6 +21,7 @@
   createAgentInstance,
   createEntryInstance,
   createTestContext,
+  runUntilSettled,
   settle,
 } from './testFakes.js';
 import type {Part} from './types.js';
@@ -201,9 +202,9 @@
     await advance(clock, 1_000);
     const {offset} = await put('pool/p', 0, {kind: 'plain'});
     const load = {running: 0, limit: 1, waiting: 0, epoch: '', version: 0};
-    const pull = (index: number, viewOffset: number) =>
+    const pull = (index: number, viewOffset: number, entry = 'e2:90') =>
       void network.callPeer(
-        'e2:90',
+        entry,
         'control.pull',
         {
           instance: agents[index],
@@ -219,7 +220,9 @@
     pull(0, offset);
     pull(1, -1);
     await settle();
-    const before = (await call(`in-force?offset=${offset}`)).body;
+    // The question is held at e2 until u2 has the offset.
+    const question = call(`in-force?offset=${offset}`);
+    const before = (await runUntilSettled(clock, question)).body;
     assert.equal(before.isInForce, false);
     assert.deepEqual(before.entries.behind, [{id: 'gone', offset: null}]);
     assert.equal(before.entries.total, 3);
@@ -233,9 +236,20 @@
     pull(0, offset);
     pull(1, offset);
     await settle();
-    const after = (await call('in-force')).body;
+    const after = (await runUntilSettled(clock, call('in-force'))).body;
     assert.equal(after.isInForce, true, JSON.stringify(after));
     assert.equal(after.agents.total, 2);
+    assert.equal(after.agents.behindCount, 0);
+    // Agents poll all of so few entries.
+    for (const index of [0, 1]) pull(index, offset, 'e1:90');
+    await settle();
+    const countAsked = () =>
+      network.calls.filter(name => name === 'control.status e2:90').length;
+    assert.equal((await call('in-force')).body.isInForce, true);
+    const asked = countAsked();
+    assert.equal((await call('in-force')).body.isInForce, true);
+    // What is known to be in force is not asked again.
+    assert.equal(countAsked(), asked);
     const status = (await call('status')).body;
     assert.equal(status.upstreams.length, 2);
   });
--- a/packages/daemon/src/operatorActions.ts
+++ b/packages/daemon/src/operatorActions.ts
@@ -15,11 +15,10 @@
   restoreBody,
 } from '@vanillacross/domain';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import PQueue from 'p-queue';
 import {z} from 'zod';
 
-import type {EntryMembership, EntryStatus} from './membership.js';
-import {entryStatusSchema} from './membership.js';
+import {createInForce} from './inForce.js';
+import type {EntryMembership} from './membership.js';
 import type {CallPeer} from './peerCalls.js';
 import {createCallPeer} from './peerCalls.js';
 import type {
@@ -82,9 +81,6 @@
 const MAX_PUTS = 256;
 /** Accepted versions that are kept for `history`, over all keys. */
 const MAX_HISTORY = 2_048;
-const STATUS_TIMEOUT_MS = 2_000;
-/** Entries that are asked for their status at the same time. */
-const STATUS_CONCURRENCY = 32;
 
 const putsSchema = z.strictObject({
   operator: z.string().min(1).max(200),
@@ -162,6 +158,7 @@
   const {clock, metrics} = context;
   const logger = context.logger.part('operator');
   const callPeer = options.callPeer ?? createCallPeer(context.clusterSecret);
+  const findInForce = createInForce(context, membership, callPeer);
   const history: HistoryItem[] = [];
 
   const noteHistory = (state: ControlState, previous?: ControlState) => {
@@ -257,73 +254,13 @@
     return ok({outcomes});
   };
 
-  /** Asks the live entries once; null for those that do not answer. */
-  const askEntries = async () => {
-    const queue = new PQueue({concurrency: STATUS_CONCURRENCY});
-    const asked = await Promise.all(
-      membership.getPeers().map(peer =>
-        queue.add(async () => {
-          const answer = await callPeer(
-            peer.peerAddress,
-            'control.status',
-            {},
-            STATUS_TIMEOUT_MS,
-          );
-          const parsed = answer.ok
-            ? entryStatusSchema.safeParse(answer.value)
-            : null;
-          const status: EntryStatus | null = parsed?.data ?? null;
-          return {id: status?.instance.id ?? peer.id, status};
-        }),
-      ),
-    );
-    const own = membership.getEntryStatus();
-    const answers = asked.filter(answer => answer !== undefined);
-    return [{id: own.instance.id, status: own}, ...answers];
-  };
-
   const getInForce = async ({query}: OperatorRequest): Promise<Answer> => {
     const text = query.get('offset');
     const offset = text === null ? control.getState().highest : Number(text);
     if (text === '' || !Number.isInteger(offset) || offset < -1) {
       return createError(400, 'bad_request', 'offset must be an integer');
     }
-    const entries = await askEntries();
-    const agentOffsets = new Map<string, number>();
-    for (const {status} of entries) {
-      for (const agent of status?.agents ?? []) {
-        const known = agentOffsets.get(agent.id) ?? -1;
-        agentOffsets.set(agent.id, Math.max(known, agent.offset));
-      }
-    }
-    const agents = membership.getAgents().filter(agent => !agent.isLeaving);
-    const names = new Map(
-      agents.map(({instance}) => [instance.id, instance.upstream.id]),
-    );
-    for (const {status} of entries) {
-      for (const {id, upstream} of status?.agents ?? []) {
-        names.set(id, upstream);
-      }
-    }
-    const behindEntries = entries
-      .map(({id, status}) => ({
-        id,
-        offset: status?.isWhole ? status.highest : null,
-      }))
-      .filter(entry => entry.offset === null || entry.offset < offset);
-    const behindAgents = [...names]
-      .map(([id, upstream]) => ({
-        id,
-        upstream,
-        offset: agentOffsets.get(id) ?? null,
-      }))
-      .filter(agent => agent.offset === null || agent.offset < offset);
-    return ok({
-      offset,
-      isInForce: behindEntries.length === 0 && behindAgents.length === 0,
-      entries: {total: entries.length, behind: behindEntries},
-      agents: {total: names.size, behind: behindAgents},
-    });
+    return ok(await findInForce(offset));
   };
 
   const getAgeMs = (time: number | null) =>
