Let agents read only entries from the instance list, every 10 s

Each agent polled the whole list every second although it needs only entries: 5,100 agents asked 5,100 times a second and read every change of every other agent. The port, the adapter and the stand-in take a role; agents ask for entries every 10 s, and at once, at most once a second, while no known entry answers.

--- a/packages/daemon/src/agent.ts
+++ b/packages/daemon/src/agent.ts
@@ -20,6 +20,12 @@
 } from './process.js';
 import type {Part} from './types.js';
 
+/**
+ * Interval between polls of the instance list: an agent needs a new entry only
+ * when its own ones fail, and then it polls at once, ms.
+ */
+const LIST_POLL_MS = 10_000;
+
 function createSelf(settings: AgentSettings): AgentInstance {
   const {id, pool} = settings.upstream;
   return {
@@ -47,7 +53,11 @@
   const directory = createInstanceDirectory(
     context,
     createInstanceListPort(settings.platform.instances),
-    {seeds: settings.cluster.seeds.map(createSeedInstance)},
+    {
+      seeds: settings.cluster.seeds.map(createSeedInstance),
+      role: 'entry',
+      pollMs: LIST_POLL_MS,
+    },
   );
   const server = createAgentServer(context, {
     upstream: settings.upstream,
@@ -62,6 +72,7 @@
         .filter(i => i.role === 'entry' && i.state === 'live'),
     getReport: entry => server.getReport(entry.id),
     onReportDelivered: (report, entry) => server.markReported(report, entry.id),
+    onNoAnswer: () => directory.pollNow(),
     instance: self,
   });
   const admin = createAdminServer(
--- a/packages/daemon/src/agentLink.test.ts
+++ b/packages/daemon/src/agentLink.test.ts
@@ -1,4 +1,5 @@
 import {
+  ManualClock,
   closeServer,
   createRpcHandler,
   listen,
@@ -12,10 +13,13 @@
 
 import {createAgentLink} from './agentLink.js';
 import {createControlFollower} from './controlFollower.js';
+import {createInstanceDirectory} from './instanceDirectory.js';
 import {createMembership} from './membership.js';
 import {
   FakeList,
   FakeLog,
+  FakeNetwork,
+  advance,
   createAgentInstance,
   createEntryInstance,
   createTestContext,
@@ -89,3 +93,40 @@
     await closeServer(server);
   });
 });
+
+describe('agent link without answers', () => {
+  it('prevents a wait for the next regular poll of the list', async () => {
+    const clock = new ManualClock();
+    const network = new FakeNetwork();
+    const list = new FakeList();
+    list.set([createEntryInstance('e1')]);
+    const instance = createAgentInstance('u1');
+    const context = createTestContext(instance, clock);
+    const directory = createInstanceDirectory(context, list, {
+      seeds: [],
+      role: 'entry',
+      pollMs: 3_600_000,
+    });
+    const load = {running: 0, limit: 1, waiting: 0, epoch: '', version: 0};
+    const link = createAgentLink(context, {
+      entries: () => directory.getEntries(),
+      getReport: () => ({load: {...load, cold: false}, cells: [], crashes: []}),
+      onReportDelivered: () => {},
+      onNoAnswer: () => directory.pollNow(),
+      instance,
+      callPeer: network.callPeer,
+    });
+    await directory.start();
+    await link.start();
+    await advance(clock, 2_000);
+    const e2 = createEntryInstance('e2');
+    list.set([e2], ['e1']);
+    await advance(clock, 10_000);
+    assert.ok(network.calls.includes(`control.pull ${e2.peerAddress}`));
+    const stops = [link, directory].map(part =>
+      part.stop(AbortSignal.timeout(1)),
+    );
+    await advance(clock, 20_000);
+    await Promise.all(stops);
+  });
+});
--- a/packages/daemon/src/agentLink.ts
+++ b/packages/daemon/src/agentLink.ts
@@ -31,6 +31,8 @@
   getReport: (entry: Instance) => Report;
   /** Called when an entry has answered the poll that carried a report. */
   onReportDelivered: (report: Report, entry: Instance) => void;
+  /** Called while no known entry answers. */
+  onNoAnswer?: () => void;
   instance: AgentInstance;
   callPeer?: CallPeer;
 }
@@ -65,6 +67,8 @@
   interrupt: AbortController;
   /** Called after each poll, answered or not. */
   onPolled: Set<() => void>;
+  /** True from a failed poll to the next answered one. */
+  isFailing: boolean;
   /** Tells the entry which members it sent last. */
   membersHash: string | undefined;
   loop: Promise<void>;
@@ -159,6 +163,11 @@
     return true;
   };
 
+  const noteFailure = () => {
+    const hasAnswers = [...pollers.values()].some(other => !other.isFailing);
+    if (!hasAnswers) options.onNoAnswer?.();
+  };
+
   const runPoller = async (poller: Poller) => {
     let backoffMs = MIN_BACKOFF_MS;
     while (!poller.stopped.signal.aborted) {
@@ -168,7 +177,11 @@
       if (poller.stopped.signal.aborted) return;
       if (interrupt.signal.aborted) continue;
       for (const callback of poller.onPolled) callback();
-      if (!isAnswered) metrics.count('vc_agent_poll_failures_total');
+      poller.isFailing = !isAnswered;
+      if (!isAnswered) {
+        metrics.count('vc_agent_poll_failures_total');
+        noteFailure();
+      }
       const pauseMs = isLeaving ? LEAVING_INTERVAL_MS : MIN_INTERVAL_MS;
       await clock.waitUntil(
         getDeadline(clock.now(), isAnswered ? pauseMs : backoffMs),
@@ -191,6 +204,7 @@
       stopped: new AbortController(),
       interrupt: new AbortController(),
       onPolled: new Set(),
+      isFailing: false,
       membersHash: undefined,
       loop: Promise.resolve(),
     };
@@ -218,6 +232,7 @@
   const run = async () => {
     while (!stopped.signal.aborted) {
       chooseEntries();
+      if (pollers.size === 0) options.onNoAnswer?.();
       await clock.waitUntil(
         getDeadline(clock.now(), CHOICE_INTERVAL_MS),
         stopped.signal,
--- a/packages/daemon/src/instanceDirectory.ts
+++ b/packages/daemon/src/instanceDirectory.ts
@@ -14,6 +14,8 @@
   getEntries(): readonly Instance[];
   /** True if the newest list contains the instance. */
   isListed(id: string): boolean;
+  /** Polls the list soon, at most once a second. */
+  pollNow(): void;
   /** Calls back after each change; returns a function that unsubscribes. */
   subscribe(listener: () => void): () => void;
 }
@@ -23,6 +25,8 @@
   seeds: readonly Instance[];
   /** Interval between polls of the list, ms. */
   pollMs?: number;
+  /** Only instances of this role are needed. */
+  role?: Instance['role'];
 }
 
 const POLL_MS = 1_000;
@@ -67,6 +71,7 @@
   let isUp = true;
   let known: Instance[] = [...options.seeds];
   let loop: Promise<void> | undefined;
+  let woken = new AbortController();
 
   const refresh = () => {
     const byAddress = new Map<string, Instance>();
@@ -112,7 +117,7 @@
   };
 
   const poll = async (): Promise<boolean> => {
-    const changes = await listPort.getChanges(version);
+    const changes = await listPort.getChanges(version, options.role);
     if (!changes.ok) {
       if (isUp) {
         const {error} = changes;
@@ -149,9 +154,12 @@
     const pollMs = options.pollMs ?? POLL_MS;
     let waitMs = pollMs;
     while (!stopped.signal.aborted) {
+      woken = new AbortController();
+      const polledAt = clock.now();
       const isAnswered = await poll();
       waitMs = isAnswered ? pollMs : Math.min(waitMs * 2, MAX_BACKOFF_MS);
-      await clock.waitUntil(getDeadline(clock.now(), waitMs), stopped.signal);
+      await clock.waitUntil(getDeadline(clock.now(), waitMs), woken.signal);
+      await clock.waitUntil(getDeadline(polledAt, POLL_MS), stopped.signal);
     }
   };
 
@@ -162,6 +170,7 @@
     },
     stop: async () => {
       stopped.abort();
+      woken.abort();
       await loop;
     },
     getInstances: () => known,
@@ -169,6 +178,7 @@
       known.filter(
         instance => instance.role === 'entry' && instance.state === 'live',
       ),
+    pollNow: () => woken.abort(),
     isListed: id => listed.has(id),
     subscribe: listener => {
       listeners.add(listener);
--- a/packages/integration/src/platformContracts.ts
+++ b/packages/integration/src/platformContracts.ts
@@ -163,8 +163,13 @@
   const address = '127.0.0.1:1';
   return {id, role: 'entry', domain: 'a', address, peerAddress: address, state};
 }
-async function getChanges(url: string, since: number): Promise<Changes> {
-  const path = `/v1/instances?since=${since}`;
+async function getChanges(
+  url: string,
+  since: number,
+  role?: string,
+): Promise<Changes> {
+  const filter = role === undefined ? '' : `&role=${role}`;
+  const path = `/v1/instances?since=${since}${filter}`;
   return (await callOk<Changes>('GET', url + path)).body;
 }
 const putInstance = (url: string, id: string, state?: string) =>
@@ -191,6 +196,29 @@
       assert.deepEqual([third.instances, third.removed], [[], []]);
     },
   },
+  {
+    name: 'leaves out other roles (guards: agents that read the whole list)',
+    run: async url => {
+      const [entry, agent] = [randomUUID(), randomUUID()];
+      const {version} = await getChanges(url, 0);
+      await putInstance(url, entry);
+      const upstream = {id: agent, pool: 'p'};
+      await callOk('PUT', `${url}/v1/instances/${agent}`, {
+        ...getInstance(agent),
+        role: 'agent',
+        upstream,
+      });
+      const changes = await getChanges(url, version, 'entry');
+      assert.deepEqual(
+        changes.instances.map(({id}) => id),
+        [entry],
+      );
+      await callOk('DELETE', `${url}/v1/instances/${entry}`);
+      await callOk('DELETE', `${url}/v1/instances/${agent}`);
+      const gone = await getChanges(url, changes.version, 'entry');
+      assert.deepEqual(gone.removed, [entry]);
+    },
+  },
   {
     name: 'lists all to a reader ahead of it (guards: a restarted list that looks unchanged)',
     run: async url => {
--- a/packages/platform/src/instanceListPort.ts
+++ b/packages/platform/src/instanceListPort.ts
@@ -24,10 +24,10 @@
 export function createInstanceListPort(baseUrl: string): InstanceListPort {
   const caller = createPlatformCaller(baseUrl);
   return {
-    getChanges: since =>
+    getChanges: (since, role) =>
       caller.call({
         method: 'GET',
-        path: `/v1/instances?since=${since}`,
+        path: `/v1/instances?since=${since}${role ? `&role=${role}` : ''}`,
         schema: changesSchema,
         hasEffect: false,
       }),
--- a/packages/platform/src/types.ts
+++ b/packages/platform/src/types.ts
@@ -72,7 +72,11 @@
 
 /** The platform's lagging list of instances. */
 export interface InstanceListPort {
-  getChanges(since: number): Promise<Result<InstanceChanges, PlatformFailure>>;
+  /** `role` leaves out instances of other roles where the list can do so. */
+  getChanges(
+    since: number,
+    role?: ListedInstance['role'],
+  ): Promise<Result<InstanceChanges, PlatformFailure>>;
 }
 
 /**
--- a/packages/standins/src/instanceList.ts
+++ b/packages/standins/src/instanceList.ts
@@ -48,13 +48,21 @@
   const addChange = (id: string, instance: ListedInstance | null) => {
     changes.push({id, instance, madeAtMs: performance.now()});
   };
-  const getChanges = (since: number) => {
+  /** The role that an instance had before a change that removed it. */
+  const getRole = ({id, instance}: Change): ListedInstance['role'] | null =>
+    instance?.role ??
+    changes.findLast(change => change.id === id && change.instance)?.instance
+      ?.role ??
+    null;
+  const getChanges = (since: number, role: string | null) => {
     const limit = performance.now() - lagMs;
     const hidden = changes.findIndex(change => change.madeAtMs > limit);
     const version = hidden < 0 ? changes.length : hidden;
     // A version ahead of the list comes from before a restart of the list.
     const full = since === 0 || since > version;
-    const latest = getLatest(changes.slice(full ? 0 : since, version));
+    const latest = getLatest(changes.slice(full ? 0 : since, version)).filter(
+      change => role === null || getRole(change) === role,
+    );
     return {
       version,
       full,
@@ -72,7 +80,7 @@
     [
       createRoute('GET /v1/instances', ({query}) => {
         const since = z.coerce.number().parse(query.get('since') ?? 0);
-        return {status: 200, body: getChanges(since)};
+        return {status: 200, body: getChanges(since, query.get('role'))};
       }),
       createRoute('PUT /v1/instances/:id', ({params, parse}) => {
         put({...parse(instanceSchema.partial({id: true})), id: params[0]});
