Inform starting agents from the history of the entries

Entries now answer dedup.history: they remember to which agent processes they sent requests with idempotency keys, and answer isComplete if they have been up for the window or saw the pool's creation, no entry left the instance list meanwhile, and all these processes still answer. An agent is informed if, after all members sent it their keys, all listed entries answered so with a list that is not older than its own, and all upstreams that got such requests are among these members.

Agents now name their epoch in every answer (vc-agent-epoch). Entries read this header before, but no agent set it, so usage and history of agents that do not poll the entry could not be attributed.

The integration test failed before the change for agents that follow their pool ("timeout: keyed requests run" after 30 s) and passes now; it was run three times at the same time.

--- a/packages/daemon/src/agent.ts
+++ b/packages/daemon/src/agent.ts
@@ -5,11 +5,13 @@
 import type {AgentLink} from './agentLink.js';
 import {createAgentLink} from './agentLink.js';
 import {createAgentServer} from './agentServer.js';
+import {createAskHistory} from './dedupHistory.js';
 import {
   createInstanceDirectory,
   createSeedInstance,
 } from './instanceDirectory.js';
 import {createPeerServer} from './peerServer.js';
+import {createCallPeer} from './peerCalls.js';
 import type {RunningDaemon} from './process.js';
 import {
   createContext,
@@ -62,6 +64,12 @@
   const server = createAgentServer(context, {
     upstream: settings.upstream,
     getView: () => link.getView(),
+    askHistory: createAskHistory(
+      context,
+      directory.getListed,
+      directory,
+      createCallPeer(context.clusterSecret),
+    ),
     getHighestFencing: () => link.getHighestFencing(),
     limits: {maxBodyBytes: settings.limits.maxBodyBytes},
   });
--- a/packages/daemon/src/agentDedup.ts
+++ b/packages/daemon/src/agentDedup.ts
@@ -35,6 +35,7 @@
 import type {ZodType} from 'zod';
 
 import type {AgentLimits} from './agentLimits.js';
+import type {AskHistory} from './dedupHistory.js';
 
 /** Interval of questions to the agent that runs a request, ms. */
 const ASK_INTERVAL_MS = 100;
@@ -69,6 +70,10 @@
   metrics: Metrics;
   secret: string;
   getView: () => AgentView | null;
+  /** Asks the entries for the history of a pool. */
+  askHistory?: AskHistory;
+  /** Pool of this agent. */
+  getPoolId?: () => string;
   /** Replaces the calls over HTTP, for tests. */
   call?: PartnerCall;
 }
@@ -628,15 +633,20 @@
     this.needsSync = false;
     this.nextSyncAt = this.now() + SYNC_RETRY_MS;
     let areInformed = true;
+    let haveAnswered = true;
     for (const partner of partners) {
       const isInformed = await this.syncFrom(partner, members);
       areInformed &&= isInformed === true;
+      haveAnswered &&= isInformed !== null;
     }
+    if (haveAnswered && !this.isInformed()) await this.applyHistory(members);
     if (!areInformed) {
       this.needsSync = true;
       return;
     }
     if (partners.length > 0 && !this.isSyncUseless) this.isSynced = true;
+    // Without partners only the history can tell, so it is asked again.
+    if (!this.isInformed()) this.needsSync = true;
     // One member that left shared each of its keys with one that is still
     // here; two that left together may have shared some with each other only.
     if (this.isInformed() && removedBefore.length === 1) {
@@ -644,6 +654,21 @@
     }
   }
 
+  /**
+   * After all members sent what they know: if the entries sent no request to
+   * any other process, nothing is missing. Asked after the members, so that a
+   * process that ends meanwhile is not alive for the entries.
+   */
+  private async applyHistory(members: readonly string[]): Promise<void> {
+    const pool = this.options.getPoolId?.();
+    if (pool === undefined || this.options.getView()?.pool?.kind !== 'plain') {
+      return;
+    }
+    const upstreams = await this.options.askHistory?.(pool);
+    if (!upstreams || this.isSyncUseless || this.removed.size > 0) return;
+    if ([...upstreams].every(id => members.includes(id))) this.isSynced = true;
+  }
+
   /** Says whether the partner is informed; null if it did not answer. */
   private async syncFrom(
     partner: string,
--- a/packages/daemon/src/agentServer.ts
+++ b/packages/daemon/src/agentServer.ts
@@ -26,6 +26,8 @@
 import type {AgentReport} from './agentUsage.js';
 import {AgentUsage} from './agentUsage.js';
 import {AgentWatcher} from './agentWatcher.js';
+import {AGENT_EPOCH_HEADER} from './attempt.js';
+import type {AskHistory} from './dedupHistory.js';
 import type {Context, Part} from './types.js';
 
 /** Copies of a request are refused by `vc-auth` after this time, ms. */
@@ -38,6 +40,8 @@
   getView: () => AgentView | null;
   /** Highest fencing number that an entry named; -1 if there was no lease. */
   getHighestFencing: () => number;
+  /** Asks the entries for requests with idempotency keys of the pool. */
+  askHistory?: AskHistory;
   /** Address of the data listener; that of the instance if absent. */
   listenAddress?: string;
   limits?: Partial<AgentLimits>;
@@ -142,6 +146,8 @@
     metrics,
     secret: context.clusterSecret,
     getView: options.getView,
+    askHistory: options.askHistory,
+    getPoolId: () => options.upstream.pool,
   });
   const orders = new AgentOrders({
     context,
@@ -328,6 +334,8 @@
   const server = http.createServer((request, response) => {
     request.on('error', () => {});
     response.on('error', () => {});
+    // Entries count usage by the process that ran a request.
+    response.setHeader(AGENT_EPOCH_HEADER, context.epoch);
     handle(request, response).catch((error: unknown) => {
       metrics.count('vc_agent_internal_errors_total');
       logger.error('A request failed unexpectedly.', {
--- a/packages/daemon/src/attempt.ts
+++ b/packages/daemon/src/attempt.ts
@@ -41,7 +41,14 @@
   /** Proved: no byte of the request reached the upstream. */
   | {tag: 'notRun'; reason: string; load: Load | null; isConnected: boolean}
   /** The request may have run; there is no answer. */
-  | {tag: 'unknown'; reason: string; load: Load | null; isConnected: boolean}
+  | {
+      tag: 'unknown';
+      reason: string;
+      load: Load | null;
+      isConnected: boolean;
+      /** Null if no answer named it. */
+      agentEpoch?: string | null;
+    }
   | {
       tag: 'answer';
       answer: ArrivingAnswer;
@@ -189,6 +196,7 @@
   }
   const {response} = exchange;
   const load = readField(response.headers, HEADERS.load, loadSchema);
+  const agentEpoch = getText(response.headers, AGENT_EPOCH_HEADER) ?? null;
   const refusal = getText(response.headers, HEADERS.refusal);
   if (getText(response.headers, HEADERS.notRun) === '1') {
     response.resume();
@@ -202,9 +210,14 @@
   }
   if (refusal !== undefined) {
     response.resume();
-    return {tag: 'unknown', reason: refusal, load, isConnected: true};
+    return {
+      tag: 'unknown',
+      reason: refusal,
+      load,
+      isConnected: true,
+      agentEpoch,
+    };
   }
   const answer = getArrivingAnswer(input, response);
-  const agentEpoch = getText(response.headers, AGENT_EPOCH_HEADER) ?? null;
   return {tag: 'answer', answer, load, agentEpoch};
 }
--- /dev/null
+++ b/packages/daemon/src/dedupHistory.ts
@@ -0,0 +1,182 @@
+import type {MonotonicMs, RpcMethods} from '@vanillacross/common';
+import {defineMethod, getDeadline} from '@vanillacross/common';
+import type {ControlState, Instance} from '@vanillacross/domain';
+import {getBody} from '@vanillacross/domain';
+import {z} from 'zod';
+
+import type {KeyedForward, KeyedForwards} from './keyedForwards.js';
+import type {CallPeer} from './peerCalls.js';
+import type {Context, ControlFollower, Membership} from './types.js';
+
+const PING_TIMEOUT_MS = 1_000;
+const HISTORY_TIMEOUT_MS = 4_000;
+const DEFAULT_WINDOW_MS = 600_000;
+/** Longest dedup window for which forwarded requests are remembered, ms. */
+const MAX_WINDOW_MS = 3_600_000;
+/**
+ * How long before a pool was seen a departure still counts: the control stream
+ * and the instance list may arrive at different times, ms.
+ */
+const DEPARTURE_MARGIN_MS = 60_000;
+/** First and longest wait before the entries are asked again, ms. */
+const MIN_RETRY_MS = 1_000;
+const MAX_RETRY_MS = 60_000;
+
+const questionSchema = z.object({pool: z.string()});
+
+const answerSchema = z.object({
+  /**
+   * True if all requests with an idempotency key of the pool that this entry
+   * may know of went to processes of agents that are alive.
+   */
+  isComplete: z.boolean(),
+  /** Upstreams of these processes. */
+  upstreams: z.array(z.string()),
+  /** Version of the instance list up to which departures were seen. */
+  listVersion: z.number(),
+});
+
+const pingSchema = z.object({epoch: z.string()});
+
+/** What is needed of the list of instances. */
+export interface ListHistory {
+  /** Version of the list that was read last; 0 if none. */
+  getVersion(): number;
+  /** When an entry was last seen to leave the list; null if never. */
+  getLastDeparture(): MonotonicMs | null;
+}
+
+/** Answers agents that ask which requests with idempotency keys there were. */
+export interface DedupHistory {
+  start(): void;
+  stop(): void;
+  rpcMethods: RpcMethods;
+}
+
+/** Creates the answers of an entry. */
+export function createDedupHistory(
+  context: Context,
+  control: ControlFollower,
+  membership: Membership,
+  list: ListHistory,
+  forwards: KeyedForwards,
+  callPeer: CallPeer,
+): DedupHistory {
+  const {clock} = context;
+  const startedAt = clock.now();
+  /** When this entry saw the creation of a pool. */
+  const createdAt = new Map<string, MonotonicMs>();
+  let unsubscribe = () => {};
+
+  function noteCreations(state: ControlState, previous: ControlState): void {
+    // Without a whole state an old pool would look like a new one.
+    if (!previous.isWhole || state.records === previous.records) return;
+    for (const [key, record] of state.records) {
+      if (!key.startsWith('pool/') || previous.records.has(key)) continue;
+      if (record.revision !== 1) continue;
+      createdAt.set(key.slice('pool/'.length), clock.now());
+    }
+  }
+
+  /** The time since which this entry knows all it must know; null if none. */
+  function getKnownSince(pool: string): MonotonicMs | null {
+    const body = getBody(control.getState(), 'pool', pool);
+    const windowMs = body?.dedupWindowMs ?? DEFAULT_WINDOW_MS;
+    if (windowMs > MAX_WINDOW_MS) return null;
+    const windowStart = getDeadline(clock.now(), -windowMs);
+    if (startedAt <= windowStart) return windowStart;
+    return createdAt.get(pool) ?? null;
+  }
+
+  function hasDepartures(since: MonotonicMs): boolean {
+    const departure = list.getLastDeparture();
+    if (departure === null) return false;
+    return departure >= getDeadline(since, -DEPARTURE_MARGIN_MS);
+  }
+
+  async function isAlive(forward: KeyedForward): Promise<boolean> {
+    const agent = membership.getAgent(forward.upstream);
+    if (!agent || forward.agentEpoch === null) return false;
+    const answer = await callPeer(
+      agent.instance.peerAddress,
+      'member.ping',
+      {},
+      PING_TIMEOUT_MS,
+    );
+    const ping = pingSchema.safeParse(answer.ok ? answer.value : null);
+    return ping.success && ping.data.epoch === forward.agentEpoch;
+  }
+
+  async function getHistory(pool: string) {
+    const listVersion = list.getVersion();
+    const incomplete = {isComplete: false, upstreams: [], listVersion};
+    if (!control.getState().isWhole) return incomplete;
+    const since = getKnownSince(pool);
+    if (since === null || hasDepartures(since)) return incomplete;
+    const sent = forwards.getSince(pool, since);
+    if (!sent) return incomplete;
+    const alive = await Promise.all(sent.map(isAlive));
+    if (!alive.every(Boolean)) return incomplete;
+    const upstreams = [...new Set(sent.map(({upstream}) => upstream))];
+    return {isComplete: true, upstreams, listVersion};
+  }
+
+  return {
+    start: () => {
+      unsubscribe = control.subscribe(noteCreations);
+    },
+    stop: () => unsubscribe(),
+    rpcMethods: {
+      'dedup.history': defineMethod(questionSchema, ({pool}) =>
+        getHistory(pool),
+      ),
+    },
+  };
+}
+
+/**
+ * Asks all listed entries; gives the upstreams that got requests with
+ * idempotency keys, null if some requests may be unknown.
+ */
+export type AskHistory = (pool: string) => Promise<Set<string> | null>;
+
+/** Creates the question of an agent; failed ones are repeated ever later. */
+export function createAskHistory(
+  context: Context,
+  getListed: () => readonly Instance[],
+  list: Pick<ListHistory, 'getVersion'>,
+  callPeer: CallPeer,
+): AskHistory {
+  const {clock} = context;
+  let retryMs = MIN_RETRY_MS;
+  let nextAt = clock.now();
+
+  async function ask(entry: Instance, pool: string) {
+    const answer = await callPeer(
+      entry.peerAddress,
+      'dedup.history',
+      {pool},
+      HISTORY_TIMEOUT_MS,
+    );
+    const parsed = answerSchema.safeParse(answer.ok ? answer.value : null);
+    return parsed.success ? parsed.data : null;
+  }
+
+  return async pool => {
+    if (clock.now() < nextAt) return null;
+    nextAt = getDeadline(clock.now(), retryMs);
+    retryMs = Math.min(retryMs * 2, MAX_RETRY_MS);
+    const version = list.getVersion();
+    const entries = getListed().filter(({role}) => role === 'entry');
+    if (version === 0 || entries.length === 0) return null;
+    const answers = await Promise.all(entries.map(entry => ask(entry, pool)));
+    const upstreams = new Set<string>();
+    for (const answer of answers) {
+      // An entry with an older list may not know of a departure yet.
+      if (!answer?.isComplete || answer.listVersion < version) return null;
+      for (const upstream of answer.upstreams) upstreams.add(upstream);
+    }
+    // Entries that came meanwhile were not asked.
+    return list.getVersion() === version ? upstreams : null;
+  };
+}
--- a/packages/daemon/src/dispatcher.ts
+++ b/packages/daemon/src/dispatcher.ts
@@ -21,6 +21,7 @@
 import {createAdmissionPump} from './admissionPump.js';
 import {createAgentConnections} from './agentConnection.js';
 import {MAX_BUFFERED_ANSWER} from './answerBuffer.js';
+import type {KeyedForwards} from './keyedForwards.js';
 import {createRequestRun} from './requestRun.js';
 import {createNotRun} from './refusals.js';
 import {createRetryBudgets} from './retryBudgets.js';
@@ -44,6 +45,8 @@
   random?: () => number;
   /** Largest answer that is kept until it is whole, bytes. */
   maxBufferedAnswer?: number;
+  /** Notes requests with idempotency keys. */
+  forwards?: KeyedForwards;
 }
 
 /** Usage windows whose cells are kept for the controller's collection. */
@@ -179,6 +182,7 @@
       getOffset: () => control.getState().highest,
       maxBufferedAnswer: options.maxBufferedAnswer ?? MAX_BUFFERED_ANSWER,
       signal: createRequestSignal(request, ended.signal),
+      forwards: options.forwards,
       onSent: () => grant.noteSent(),
       onMissedEnd: (upstream, agentEpoch) =>
         noteMissedEnd(window, upstream, agentEpoch),
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -15,10 +15,13 @@
 import {createControlFollower} from './controlFollower.js';
 import {createController} from './controller.js';
 import type {ControllerPorts} from './controller.js';
+import {createDedupHistory} from './dedupHistory.js';
 import {createDispatcher} from './dispatcher.js';
 import {createSeedInstance} from './instanceDirectory.js';
+import {KeyedForwards} from './keyedForwards.js';
 import {createMembership} from './membership.js';
 import {createOperatorActions} from './operatorActions.js';
+import {createCallPeer} from './peerCalls.js';
 import {createPeerServer} from './peerServer.js';
 import type {RunningDaemon} from './process.js';
 import {
@@ -90,7 +93,20 @@
     createInstanceListPort(settings.platform.instances),
     {seeds},
   );
-  const dispatcher = createDispatcher(context, control, membership);
+  const forwards = new KeyedForwards(context.clock);
+  const dispatcher = createDispatcher(context, control, membership, {
+    forwards,
+  });
+  const dedupHistory = createDedupHistory(
+    context,
+    control,
+    membership,
+    membership.listHistory,
+    forwards,
+    createCallPeer(context.clusterSecret),
+  );
+  // From before the first read, so that no creation of a pool is missed.
+  dedupHistory.start();
   const controller = createController(
     context,
     control,
@@ -117,7 +133,7 @@
       bodyTimeoutMs: settings.limits.callerTimeoutMs,
     },
   );
-  for (const part of [control, membership, controller]) {
+  for (const part of [control, membership, controller, dedupHistory]) {
     peerServer.addMethods(part.rpcMethods);
   }
   let isDraining = false;
@@ -148,6 +164,7 @@
     },
     stop: signal => {
       isDraining = true;
+      dedupHistory.stop();
       membership.setLeaving();
       return stopParts(context, stopOrder, signal);
     },
--- a/packages/daemon/src/instanceDirectory.ts
+++ b/packages/daemon/src/instanceDirectory.ts
@@ -14,6 +14,12 @@
   getEntries(): readonly Instance[];
   /** True if the newest list contains the instance. */
   isListed(id: string): boolean;
+  /** Version of the list that was read last; 0 if none. */
+  getVersion(): number;
+  /** Instances of the newest list only, also leaving ones. */
+  getListed(): readonly Instance[];
+  /** When an entry was last seen to leave the list; null if never. */
+  getLastDeparture(): MonotonicMs | null;
   /** Polls the list soon, at most once a second. */
   pollNow(): void;
   /** Calls back after each change; returns a function that unsubscribes. */
@@ -71,6 +77,7 @@
   let isUp = true;
   let known: Instance[] = [...options.seeds];
   let loop: Promise<void> | undefined;
+  let lastDeparture: MonotonicMs | null = null;
   let woken = new AbortController();
 
   const refresh = () => {
@@ -87,10 +94,15 @@
     for (const listener of listeners) listener();
   };
 
+  const noteDeparture = (instance: Instance) => {
+    if (instance.role === 'entry') lastDeparture = clock.now();
+  };
+
   const remove = (id: string) => {
     const instance = listed.get(id);
     if (!instance) return;
     listed.delete(id);
+    noteDeparture(instance);
     const until = getDeadline(clock.now(), REMOVED_KEPT_MS);
     removed.set(id, {instance, until});
   };
@@ -144,6 +156,8 @@
     for (const id of gone) remove(id);
     for (const instance of instances) {
       removed.delete(instance.id);
+      const old = listed.get(instance.id);
+      if (old && old.peerAddress !== instance.peerAddress) noteDeparture(old);
       listed.set(instance.id, instance);
     }
     if (dropExpired() || isChanged || full) refresh();
@@ -178,6 +192,9 @@
       known.filter(
         instance => instance.role === 'entry' && instance.state === 'live',
       ),
+    getVersion: () => version,
+    getListed: () => [...listed.values()],
+    getLastDeparture: () => lastDeparture,
     pollNow: () => woken.abort(),
     isListed: id => listed.has(id),
     subscribe: listener => {
--- a/packages/daemon/src/membership.ts
+++ b/packages/daemon/src/membership.ts
@@ -24,6 +24,7 @@
 import {setMaxListeners} from 'node:events';
 import {z} from 'zod';
 
+import type {ListHistory} from './dedupHistory.js';
 import {createFirstEntries} from './firstEntries.js';
 import {createInstanceDirectory, isSeed} from './instanceDirectory.js';
 import type {OffsetQuestion, OffsetStatus} from './offsetStatus.js';
@@ -71,6 +72,8 @@
   getOffsetStatus(question: OffsetQuestion): Promise<OffsetStatus>;
   /** Every known agent, also leaving and unreachable ones. */
   getAgents(): readonly AgentPresence[];
+  /** What the instance list showed, for `dedup.history`. */
+  listHistory: ListHistory;
   /** Marks this entry as leaving in its answers to peers. */
   setLeaving(): void;
   /** Failure domains from which something was heard within the bound. */
@@ -678,6 +681,7 @@
     onReport: listener => void reportListeners.add(listener),
     hasAuthority,
     getEntryStatus,
+    listHistory: directory,
     getOffsetStatus,
     setLeaving: () => {
       isSelfLeaving = true;
--- a/packages/daemon/src/requestRun.ts
+++ b/packages/daemon/src/requestRun.ts
@@ -9,6 +9,7 @@
 import {sendAttempt} from './attempt.js';
 import type {AttemptFailure} from './attemptDecision.js';
 import {decideAfterFailure, isHomeGone} from './attemptDecision.js';
+import type {KeyedForwards} from './keyedForwards.js';
 import {createMaybeRun, createNotRun} from './refusals.js';
 import type {RetryBudgets} from './retryBudgets.js';
 import type {Targets} from './targets.js';
@@ -41,6 +42,8 @@
   signal: AbortSignal;
   /** Called when an upstream's own in-flight count includes the request. */
   onSent: () => void;
+  /** Notes requests with idempotency keys. */
+  forwards?: KeyedForwards;
   /** Called for each attempt that may have run and whose end was not read. */
   onMissedEnd?: (upstream: string, agentEpoch: string | null) => void;
 }
@@ -165,6 +168,11 @@
     book.begin(upstream);
     input.onSent();
     metrics.count('vc_sends');
+    const {idempotencyKey, poolId} = request;
+    const endForward =
+      idempotencyKey === undefined
+        ? null
+        : (input.forwards?.begin(poolId, upstream) ?? null);
     let isEnded = false;
     const end = () => {
       if (!isEnded) book.end(upstream);
@@ -187,14 +195,18 @@
       membership.noteAnswer(upstream, outcome.load);
     }
     if (outcome.tag === 'answer') {
+      endForward?.('may_have_run', outcome.agentEpoch);
       mayHaveRun = true;
       return readAnswer(target, outcome, end);
     }
     end();
     const isNotRun = outcome.tag === 'notRun';
+    const agentEpoch =
+      outcome.tag === 'unknown' ? (outcome.agentEpoch ?? null) : null;
+    endForward?.(isNotRun ? 'not_run' : 'may_have_run', agentEpoch);
     if (!isNotRun) {
       mayHaveRun = true;
-      input.onMissedEnd?.(upstream, null);
+      input.onMissedEnd?.(upstream, agentEpoch);
     }
     const {reason, load, isConnected} = outcome;
     if (!isConnected && !signal.aborted) membership.noteFailure(upstream);
--- a/packages/integration/src/deployment.ts
+++ b/packages/integration/src/deployment.ts
@@ -73,6 +73,8 @@
   instances?: InstanceListOptions;
   weights?: WeightStoreOptions;
   orderingChecksFencing?: boolean;
+  /** Wait between the start of the agents and the records, ms. */
+  publishDelayMs?: number;
   /** Links that get a fault proxy of their own in each member. */
   proxied?: ProxiedLink[];
   /** The daemon to start, the built one by default. */
@@ -487,6 +489,7 @@
     if (failed) throw failed.reason;
     // Tests pick agents by index, whichever process was ready first.
     agents.sort((a, b) => a.id.localeCompare(b.id, 'en', {numeric: true}));
+    if (spec.publishDelayMs) await sleep(spec.publishDelayMs);
     await publish(getDeploymentRecords(spec, domains, agents));
     for (const member of agents) await waitReady(member);
   };
