--- a/packages/daemon/src/agent.ts
+++ b/packages/daemon/src/agent.ts
@@ -5,11 +5,13 @@
 import type {AgentLink} from './agentLink.js';
 import {createAgentLink} from './agentLink.js';
 import {createAgentServer} from './agentServer.js';
+import {createAskHistory} from './dedupHistory.js';
 import {
   createInstanceDirectory,
   createSeedInstance,
 } from './instanceDirectory.js';
 import {createPeerServer} from './peerServer.js';
+import {createCallPeer} from './peerCalls.js';
 import type {RunningDaemon} from './process.js';
 import {
   createContext,
@@ -20,6 +22,12 @@
 } from './process.js';
 import type {Part} from './types.js';
 
+/**
+ * Interval between polls of the instance list: an agent needs a new entry only
+ * when its own ones fail, and then it polls at once, ms.
+ */
+const LIST_POLL_MS = 10_000;
+
 function createSelf(settings: AgentSettings): AgentInstance {
   const {id, pool} = settings.upstream;
   return {
@@ -47,11 +55,21 @@
   const directory = createInstanceDirectory(
     context,
     createInstanceListPort(settings.platform.instances),
-    {seeds: settings.cluster.seeds.map(createSeedInstance)},
+    {
+      seeds: settings.cluster.seeds.map(createSeedInstance),
+      role: 'entry',
+      pollMs: LIST_POLL_MS,
+    },
   );
   const server = createAgentServer(context, {
     upstream: settings.upstream,
     getView: () => link.getView(),
+    askHistory: createAskHistory(
+      context,
+      directory.getListed,
+      directory,
+      createCallPeer(context.clusterSecret),
+    ),
     getHighestFencing: () => link.getHighestFencing(),
     limits: {maxBodyBytes: settings.limits.maxBodyBytes},
   });
@@ -62,6 +80,7 @@
         .filter(i => i.role === 'entry' && i.state === 'live'),
     getReport: entry => server.getReport(entry.id),
     onReportDelivered: (report, entry) => server.markReported(report, entry.id),
+    onNoAnswer: () => directory.pollNow(),
     instance: self,
   });
   const admin = createAdminServer(
--- a/packages/daemon/src/agentDedup.ts
+++ b/packages/daemon/src/agentDedup.ts
@@ -36,6 +36,7 @@
 import type {ZodType} from 'zod';
 
 import type {AgentLimits} from './agentLimits.js';
+import type {AskHistory} from './dedupHistory.js';
 
 /** Interval of questions to the agent that runs a request, ms. */
 const ASK_INTERVAL_MS = 100;
@@ -70,6 +71,10 @@
   metrics: Metrics;
   secret: string;
   getView: () => AgentView | null;
+  /** Asks the entries for the history of a pool. */
+  askHistory?: AskHistory;
+  /** Pool of this agent. */
+  getPoolId?: () => string;
   /** Replaces the calls over HTTP, for tests. */
   call?: PartnerCall;
 }
@@ -674,10 +679,13 @@
     this.needsSync = false;
     this.nextSyncAt = this.now() + SYNC_RETRY_MS;
     let areInformed = true;
+    let haveAnswered = true;
     for (const partner of partners) {
       const isInformed = await this.syncFrom(partner, members);
       areInformed &&= isInformed === true;
+      haveAnswered &&= isInformed !== null;
     }
+    if (haveAnswered && !this.isInformed()) await this.applyHistory(members);
     if (!areInformed) {
       this.needsSync = true;
       return;
@@ -685,6 +693,8 @@
     // A member that left may have shared keys with an earlier process of this
     // agent only; then time alone makes this agent informed.
     if (partners.length > 0 && this.removed.size === 0) this.isSynced = true;
+    // Without partners only the history can tell, so it is asked again.
+    if (!this.isInformed()) this.needsSync = true;
     // An informed agent shared the keys of one member that left with it or
     // has fetched them from others. Of two that left together, some keys may
     // have been shared by these two only.
@@ -692,6 +702,21 @@
     if (isSingle && this.isInformed()) this.removed.delete(removedBefore[0]);
   }
 
+  /**
+   * After all members sent what they know: if the entries sent no request to
+   * any other process, nothing is missing. Asked after the members, so that a
+   * process that ends meanwhile is not alive for the entries.
+   */
+  private async applyHistory(members: readonly string[]): Promise<void> {
+    const pool = this.options.getPoolId?.();
+    if (pool === undefined || this.options.getView()?.pool?.kind !== 'plain') {
+      return;
+    }
+    const upstreams = await this.options.askHistory?.(pool);
+    if (!upstreams || this.removed.size > 0) return;
+    if ([...upstreams].every(id => members.includes(id))) this.isSynced = true;
+  }
+
   /** Says whether the partner is informed; null if it did not answer. */
   private async syncFrom(
     partner: string,
--- a/packages/daemon/src/attempt.ts
+++ b/packages/daemon/src/attempt.ts
@@ -43,7 +43,14 @@
   /** Proved: no byte of the request reached the upstream. */
   | {tag: 'notRun'; reason: string; load: Load | null; isConnected: boolean}
   /** The request may have run; there is no answer. */
-  | {tag: 'unknown'; reason: string; load: Load | null; isConnected: boolean}
+  | {
+      tag: 'unknown';
+      reason: string;
+      load: Load | null;
+      isConnected: boolean;
+      /** Null if no answer named it. */
+      agentEpoch?: string | null;
+    }
   | {
       tag: 'answer';
       answer: ArrivingAnswer;
@@ -193,6 +200,7 @@
   }
   const {response} = exchange;
   const load = readField(response.headers, HEADERS.load, loadSchema);
+  const agentEpoch = getText(response.headers, AGENT_EPOCH_HEADER) ?? null;
   const refusal = getText(response.headers, HEADERS.refusal);
   if (getText(response.headers, HEADERS.notRun) === '1') {
     response.resume();
@@ -206,9 +214,14 @@
   }
   if (refusal !== undefined) {
     response.resume();
-    return {tag: 'unknown', reason: refusal, load, isConnected: true};
+    return {
+      tag: 'unknown',
+      reason: refusal,
+      load,
+      isConnected: true,
+      agentEpoch,
+    };
   }
   const answer = getArrivingAnswer(input, response);
-  const agentEpoch = getText(response.headers, AGENT_EPOCH_HEADER) ?? null;
   return {tag: 'answer', answer, load, agentEpoch};
 }
--- a/packages/daemon/src/dispatcher.ts
+++ b/packages/daemon/src/dispatcher.ts
@@ -7,6 +7,7 @@
   UsageCells,
 } from '@vanillacross/domain';
 import {
+  ANY_AGENT,
   accountSchema,
   addUsage,
   dropUsageBefore,
@@ -22,6 +23,7 @@
 import {createAgentConnections} from './agentConnection.js';
 import {MAX_BUFFERED_ANSWER} from './answerBuffer.js';
 import type {RunAnswer} from './requestRun.js';
+import type {KeyedForwards} from './keyedForwards.js';
 import {createRequestRun} from './requestRun.js';
 import {createNotRun} from './refusals.js';
 import {createRetryBudgets} from './retryBudgets.js';
@@ -46,6 +48,8 @@
   random?: () => number;
   /** Largest answer that is kept until it is whole, bytes. */
   maxBufferedAnswer?: number;
+  /** Notes requests with idempotency keys. */
+  forwards?: KeyedForwards;
 }
 
 /** Usage windows whose cells are kept for the controller's collection. */
@@ -91,6 +95,8 @@
     metrics.count('vc_late_answers'),
   );
   const cells: UsageCells = new Map();
+  /** Epochs of agents with missed ends, by window. */
+  const missed = new Map<number, Set<string>>();
   const hardStop = new AbortController();
   // Every running request listens.
   setMaxListeners(0, hardStop.signal);
@@ -120,6 +126,20 @@
     return defaultReporting;
   }
 
+  /** The agent may have counted a request that this entry did not. */
+  function noteMissedEnd(
+    window: number,
+    upstream: string,
+    agentEpoch: string | null,
+  ): void {
+    const known = agentEpoch ?? membership.getAgent(upstream)?.epoch;
+    const agents = missed.get(window) ?? new Set();
+    missed.set(window, agents.add(known ?? ANY_AGENT));
+    for (const old of missed.keys()) {
+      if (old < window - KEPT_WINDOWS) missed.delete(old);
+    }
+  }
+
   function countUsage(
     request: DispatchRequest,
     upstream: string,
@@ -131,6 +151,7 @@
     if (epoch === null) {
       // A cell without the agent's epoch would not merge with the agent's.
       metrics.count('vc_usage_unattributed');
+      noteMissedEnd(window, upstream, null);
       return;
     }
     const id = {
@@ -193,7 +214,10 @@
       getOffset: () => control.getState().highest,
       maxBufferedAnswer: options.maxBufferedAnswer ?? MAX_BUFFERED_ANSWER,
       signal: createRequestSignal(request, ended.signal),
+      forwards: options.forwards,
       onSent: () => grant.noteSent(),
+      onMissedEnd: (upstream, agentEpoch) =>
+        noteMissedEnd(window, upstream, agentEpoch),
     });
     const outcome = await run();
     if (!outcome.ok) {
@@ -268,5 +292,9 @@
       return result;
     },
     getCells: (): readonly UsageCell[] => [...cells.values()],
+    getMissedEnds: () =>
+      [...missed].flatMap(([window, agents]) =>
+        [...agents].map(agentEpoch => ({window, agentEpoch})),
+      ),
   };
 }
--- a/packages/daemon/src/instanceDirectory.ts
+++ b/packages/daemon/src/instanceDirectory.ts
@@ -14,6 +14,14 @@
   getEntries(): readonly Instance[];
   /** True if the newest list contains the instance. */
   isListed(id: string): boolean;
+  /** Version of the list that was read last; 0 if none. */
+  getVersion(): number;
+  /** Instances of the newest list only, also leaving ones. */
+  getListed(): readonly Instance[];
+  /** When an entry was last seen to leave the list; null if never. */
+  getLastDeparture(): MonotonicMs | null;
+  /** Polls the list soon, at most once a second. */
+  pollNow(): void;
   /** Calls back after each change; returns a function that unsubscribes. */
   subscribe(listener: () => void): () => void;
 }
@@ -23,6 +31,8 @@
   seeds: readonly Instance[];
   /** Interval between polls of the list, ms. */
   pollMs?: number;
+  /** Only instances of this role are needed. */
+  role?: Instance['role'];
 }
 
 const POLL_MS = 1_000;
@@ -67,6 +77,8 @@
   let isUp = true;
   let known: Instance[] = [...options.seeds];
   let loop: Promise<void> | undefined;
+  let lastDeparture: MonotonicMs | null = null;
+  let woken = new AbortController();
 
   const refresh = () => {
     const byAddress = new Map<string, Instance>();
@@ -82,10 +94,15 @@
     for (const listener of listeners) listener();
   };
 
+  const noteDeparture = (instance: Instance) => {
+    if (instance.role === 'entry') lastDeparture = clock.now();
+  };
+
   const remove = (id: string) => {
     const instance = listed.get(id);
     if (!instance) return;
     listed.delete(id);
+    noteDeparture(instance);
     const until = getDeadline(clock.now(), REMOVED_KEPT_MS);
     removed.set(id, {instance, until});
   };
@@ -112,7 +129,7 @@
   };
 
   const poll = async (): Promise<boolean> => {
-    const changes = await listPort.getChanges(version);
+    const changes = await listPort.getChanges(version, options.role);
     if (!changes.ok) {
       if (isUp) {
         const {error} = changes;
@@ -139,6 +156,8 @@
     for (const id of gone) remove(id);
     for (const instance of instances) {
       removed.delete(instance.id);
+      const old = listed.get(instance.id);
+      if (old && old.peerAddress !== instance.peerAddress) noteDeparture(old);
       listed.set(instance.id, instance);
     }
     if (dropExpired() || isChanged || full) refresh();
@@ -149,9 +168,12 @@
     const pollMs = options.pollMs ?? POLL_MS;
     let waitMs = pollMs;
     while (!stopped.signal.aborted) {
+      woken = new AbortController();
+      const polledAt = clock.now();
       const isAnswered = await poll();
       waitMs = isAnswered ? pollMs : Math.min(waitMs * 2, MAX_BACKOFF_MS);
-      await clock.waitUntil(getDeadline(clock.now(), waitMs), stopped.signal);
+      await clock.waitUntil(getDeadline(clock.now(), waitMs), woken.signal);
+      await clock.waitUntil(getDeadline(polledAt, POLL_MS), stopped.signal);
     }
   };
 
@@ -162,6 +184,7 @@
     },
     stop: async () => {
       stopped.abort();
+      woken.abort();
       await loop;
     },
     getInstances: () => known,
@@ -169,6 +192,10 @@
       known.filter(
         instance => instance.role === 'entry' && instance.state === 'live',
       ),
+    getVersion: () => version,
+    getListed: () => [...listed.values()],
+    getLastDeparture: () => lastDeparture,
+    pollNow: () => woken.abort(),
     isListed: id => listed.has(id),
     subscribe: listener => {
       listeners.add(listener);
--- a/packages/daemon/src/requestRun.ts
+++ b/packages/daemon/src/requestRun.ts
@@ -14,6 +14,7 @@
   isHomeGone,
   isUpstreamFault,
 } from './attemptDecision.js';
+import type {KeyedForwards} from './keyedForwards.js';
 import {createMaybeRun, createNotRun} from './refusals.js';
 import type {RetryBudgets} from './retryBudgets.js';
 import type {Targets} from './targets.js';
@@ -46,6 +47,10 @@
   signal: AbortSignal;
   /** Called when an upstream's own in-flight count includes the request. */
   onSent: () => void;
+  /** Notes requests with idempotency keys. */
+  forwards?: KeyedForwards;
+  /** Called for each attempt that may have run and whose end was not read. */
+  onMissedEnd?: (upstream: string, agentEpoch: string | null) => void;
 }
 
 /** An answer that may be passed on. */
@@ -121,12 +126,14 @@
   }
 
   function getFinished(
-    answer: ArrivingAnswer,
+    {answer, agentEpoch}: Extract<AttemptOutcome, {tag: 'answer'}>,
+    upstream: string,
     end: () => void,
   ): Promise<Result<AnswerEnd, Refusal>> {
     return answer.ended.then(result => {
       end();
       if (result) return ok(result);
+      input.onMissedEnd?.(upstream, agentEpoch);
       metrics.count('vc_answers_cut');
       const code = signal.aborted ? getAbortCode() : 'answer_cut';
       const message = MESSAGES[code] ?? 'the answer was cut';
@@ -145,6 +152,7 @@
     const start = await readAnswerStart(answer, input.maxBufferedAnswer);
     if (start.tag === 'cut') {
       end();
+      input.onMissedEnd?.(upstream, agentEpoch);
       return {
         tag: 'failure',
         failure: {
@@ -155,7 +163,7 @@
         },
       };
     }
-    const finished = getFinished(answer, end);
+    const finished = getFinished(outcome, upstream, end);
     const base = {answer, upstream, agentEpoch, finished};
     const value =
       start.tag === 'whole'
@@ -169,6 +177,11 @@
     book.begin(upstream);
     input.onSent();
     metrics.count('vc_sends');
+    const {idempotencyKey, poolId} = request;
+    const endForward =
+      idempotencyKey === undefined
+        ? null
+        : (input.forwards?.begin(poolId, upstream) ?? null);
     let isEnded = false;
     const end = () => {
       if (!isEnded) book.end(upstream);
@@ -189,11 +202,18 @@
     if (outcome.load) membership.noteAnswer(upstream, outcome.load);
     if (outcome.tag === 'answer') {
       if (outcome.load) book.noteLoad(upstream, outcome.load);
+      endForward?.('may_have_run', outcome.agentEpoch);
       mayHaveRun = true;
       return readAnswer(target, outcome, end);
     }
     const isNotRun = outcome.tag === 'notRun';
-    if (!isNotRun) mayHaveRun = true;
+    const agentEpoch =
+      outcome.tag === 'unknown' ? (outcome.agentEpoch ?? null) : null;
+    endForward?.(isNotRun ? 'not_run' : 'may_have_run', agentEpoch);
+    if (!isNotRun) {
+      mayHaveRun = true;
+      input.onMissedEnd?.(upstream, agentEpoch);
+    }
     const {reason, load, isConnected} = outcome;
     const failure = {isNotRun, reason, load, isConnected};
     if (load && isFull(failure)) book.noteFull(upstream, load);
--- a/packages/integration/src/deployment.ts
+++ b/packages/integration/src/deployment.ts
@@ -73,6 +73,8 @@
   instances?: InstanceListOptions;
   weights?: WeightStoreOptions;
   orderingChecksFencing?: boolean;
+  /** Wait between the start of the agents and the records, ms. */
+  publishDelayMs?: number;
   /** Links that get a fault proxy of their own in each member. */
   proxied?: ProxiedLink[];
   /** The daemon to start, the built one by default. */
@@ -270,6 +272,9 @@
   const agents: AgentMember[] = [];
   const closables = new Set<{close(): Promise<void>}>();
   const counts = new Map<string, number>();
+  /** Starts that the ordering interface asked for. */
+  const starts = new Set<Promise<unknown>>();
+  let isStopping = false;
   const getNextId = (prefix: string) => {
     const count = (counts.get(prefix) ?? 0) + 1;
     counts.set(prefix, count);
@@ -279,7 +284,12 @@
   const platform = await createPlatform(
     spec,
     domains,
-    async (pool, id, domain) => void (await addUpstream(pool, domain, id)),
+    async (pool, id, domain) => {
+      if (isStopping) return;
+      const started = addUpstream(pool, domain, id);
+      starts.add(started);
+      await started.finally(() => starts.delete(started));
+    },
     async id => {
       const agent = agents.find(({upstream}) => upstream === id);
       if (agent) await remove(agent, 'SIGTERM');
@@ -472,6 +482,10 @@
   };
 
   const stop = async (): Promise<void> => {
+    // An upstream that is being started would outlive the deployment.
+    isStopping = true;
+    await harness.stopAll();
+    await Promise.allSettled(starts);
     await harness.stopAll();
     const {ordering, ...services} = platform;
     const all = [
@@ -500,6 +514,7 @@
     if (failed) throw failed.reason;
     // Tests pick agents by index, whichever process was ready first.
     agents.sort((a, b) => a.id.localeCompare(b.id, 'en', {numeric: true}));
+    if (spec.publishDelayMs) await sleep(spec.publishDelayMs);
     await publish(getDomainRecords(spec, domains));
     // An agent that first saw its pool record complete cannot know whether
     // calls ran before it started, and refuses unknown idempotency keys.
