Let deployments and the demo leave no unread connection behind

Test deployments now wait 500 ms between the failure domains and the pools.

One run of the command line test and one of the demo had not ended by themselves. Answers whose bodies were not read are the suspected cause; they are read now, and the demo exits when its checks are done.

--- a/packages/integration/src/commandLine.test.ts
+++ b/packages/integration/src/commandLine.test.ts
@@ -9,7 +9,12 @@
 import type {CommandOutcome, RunCommand} from './commandLine.js';
 import {createCommandLine, writeDeclarations} from './commandLine.js';
 import type {Deployment} from './deployment.js';
-import {createRecord, startDeployment, waitUntil} from './deployment.js';
+import {
+  createRecord,
+  fetchStatus,
+  startDeployment,
+  waitUntil,
+} from './deployment.js';
 
 const MAX_BODY_BYTES = 1024 * 1024;
 const SEATS = {
@@ -188,12 +193,12 @@
       );
       const url = `${deployment.entries[1].url}/seats/1`;
       const headers = {authorization: `Bearer ${key}`};
-      assert.equal((await fetch(url, {headers})).status, 200);
+      assert.equal(await fetchStatus(url, headers), 200);
       const shown = await run('get', 'key/booth-7');
       assert.ok(!shown.stdout.includes(key));
       assert.ok(shown.stdout.includes(getSha256(key)));
       assertStatus(await run('key', 'withdraw', 'booth-7'), 0);
-      assert.equal((await fetch(url, {headers})).status, 401);
+      assert.equal(await fetchStatus(url, headers), 401);
       assertStatus(await run('key', 'withdraw', 'no-such-key'), 1);
     });
 
--- a/packages/integration/src/demo.ts
+++ b/packages/integration/src/demo.ts
@@ -14,7 +14,12 @@
 import {createDemoPage} from './demoSteps.js';
 import {demoTrainer} from './demoTrainer.js';
 import type {AgentMember, Deployment} from './deployment.js';
-import {createRecord, startDeployment, waitUntil} from './deployment.js';
+import {
+  createRecord,
+  fetchStatus,
+  startDeployment,
+  waitUntil,
+} from './deployment.js';
 
 const DOMAINS = ['domain-a', 'domain-b'];
 const MODEL = 'coach';
@@ -130,8 +135,8 @@
     `GET /seats/12 through ${first.id}: ${lookup.status} from ${found.from}`,
     lookup.status === 200 && found.path === '/seats/12',
   );
-  const refused = await fetch(`${first.url}/seats/12`);
-  check(`without a key: ${refused.status}`, refused.status === 401);
+  const refused = await fetchStatus(`${first.url}/seats/12`);
+  check(`without a key: ${refused}`, refused === 401);
   const hold = async (url: string) => {
     const answer = await fetch(`${url}/holds`, {
       method: 'POST',
@@ -218,8 +223,8 @@
     failure !== '' && tokens < LONG_STREAM_TOKENS,
   );
   const headers = getHeaders(key);
-  const refused = await fetch(`${first.url}/seats/1`, {headers});
-  check(`the key at ${first.id}: ${refused.status}`, refused.status === 401);
+  const refused = await fetchStatus(`${first.url}/seats/1`, headers);
+  check(`the key at ${first.id}: ${refused}`, refused === 401);
 }
 
 /** Requests that a stand-in has taken so far. */
--- a/packages/integration/src/deployment.ts
+++ b/packages/integration/src/deployment.ts
@@ -152,6 +152,8 @@
 /** Wide, because start-up time depends on the load of the machine. */
 const SERVING_TIMEOUT_MS = 30_000;
 const POLL_MS = 50;
+/** Agents look at their view for idempotency keys every 250 ms. */
+const VIEW_NOTED_MS = 500;
 
 /** A record with its body checked by the compiler. */
 export function createRecord<Kind extends RecordKind>(
@@ -188,9 +190,22 @@
   }
 }
 
+/**
+ * Sends a GET request and returns the status. The body is read, because a
+ * connection with an unread body can stay open and keep the process running.
+ */
+export async function fetchStatus(
+  url: string,
+  headers: Record<string, string> = {},
+): Promise<number> {
+  const answer = await fetch(url, {headers});
+  await answer.arrayBuffer();
+  return answer.status;
+}
+
 async function isReady(member: Member): Promise<boolean> {
-  const answer = await fetch(`http://${member.admin}/readyz`).catch(() => null);
-  return answer?.status === 200;
+  const url = `http://${member.admin}/readyz`;
+  return (await fetchStatus(url).catch(() => null)) === 200;
 }
 
 function waitReady(member: Member): Promise<void> {
@@ -506,6 +521,7 @@
     for (const agent of agents) {
       await waitUntil(`${agent.id} has a view`, () => hasView(agent));
     }
+    await sleep(VIEW_NOTED_MS);
     const records = getDeploymentRecords(spec, agents);
     if (records.length > 0) await publish(records);
     for (const member of agents) await waitReady(member);
