--- a/packages/daemon/src/agent.ts
+++ b/packages/daemon/src/agent.ts
@@ -53,6 +53,8 @@
     upstream: settings.upstream,
     getView: () => link.getView(),
     getHighestFencing: () => link.getHighestFencing(),
+    getContact: () => link.getContact(),
+    onProgress: () => link.pollNow(),
     limits: {maxBodyBytes: settings.limits.maxBodyBytes},
   });
   const link: AgentLink = createAgentLink(context, {
@@ -63,7 +65,10 @@
     getReport: entry => server.getReport(entry.id),
     onReportDelivered: (report, entry) => server.markReported(report, entry.id),
     instance: self,
+    getWantedVersion: () => server.getWantedVersion(),
+    onWeights: sources => server.noteWeights(sources),
   });
+  link.subscribe(view => server.noteView(view));
   const admin = createAdminServer(
     context,
     settings.listen.admin,
--- a/packages/daemon/src/agentLink.ts
+++ b/packages/daemon/src/agentLink.ts
@@ -7,7 +7,9 @@
   Instance,
   Load,
   Pull,
+  PullAnswer,
   UsageCell,
+  WeightSources,
 } from '@vanillacross/domain';
 import {getEntriesOfAgent, pullAnswerSchema} from '@vanillacross/domain';
 import {setMaxListeners} from 'node:events';
@@ -32,6 +34,10 @@
   /** Called when an entry has answered the poll that carried a report. */
   onReportDelivered: (report: Report, entry: Instance) => void;
   instance: AgentInstance;
+  /** Weight version that the agent waits to be told a source of. */
+  getWantedVersion?: () => number | undefined;
+  /** Called when an entry tells where weights may be fetched from. */
+  onWeights?: (sources: WeightSources) => void;
   callPeer?: CallPeer;
 }
 
@@ -110,27 +116,37 @@
     const answer = pullAnswerSchema.safeParse(raw);
     if (!answer.success) return false;
     contact = clock.now();
-    highest = Math.max(highest, answer.data.highest);
-    const offered = answer.data.view;
+    const {weights} = answer.data;
+    applyView(poller, sentOffset, answer.data);
+    if (weights) options.onWeights?.(weights);
+    return true;
+  };
+
+  const applyView = (
+    poller: Poller,
+    sentOffset: number,
+    answer: PullAnswer,
+  ): void => {
+    highest = Math.max(highest, answer.highest);
+    const offered = answer.view;
     if (!offered) {
       // The entry confirms the sent view up to its own offset.
       const isSame = view !== null && view.offset === sentOffset;
       if (view && isSame && sentOffset >= 0) {
-        const offset = Math.max(sentOffset, answer.data.highest);
+        const offset = Math.max(sentOffset, answer.highest);
         view = {...view, offset};
       }
-      return true;
+      return;
     }
     highestFencing = Math.max(highestFencing, offered.fencing);
     highest = Math.max(highest, offered.offset);
     if (view && offered.offset < view.offset) {
       metrics.count('vc_agent_older_views_total');
-      return true;
+      return;
     }
     view = offered;
-    poller.membersHash = answer.data.membersHash;
+    poller.membersHash = answer.membersHash;
     for (const listener of listeners) listener(offered);
-    return true;
   };
 
   const createPull = (poller: Poller, report: AgentReport): Pull => ({
@@ -139,6 +155,7 @@
     offset: view?.offset ?? -1,
     highest,
     membersHash: poller.membersHash,
+    wantedVersion: options.getWantedVersion?.(),
     ...report,
   });
 
--- a/packages/daemon/src/agentOrders.ts
+++ b/packages/daemon/src/agentOrders.ts
@@ -1,8 +1,15 @@
 import type {RpcMethods} from '@vanillacross/common';
 import {defineMethod, requestJson} from '@vanillacross/common';
-import type {Fence, Order, OrderOutcome, Pool} from '@vanillacross/domain';
+import type {
+  Fence,
+  Order,
+  OrderAction,
+  OrderOutcome,
+  Pool,
+} from '@vanillacross/domain';
 import {
   createFence,
+  decideDeclared,
   decideOrder,
   getHighestKnown,
   orderSchema,
@@ -39,6 +46,12 @@
 /** What the engine said about one send of an order. */
 type SendOutcome = OrderOutcome | {tag: 'lost'; detail: string};
 
+/** An engine answers 200 also for an order that it tried and failed. */
+const failureSchema = z.object({
+  status: z.literal('failed'),
+  detail: z.string().optional(),
+});
+
 const refusalSchema = z.object({highest: z.number().int()});
 
 function changesVersion(order: Order): number | null {
@@ -52,6 +65,8 @@
   readonly rpcMethods: RpcMethods;
   private readonly queue = new PQueue({concurrency: 1});
   private readonly active = new Map<string, Promise<OrderOutcome>>();
+  /** Orders that this agent made from a declared rollout. */
+  private readonly declared = new WeakSet<Order>();
   private fence: Fence;
 
   constructor(private readonly options: OrderOptions) {
@@ -94,9 +109,33 @@
     }
   }
 
+  /**
+   * Executes a step of a rollout that the log declared, under the highest
+   * fencing number that is known. It takes its turn after running orders.
+   */
+  async executeDeclared(
+    orderId: string,
+    action: OrderAction & {type: 'stage' | 'activate'},
+  ): Promise<OrderOutcome> {
+    const {context, getHeard} = this.options;
+    const order: Order = {
+      orderId,
+      fencing: getHighestKnown(this.fence, getHeard() ?? -1),
+      agentEpoch: context.epoch,
+      validUntilAgentMs: Infinity,
+      action,
+    };
+    this.declared.add(order);
+    return this.execute(order);
+  }
+
   private decide(order: Order) {
+    const heard = this.options.getHeard();
+    if (this.declared.has(order)) {
+      return decideDeclared(this.fence, order, heard);
+    }
     const now = this.options.context.clock.now();
-    return decideOrder(this.fence, order, this.options.getHeard(), now);
+    return decideOrder(this.fence, order, heard, now);
   }
 
   private refuse(
@@ -182,7 +221,11 @@
       timeoutMs: this.options.limits.orderTimeoutMs,
     });
     if (!answer.ok) return {tag: 'lost', detail: answer.error.detail};
-    if (answer.value.status === 200) return {tag: 'done'};
+    if (answer.value.status === 200) {
+      const failure = failureSchema.safeParse(answer.value.body);
+      if (!failure.success) return {tag: 'done'};
+      return {tag: 'failed', detail: failure.data.detail ?? 'no detail'};
+    }
     if (answer.value.status === 409) {
       const refusal = refusalSchema.safeParse(answer.value.body);
       const highest = refusal.success ? refusal.data.highest : -1;
--- a/packages/daemon/src/agentServer.ts
+++ b/packages/daemon/src/agentServer.ts
@@ -10,7 +10,7 @@
   listen,
   parseAddress,
 } from '@vanillacross/common';
-import type {AgentView, Load} from '@vanillacross/domain';
+import type {AgentView, Load, WeightSources} from '@vanillacross/domain';
 import {DeadlineTable, HEADERS} from '@vanillacross/domain';
 
 import type {KeyRun} from './agentDedup.js';
@@ -23,9 +23,11 @@
 import type {AgentLimits} from './agentLimits.js';
 import {DEFAULT_AGENT_LIMITS} from './agentLimits.js';
 import {AgentOrders} from './agentOrders.js';
+import {AgentRollout} from './agentRollout.js';
 import type {AgentReport} from './agentUsage.js';
 import {AgentUsage} from './agentUsage.js';
 import {AgentWatcher} from './agentWatcher.js';
+import {createWeightPassage, getWeightSourceUrl} from './agentWeights.js';
 import type {Context, Part} from './types.js';
 
 /**
@@ -43,6 +45,10 @@
   getHighestFencing: () => number;
   /** Told the highest log offset that a request names. */
   noteOffset?: (offset: number) => void;
+  /** Time of the last answer of an entry; null before the first. */
+  getContact?: () => MonotonicMs | null;
+  /** Called when entries should hear of a change at once. */
+  onProgress?: () => void;
   /** Address of the data listener; that of the instance if absent. */
   listenAddress?: string;
   limits?: Partial<AgentLimits>;
@@ -58,6 +64,12 @@
   /** Records that the receiver took a report. */
   markReported(report: AgentReport, receiver?: string): void;
   isLeaving(): boolean;
+  /** Takes over the rollout of a new control view. */
+  noteView(view: AgentView): void;
+  /** Weight version that the agent waits to be told a source of. */
+  getWantedVersion(): number | undefined;
+  /** Takes over where weights may be fetched from. */
+  noteWeights(sources: WeightSources): void;
   /** True once the upstream's state is known. */
   isReady(): boolean;
   /** Methods for the peer listener: `order.*` and `dedup.*`. */
@@ -162,6 +174,37 @@
     },
   });
 
+  const rollout = new AgentRollout({
+    clock,
+    logger: context.logger.part('rollout'),
+    metrics,
+    upstream: options.upstream.id,
+    orders,
+    getView: options.getView,
+    getStatus: () => (watcher.isUp() ? watcher.getStatus() : null),
+    getContact: options.getContact ?? (() => clock.now()),
+    getSourceUrl: (peer, model, version) =>
+      getWeightSourceUrl(context.clusterSecret, peer, model, version),
+    checkStatus: async () => {
+      // A check that began before the swap would be out of date.
+      await watcher.check();
+      await watcher.check();
+    },
+    onProgress: () => options.onProgress?.(),
+  });
+  const passage = createWeightPassage(context, base, keepAlive);
+
+  /** What polls report; an engine with outdated weights has no places. */
+  function getReportedLoad(): Load {
+    const load = gate.getLoad();
+    return {
+      ...load,
+      limit: rollout.mayServe() ? load.limit : 0,
+      staged: rollout.getStaged(),
+      failedVersion: rollout.getFailed(),
+    };
+  }
+
   function refuse(
     request: IncomingMessage,
     response: ServerResponse,
@@ -214,6 +257,7 @@
     const view = options.getView();
     if (isLeaving) return refusal('leaving');
     if (!view?.pool || !gate.isKnown()) return refusal('not_ready');
+    if (!rollout.mayServe()) return refusal('not_ready');
     if (isDraining(view)) return refusal('draining');
     if (clock.now() >= admission.deadline) return refusal('expired');
     return ADMITTED;
@@ -317,6 +361,10 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    if (passage.matches(request)) {
+      await passage.perform(request, response);
+      return;
+    }
     if (!isAuthentic(request)) {
       refuse(request, response, 'bad_auth', true);
       return;
@@ -353,10 +401,13 @@
     name: 'agent',
     getAddress: () => address,
     getLoad: () => gate.getLoad(),
-    getReport: (receiver = '') => usage.getReport(gate.getLoad(), receiver),
+    getReport: (receiver = '') => usage.getReport(getReportedLoad(), receiver),
     markReported: (report, receiver = '') =>
       usage.markReported(report, receiver),
     isLeaving: () => isLeaving,
+    noteView: view => rollout.noteView(view),
+    getWantedVersion: () => rollout.getWanted(),
+    noteWeights: sources => rollout.noteSources(sources),
     isReady: () => gate.isKnown() && watcher.isUp() && !isLeaving,
     rpcMethods: {...orders.rpcMethods, ...dedup.rpcMethods},
     start: async () => {
@@ -366,6 +417,7 @@
       tasks = Promise.all([
         watcher.run(stopping.signal),
         dedup.run(stopping.signal),
+        rollout.run(stopping.signal),
       ]);
     },
     stop: async signal => {
--- a/packages/daemon/src/controller.test.ts
+++ b/packages/daemon/src/controller.test.ts
@@ -15,12 +15,17 @@
   ControlState,
   CrashReport,
   Instance,
+  Load,
   LogRecord,
   Order,
   OrderOutcome,
   UsageCell,
 } from '@vanillacross/domain';
-import {applyControlRecords, emptyControlState} from '@vanillacross/domain';
+import {
+  applyControlRecords,
+  emptyControlState,
+  isActivationDue,
+} from '@vanillacross/domain';
 import type {
   MayWrite,
   OrderedUpstream,
@@ -44,7 +49,7 @@
 } from './types.js';
 
 const TAKEOVER_MS = 15_000;
-const idleLoad = {
+const idleLoad: Load = {
   running: 0,
   limit: 4,
   waiting: 0,
@@ -136,7 +141,7 @@
   readonly control: FakeFollower;
   readonly context: Context;
   readonly membership: Membership;
-  readonly loads = new Map<string, Partial<typeof idleLoad>>();
+  readonly loads = new Map<string, Partial<Load>>();
   readonly leaving = new Set<string>();
   isPaused = false;
   report: (cells: UsageCell[], crashes: CrashReport[]) => void = () => {};
@@ -160,6 +165,7 @@
         epoch: 'e',
         offset: 0,
         heardAt: this.clock.now(),
+        polledAt: this.clock.now(),
         isLeaving: this.leaving.has(instance.id),
         load: {...idleLoad, ...this.loads.get(instance.id)},
       })) as unknown as AgentPresence[];
@@ -716,11 +722,59 @@
 });
 
 describe('weights and scale-down of the controller', () => {
+  /** Does what agents do with a rollout; returns those that swap now. */
+  function swapWeights(
+    entries: FakeEntry[],
+    ids: string[],
+    maySwap: (id: string) => boolean,
+  ): string[] {
+    const rollout = entries[0].control.getState().rollouts.get('m');
+    if (!rollout) return [];
+    const {version} = rollout;
+    const due = ids.filter(
+      id =>
+        isActivationDue(rollout, id) &&
+        entries[0].loads.get(id)?.version !== version,
+    );
+    for (const id of ids) {
+      const isDone = due.includes(id) && maySwap(id);
+      const isFailed = due.includes(id) && !isDone;
+      for (const {loads} of entries) {
+        const load = {...loads.get(id), staged: version};
+        if (isDone) load.version = version;
+        loads.set(id, {
+          ...load,
+          failedVersion: isFailed ? version : undefined,
+        });
+      }
+    }
+    return due;
+  }
+
+  async function startPool(ids: string[], client?: RpcClient) {
+    const agents = ids.map(id => createInstance(id, 'p'));
+    const reports = new FakeReports();
+    const started = await createControllers(reports, agents, client);
+    const {platform, log} = started;
+    platform.listed = ids.map(id => ({id, pool: 'p', state: 'running'}));
+    const put = {type: 'put', baseRevision: 0, schemaVersion: 1} as const;
+    const domain = {region: 'r'};
+    log.append({...put, key: 'domain/d1', body: domain, operator: 'o'});
+    const pool = {kind: 'engine', model: 'm', coldStartMs: 0};
+    log.append({...put, key: 'pool/p', body: pool, operator: 'o'});
+    return started;
+  }
+
+  function getDeclared(log: FakeLog) {
+    return log.records
+      .map(({payload}) => payload as ControlPayload)
+      .flatMap(payload => (payload.type === 'rollout' ? [payload] : []));
+  }
+
   it('swap over a failure, and stop only what is drained and empty', async () => {
     // Guards against a swap that is given up and against stopped requests.
     const ids = ['u1', 'u2', 'u3'];
-    const done: string[] = [];
-    let failures = 2;
+    const drained: string[] = [];
     const client: RpcClient = {
       call: async (method, params) => {
         const {action, address} = params as Order & {address: string};
@@ -728,34 +782,30 @@
           const prepared = {agentEpoch: 'a', monotonicMs: 0, load: idleLoad};
           return ok({...prepared, highestFencing: -1});
         }
-        const isFaulty = action.type === 'activate' && address === 'u2';
-        if (isFaulty && failures-- > 0) return ok({tag: 'failed', detail: ''});
-        done.push(`${action.type} ${address}`);
-        for (const entry of entries) {
-          const known = entry.loads.get(address);
-          if (action.type === 'drain') entry.leaving.add(address);
-          if (action.type !== 'activate') continue;
-          entry.loads.set(address, {...known, version: action.version});
-        }
+        assert.equal(action.type, 'drain');
+        drained.push(address);
+        for (const entry of entries) entry.leaving.add(address);
         return ok({tag: 'done'});
       },
     };
-    const agents = ids.map(id => createInstance(id, 'p'));
-    const {entries, platform, log} = await createControllers(
-      new FakeReports(),
-      agents,
-      client,
-    );
-    platform.listed = ids.map(id => ({id, pool: 'p', state: 'running'}));
+    const {entries, platform, log} = await startPool(ids, client);
     platform.versions = [7, 6];
-    const put = {type: 'put', baseRevision: 0, schemaVersion: 1} as const;
-    const domain = {region: 'r'};
-    log.append({...put, key: 'domain/d1', body: domain, operator: 'o'});
-    const pool = {kind: 'engine', model: 'm', coldStartMs: 0};
-    log.append({...put, key: 'pool/p', body: pool, operator: 'o'});
-    await advance(entries, 60_000);
+    let failures = 20;
+    const swapped = new Set<string>();
+    for (let round = 0; round < 240; round++) {
+      const due = swapWeights(entries, ids, id => {
+        if (id === 'u2' && failures-- > 0) return false;
+        swapped.add(id);
+        return true;
+      });
+      const swapping = due.filter(id => id !== 'u2');
+      assert.ok(swapping.length <= 1, 'a small pool swaps one at a time');
+      if (failures === 1) assert.equal(swapped.size, 2, 'others went on');
+      await advance(entries, 250);
+    }
     const versions = ids.map(id => entries[0].loads.get(id)?.version);
     assert.deepEqual(versions, [7, 7, 7]);
+    assert.ok(getDeclared(log).every(({version}) => version === 7));
     const setRunning = (running: number) => {
       for (const {loads} of entries) {
         for (const id of ids) loads.set(id, {version: 7, running});
@@ -763,7 +813,6 @@
     };
     setRunning(1);
     await advance(entries, 130_000);
-    const drained = done.filter(item => item.startsWith('drain'));
     assert.ok(drained.length > 0);
     assert.equal(platform.effects.length, 0);
     setRunning(0);
@@ -771,4 +820,52 @@
     const stopped = [...platform.orders.keys()].join();
     assert.match(stopped, /\.p\.stop\.u\d\.\d/);
   });
+
+  it('goes on after a deadline when agents neither stage nor fail', async () => {
+    // Guards against dead or hung engines that hold back new weights.
+    const ids = ['u1', 'u2', 'u3', 'u4', 'u5', 'u6', 'u7', 'u8'];
+    const {entries, platform, log} = await startPool(ids);
+    platform.versions = [2];
+    for (let round = 0; round < 160; round++) {
+      swapWeights(
+        entries,
+        ids.filter(id => id !== 'u4'),
+        () => true,
+      );
+      await advance(entries, 250);
+      if (round === 30) assert.equal(getDeclared(log).length, 1);
+    }
+    const rollout = entries[0].control.getState().rollouts.get('m');
+    assert.equal(rollout?.completed, 2);
+  });
+
+  it('are continued by a successor, never with an older version', async () => {
+    // Guards against two holders that contradict each other (R7).
+    const ids = ['u1', 'u2', 'u3', 'u4', 'u5', 'u6', 'u7', 'u8'];
+    const {entries, platform, log, getHolder} = await startPool(ids);
+    platform.versions = [5];
+    const run = async (rounds: number, live: FakeEntry[]) => {
+      for (let round = 0; round < rounds; round++) {
+        swapWeights(live, ids, () => true);
+        await advance(entries, 250);
+      }
+    };
+    for (let round = 0; round < 100; round++) {
+      const last = getDeclared(log).at(-1);
+      if (last?.phase === 'activate') break;
+      await run(1, entries);
+    }
+    const holder = entries[getHolder()];
+    holder.pause();
+    platform.versions = [4];
+    const others = entries.filter(entry => entry !== holder);
+    await run(200, others);
+    const declared = getDeclared(log);
+    const fencings = [...new Set(declared.map(({fencing}) => fencing))];
+    assert.equal(fencings.length, 2);
+    assert.ok(declared.every(({version}) => version === 5));
+    const rollout = others[0].control.getState().rollouts.get('m');
+    assert.equal(rollout?.completed, 5);
+    assert.equal(rollout.steps.length, declared.length);
+  });
 });
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -14,6 +14,7 @@
 import type {ClientFactory} from './orderTask.js';
 import {createClientFactory, createOrderTask} from './orderTask.js';
 import {createReportTask} from './reportTask.js';
+import {createProgressCount} from './rolloutProgress.js';
 import type {Context, ControlFollower, Membership, Part} from './types.js';
 import {createUpstreamScaling} from './upstreamScaling.js';
 import {createUsageCollection} from './usageCollection.js';
@@ -43,7 +44,7 @@
 export interface Controller extends Part {
   /** Null while this entry may not send orders. */
   getTenure(): Tenure | null;
-  /** `usage.collect`, `load.collect` and `crash.report`. */
+  /** `usage.collect`, `load.collect`, `crash.report`, `rollout.progress`. */
   rpcMethods: RpcMethods;
 }
 
@@ -79,6 +80,12 @@
     lease,
     createClient,
   );
+  const progress = createProgressCount(
+    context,
+    control,
+    membership,
+    createClient,
+  );
   const tasks: Part[] = [
     loads,
     crashes,
@@ -96,8 +103,7 @@
       control,
       membership,
       lease,
-      orders,
-      loads,
+      progress,
       ports.weights,
     ),
     createReportTask(context, control, lease, usage, ports.reports),
@@ -128,6 +134,7 @@
       ...loads.rpcMethods,
       ...usage.rpcMethods,
       ...crashes.rpcMethods,
+      ...progress.rpcMethods,
     },
   };
 }
--- a/packages/daemon/src/membership.ts
+++ b/packages/daemon/src/membership.ts
@@ -16,6 +16,7 @@
   getAgentsOfEntry,
   getBodies,
   getBody,
+  getRolloutOfAgent,
   instanceSchema,
   isAgent,
   pullSchema,
@@ -33,6 +34,7 @@
   ControlFollower,
   Membership,
 } from './types.js';
+import {WeightSourceChoice, isVersionMissing} from './weightSources.js';
 
 export interface MembershipOptions {
   /** Entries from the settings, see `createSeedInstance`. */
@@ -98,6 +100,8 @@
 
 const HOLD_MS = 10_000;
 const TICK_MS = 1_000;
+/** Wait before weight sources are looked for again, ms. */
+const SOURCE_RETRY_MS = 250;
 /** An agent or peer that was heard within this time is alive, ms. */
 const ALIVE_MS = 30_000;
 /** Longest silence after which authority remains, ms. */
@@ -161,6 +165,7 @@
   const subsets = new Map<string, {until: number; members: Member[]}>();
   /** Members of plain pools as sent to agents; kept until they change. */
   const memberLists = new Map<string, MemberList>();
+  const sourceChoice = new WeightSourceChoice(clock);
   let isSelfLeaving = false;
   let unsubscribe = () => {};
   let loop: Promise<void> | undefined;
@@ -194,6 +199,7 @@
     load: member.load,
     offset: member.offset,
     heardAt: member.heardAt,
+    polledAt: member.polledAt,
     isLeaving: isMemberLeaving(member),
   });
 
@@ -287,6 +293,7 @@
     member.hasAnnounced ||= instance.state === 'leaving';
     const {state} = member.instance;
     setInstance(member, {...instance, state: isNew ? instance.state : state});
+    const hasNewWeights = member.load?.staged !== pull.load.staged;
     member.load = pull.load;
     member.offset = pull.offset;
     member.heardAt = clock.now();
@@ -294,6 +301,8 @@
     noteHeard(instance.domain);
     const isChanged = wasLeaving !== isMemberLeaving(member);
     if (isNew || isRestarted || isFirstPoll || isChanged) noteMemberChange();
+    // Agents that wait for a source may have one now.
+    else if (hasNewWeights) for (const wake of holds) wake();
     return member;
   };
 
@@ -329,6 +338,40 @@
     };
   };
 
+  /** Where an agent may fetch its rollout's version; null if it has it. */
+  const getWeights = (state: ControlState, member: Member) => {
+    const agent = member.instance;
+    const rollout = getRolloutOfAgent(state, agent);
+    if (!rollout || !isVersionMissing(member.load, rollout.version)) {
+      return null;
+    }
+    const holders = [...members.values()]
+      .filter(
+        other =>
+          getRolloutOfAgent(state, other.instance)?.model === rollout.model,
+      )
+      .map(other => ({
+        instance: other.instance,
+        load: other.load,
+        isReachable:
+          isRecent(other.polledAt, ALIVE_MS) && !isMemberLeaving(other),
+      }));
+    return sourceChoice.choose(agent, rollout.version, holders);
+  };
+
+  /** Sources for a poll that waits for some; null if there are none now. */
+  const getWantedWeights = (
+    state: ControlState,
+    pull: Pull,
+    member: Member,
+  ): PullAnswer | null => {
+    const rollout = getRolloutOfAgent(state, member.instance);
+    if (!rollout || pull.wantedVersion !== rollout.version) return null;
+    const weights = getWeights(state, member);
+    const isUsable = weights?.mayUseStore || weights?.addresses.length;
+    return weights && isUsable ? createAnswer({weights}) : null;
+  };
+
   /** The answer to send now; null if the agent's view is up to date. */
   const getNewAnswer = (pull: Pull, member: Member): PullAnswer | null => {
     const state = control.getState();
@@ -339,9 +382,12 @@
     const list = getMemberList(state, agent.upstream.pool);
     const isCurrent =
       pull.offset >= 0 && pull.offset >= getAgentViewChange(state, agent);
-    if (isCurrent && pull.membersHash === list.hash) return null;
+    if (isCurrent && pull.membersHash === list.hash) {
+      return getWantedWeights(state, pull, member);
+    }
     const view = getAgentView(state, agent, list.instances);
-    return createAnswer({view, membersHash: list.hash});
+    const weights = getWeights(state, member) ?? undefined;
+    return createAnswer({view, membersHash: list.hash, weights});
   };
 
   /** Resolves when something changed, the hold ended, or it was released. */
@@ -379,10 +425,13 @@
       if (answer || !mayHold || stopped.signal.aborted) {
         return answer ?? createAnswer();
       }
-      const end = await waitForChange(member, deadline);
+      const retryAt = getDeadline(clock.now(), SOURCE_RETRY_MS);
+      const isWaiting = params.wantedVersion !== undefined;
+      const until = isWaiting && retryAt < deadline ? retryAt : deadline;
+      const end = await waitForChange(member, until);
       // A released poll was given up by its agent.
       if (end === 'released') return createAnswer();
-      mayHold = end === 'changed';
+      mayHold = clock.now() < deadline;
     }
   };
 
@@ -572,7 +621,9 @@
   const noteAnswer = (upstream: string, load: Load) => {
     const member = members.get(upstream);
     if (!member) return;
-    member.load = load;
+    // Only polls tell which versions are staged.
+    const {staged, failedVersion} = member.load ?? {};
+    member.load = {staged, failedVersion, ...load};
     member.heardAt = clock.now();
     noteHeard(member.instance.domain);
     member.failures = 0;
--- a/packages/daemon/src/peerServer.ts
+++ b/packages/daemon/src/peerServer.ts
@@ -1,4 +1,5 @@
 import * as http from 'node:http';
+import type {Socket} from 'node:net';
 
 import type {ListenAddress, RpcMethods} from '@vanillacross/common';
 import {closeServer, createRpcHandler, listen} from '@vanillacross/common';
@@ -28,6 +29,22 @@
   });
   // Agents hold polls for up to 10 s; idle sockets are kept longer than that.
   server.keepAliveTimeout = 30_000;
+  let closedBytes = 0;
+  const sockets = new Set<Socket>();
+  server.on('connection', socket => {
+    sockets.add(socket);
+    socket.once('close', () => {
+      sockets.delete(socket);
+      closedBytes += socket.bytesRead + socket.bytesWritten;
+    });
+  });
+  // Control traffic in both directions, for the budget of a node.
+  context.metrics.gauge('vc_peer_bytes', () =>
+    [...sockets].reduce(
+      (sum, socket) => sum + socket.bytesRead + socket.bytesWritten,
+      closedBytes,
+    ),
+  );
   let bound = '';
   return {
     name: 'peer',
--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -74,6 +74,8 @@
   /** Offset of the control view that the agent has. */
   offset: number;
   heardAt: MonotonicMs | null;
+  /** Time of the last poll; null or absent before the first. */
+  polledAt?: MonotonicMs | null;
   isLeaving: boolean;
 }
 
--- a/packages/daemon/src/weightRollout.ts
+++ b/packages/daemon/src/weightRollout.ts
@@ -1,152 +1,90 @@
 import type {MonotonicMs} from '@vanillacross/common';
 import {getDeadline} from '@vanillacross/common';
-import type {
-  ControlState,
-  StepOutcome,
-  WeightReplica,
-  WeightRollout,
-  WeightStep,
-} from '@vanillacross/domain';
+import type {RolloutRecord, RolloutState} from '@vanillacross/domain';
 import {
-  finishSteps,
+  MAX_SWAPPING_SHARE,
+  chooseWaves,
   getBodies,
-  getBody,
-  noRollout,
-  planWeights,
-  reconcileTarget,
+  getNextWave,
+  isRolloutComplete,
 } from '@vanillacross/domain';
 import type {WeightStorePort} from '@vanillacross/platform';
-import PQueue from 'p-queue';
 
-import type {AgentLoads} from './agentLoads.js';
 import type {LeaseTask} from './leaseTask.js';
 import type {Loop} from './loop.js';
 import {createLoop} from './loop.js';
-import type {OrderTask} from './orderTask.js';
-import type {
-  AgentPresence,
-  Context,
-  ControlFollower,
-  Membership,
-} from './types.js';
+import type {ProgressCount, RolloutProgress} from './rolloutProgress.js';
+import type {Context, ControlFollower, Membership} from './types.js';
 
 /** Interval at which the weight store is polled, ms. */
 const POLL_INTERVAL_MS = 1_000;
+/** Interval of looks at a running rollout; grows with the entries, ms. */
+const PROGRESS_INTERVAL_MS = 200;
+const PROGRESS_INTERVAL_PER_ENTRY_MS = 2;
+/**
+ * Time after which agents that have not staged no longer delay the others.
+ * The tree of fetches is about 7 levels deep at 5,100 replicas.
+ */
+const STAGE_PATIENCE_MS = 8_000;
 /**
- * Time in which outcomes are gathered before the next plan, ms. A plan for
- * 5,100 replicas takes up to about 20 ms.
+ * Time after which agents that have not swapped no longer delay the next
+ * wave. A swap that takes longer can overlap with the next wave.
  */
-const PLAN_DELAY_MS = 250;
-/** Orders that are sent at the same time. */
-const ORDER_CONCURRENCY = 512;
+const WAVE_PATIENCE_MS = 3_000;
 
-/** Brings the highest published weights to all replicas in waves. */
+/** What this holder knows about the step that is in force. */
+interface Step {
+  /** Position of the step in the log. */
+  offset: number;
+  deadline: MonotonicMs;
+}
+
+/** Agents that a deadline passed over and that delay no further wave. */
+interface Excused {
+  version: number;
+  count: number;
+}
+
+/** Declares the highest published weights, wave by wave. */
 export function createWeightRollout(
   context: Context,
   control: ControlFollower,
   membership: Membership,
   lease: LeaseTask,
-  orders: OrderTask,
-  loads: Pick<AgentLoads, 'getLoad'>,
+  progress: ProgressCount,
   store: WeightStorePort,
 ): Loop {
   const {clock, metrics} = context;
   const logger = context.logger.part('weights');
-  const queue = new PQueue({concurrency: ORDER_CONCURRENCY});
   let tenureFencing = -1;
-  let rollouts = new Map<string, WeightRollout>();
   let nextPollAt = clock.now();
-  let isWaking = false;
-  const outcomes = new Map<string, StepOutcome[]>();
-
-  function getReplica(
-    state: ControlState,
-    {instance}: AgentPresence,
-  ): WeightReplica {
-    const {id} = instance.upstream;
-    const heard = loads.getLoad(id);
-    const isLeaving = heard?.isLeaving || instance.state === 'leaving';
-    const isReachable = heard !== null && !isLeaving;
-    const isDraining = getBody(state, 'upstream', id)?.state === 'draining';
-    const isOut = getBody(state, 'domain', instance.domain)?.state === 'out';
-    return {
-      id,
-      domain: instance.domain,
-      address: instance.address,
-      version: heard?.load.version ?? 0,
-      epoch: heard?.load.epoch ?? '',
-      isReachable,
-      isServing: isReachable && !heard.load.cold && !isDraining && !isOut,
-    };
-  }
-
-  function getPlanStep(step: WeightStep, epoch: string): string {
-    const {type, version, replica, attempt} = step;
-    return `${type}.${version}.${replica}.${epoch}.${attempt}`;
-  }
-
-  async function perform(
-    poolId: string,
-    model: string,
-    step: WeightStep,
-    epoch: string,
-    fencing: number,
-  ): Promise<void> {
-    const agent = membership.getAgent(step.replica);
-    const result =
-      agent &&
-      (await orders.orderAgent(agent.instance, getPlanStep(step, epoch), {
-        type: step.type,
-        model,
-        version: step.version,
-        ...(step.source === undefined ? {} : {source: step.source}),
-      }));
-    if (fencing !== tenureFencing) return;
-    const isDone = result?.ok ?? false;
-    metrics.count('vc_weight_steps', {type: step.type, done: String(isDone)});
-    if (result && !result.ok) {
-      const {tag} = result.error;
-      logger.warn('step failed', {...step, reason: tag});
-    }
-    const known = outcomes.get(poolId) ?? [];
-    known.push({step, isDone});
-    outcomes.set(poolId, known);
-    void wakeSoon();
-  }
+  /** Highest published version by model. */
+  const targets = new Map<string, number>();
+  let steps = new Map<string, Step>();
+  let excused = new Map<string, Excused>();
 
-  /** One plan for all outcomes of a short time. */
-  async function wakeSoon(): Promise<void> {
-    if (isWaking) return;
-    isWaking = true;
-    await clock.waitUntil(getDeadline(clock.now(), PLAN_DELAY_MS));
-    isWaking = false;
-    loop.wake();
+  function getPools(): Array<{id: string; model: string}> {
+    return getBodies(control.getState(), 'pool').flatMap(({id, body}) =>
+      body.kind === 'engine' && body.model ? [{id, model: body.model}] : [],
+    );
   }
 
-  function planPool(state: ControlState, poolId: string, model: string): void {
-    const replicas = membership
-      .getPoolMembers(poolId)
-      .map(presence => getReplica(state, presence));
-    const epochs = new Map(replicas.map(({id, epoch}) => [id, epoch]));
-    const known = finishSteps(
-      rollouts.get(poolId) ?? noRollout,
-      outcomes.get(poolId) ?? [],
-      clock.now(),
+  /** Upstreams of a model that may get new weights, by pool. */
+  function getMembers(model: string): Map<string, string[]> {
+    const pools = getPools().filter(pool => pool.model === model);
+    return new Map(
+      pools.map(({id}) => [
+        id,
+        membership
+          .getPoolMembers(id)
+          .filter(agent => !agent.isLeaving)
+          .map(({instance}) => instance.upstream.id),
+      ]),
     );
-    outcomes.delete(poolId);
-    const {rollout, steps} = planWeights(known, replicas, clock.now());
-    rollouts.set(poolId, rollout);
-    const fencing = tenureFencing;
-    for (const item of steps) {
-      const epoch = epochs.get(item.replica) ?? '';
-      void queue.add(() => perform(poolId, model, item, epoch, fencing));
-    }
   }
 
-  async function pollStore(
-    pools: ReadonlyArray<{id: string; model: string}>,
-  ): Promise<void> {
-    for (const model of new Set(pools.map(pool => pool.model))) {
+  async function pollStore(models: Iterable<string>): Promise<void> {
+    for (const model of models) {
       const published = await store.getVersions(model);
       if (!published.ok) {
         metrics.count('vc_weight_store_failures', {
@@ -154,11 +92,116 @@
         });
         continue;
       }
-      for (const {id} of pools.filter(pool => pool.model === model)) {
-        const rollout = rollouts.get(id) ?? noRollout;
-        rollouts.set(id, reconcileTarget(rollout, published.value));
-      }
+      const versions = published.value.map(({version}) => version);
+      targets.set(model, Math.max(targets.get(model) ?? 0, ...versions));
+    }
+  }
+
+  async function declare(
+    record: Omit<RolloutRecord, 'type' | 'fencing'>,
+  ): Promise<void> {
+    // The log counts the record only if the lease is still this tenure's.
+    const tenure = lease.getTenure();
+    if (tenure?.fencing !== tenureFencing) return;
+    const result = await control.append({
+      type: 'rollout',
+      fencing: tenureFencing,
+      ...record,
+    });
+    const tag = result.ok ? result.value.tag : result.error.tag;
+    metrics.count('vc_rollout_records', {phase: record.phase, outcome: tag});
+    if (tag !== 'accepted') {
+      logger.warn('rollout step not accepted', {...record, reason: tag});
+    }
+  }
+
+  async function begin(model: string, version: number): Promise<void> {
+    const pools = [...getMembers(model).values()].filter(ids => ids.length > 0);
+    // Without known agents the waves could not be sized.
+    if (pools.length === 0) return;
+    const waves = chooseWaves(pools);
+    if (waves === null) {
+      logger.error('no number of waves fits the pools', {model, version});
+      return;
+    }
+    logger.info('rollout begins', {model, version, waves});
+    await declare({model, version, phase: 'stage', wave: 0, waves});
+  }
+
+  /** The step in force with its deadline on this holder's clock. */
+  function getStep(rollout: RolloutState): Step {
+    const known = steps.get(rollout.model);
+    const offset = rollout.steps.at(-1)?.offset ?? -1;
+    if (known?.offset === offset) return known;
+    const isStaging = rollout.phase === 'stage';
+    const patienceMs = isStaging ? STAGE_PATIENCE_MS : WAVE_PATIENCE_MS;
+    const step = {offset, deadline: getDeadline(clock.now(), patienceMs)};
+    steps.set(rollout.model, step);
+    return step;
+  }
+
+  /** Agents that the step waits for, also those that no entry hears. */
+  function countUnfinished(
+    rollout: RolloutState,
+    members: ReadonlyMap<string, readonly string[]>,
+    {pools}: RolloutProgress,
+  ): number {
+    let unfinished = 0;
+    for (const [pool, ids] of members) {
+      const counts = pools[pool];
+      const {live = 0, staged = 0, waiting = 0, failed = 0} = counts ?? {};
+      const missing = ids.length - live - staged - waiting - failed;
+      const late = rollout.phase === 'stage' ? waiting : (counts?.due ?? 0);
+      unfinished += Math.max(0, missing) + late;
     }
+    return unfinished;
+  }
+
+  /**
+   * Agents that stage late activate at once, whatever their wave, so staging
+   * ends early only if they are few.
+   */
+  function areMostStaged({pools}: RolloutProgress): boolean {
+    return Object.values(pools).every(({live, staged, waiting, failed}) => {
+      const heard = live + staged + waiting + failed;
+      return heard < 4 || waiting <= heard * MAX_SWAPPING_SHARE;
+    });
+  }
+
+  async function advance(rollout: RolloutState): Promise<void> {
+    const {model, version, phase, wave, waves} = rollout;
+    const {deadline} = getStep(rollout);
+    const counts = await progress.collect({
+      model,
+      version,
+      wave: phase === 'stage' ? -1 : wave,
+      waves,
+    });
+    const members = getMembers(model);
+    const unfinished = countUnfinished(rollout, members, counts);
+    const known = excused.get(model);
+    const allowed = known?.version === version ? known.count : 0;
+    if (unfinished > allowed) {
+      if (clock.now() < deadline) return;
+      if (phase === 'stage' && !areMostStaged(counts)) return;
+      excused.set(model, {version, count: unfinished});
+      metrics.count('vc_rollout_deadlines', {phase});
+      logger.warn('a rollout step goes on without some agents', {
+        model,
+        version,
+        unfinished,
+        failed: counts.failed,
+      });
+    }
+    const ids = [...members.values()].flat();
+    const next = getNextWave(ids, phase === 'stage' ? -1 : wave, waves);
+    await declare({model, version, phase: 'activate', wave: next, waves});
+    if (next === waves) logger.info('rollout is complete', {model, version});
+  }
+
+  function getInterval(): number {
+    const entries = membership.getPeers().length + 1;
+    return PROGRESS_INTERVAL_MS + entries * PROGRESS_INTERVAL_PER_ENTRY_MS;
   }
 
   async function step(): Promise<MonotonicMs> {
@@ -166,21 +209,28 @@
     if (!tenure) return getDeadline(clock.now(), POLL_INTERVAL_MS);
     if (tenure.fencing !== tenureFencing) {
       tenureFencing = tenure.fencing;
-      rollouts = new Map();
-      outcomes.clear();
+      steps = new Map();
+      excused = new Map();
       nextPollAt = clock.now();
     }
-    const pools = getBodies(control.getState(), 'pool').flatMap(({id, body}) =>
-      body.kind === 'engine' && body.model ? [{id, model: body.model}] : [],
-    );
+    const models = new Set(getPools().map(pool => pool.model));
     if (clock.now() >= nextPollAt) {
       nextPollAt = getDeadline(clock.now(), POLL_INTERVAL_MS);
-      await pollStore(pools);
+      await pollStore(models);
+    }
+    let isRunning = false;
+    for (const model of models) {
+      const rollout = control.getState().rollouts.get(model);
+      const target = targets.get(model) ?? 0;
+      if (target > (rollout?.version ?? 0)) await begin(model, target);
+      else if (rollout && !isRolloutComplete(rollout)) await advance(rollout);
+      const current = control.getState().rollouts.get(model);
+      isRunning ||= current !== undefined && !isRolloutComplete(current);
     }
-    for (const {id, model} of pools) planPool(control.getState(), id, model);
-    return nextPollAt;
+    if (!isRunning) return nextPollAt;
+    const soon = getDeadline(clock.now(), getInterval());
+    return soon < nextPollAt ? soon : nextPollAt;
   }
 
-  const loop = createLoop(context, 'weights', step);
-  return loop;
+  return createLoop(context, 'weights', step);
 }
--- a/packages/domain/src/agentView.ts
+++ b/packages/domain/src/agentView.ts
@@ -1,8 +1,10 @@
+import type {RolloutState} from './controlRecords.js';
 import type {ControlState} from './controlState.js';
 import {getBodies, getBody} from './controlState.js';
 import type {AgentInstance, Instance} from './instances.js';
 import type {AgentView} from './messages.js';
 import {reportingSchema} from './records.js';
+import {getRolloutChange} from './rollout.js';
 
 const defaultReporting = reportingSchema.parse({});
 
@@ -30,6 +32,16 @@
   ];
 }
 
+/** The rollout of the model that an agent's engine runs; null if none. */
+export function getRolloutOfAgent(
+  state: ControlState,
+  agent: AgentInstance,
+): RolloutState | null {
+  const pool = getBody(state, 'pool', agent.upstream.pool);
+  if (pool?.kind !== 'engine' || !pool.model) return null;
+  return state.rollouts.get(pool.model) ?? null;
+}
+
 /** Derives the part of the control state that one agent needs. */
 export function getAgentView(
   state: ControlState,
@@ -40,6 +52,7 @@
   const poolRecord = state.records.get(`pool/${agent.upstream.pool}`);
   const domain = getBody(state, 'domain', agent.domain);
   const reporting = getBodies(state, 'reporting')[0]?.body ?? defaultReporting;
+  const rollout = getRolloutOfAgent(state, agent);
   return {
     offset: state.highest,
     fencing: state.lease.fencing,
@@ -49,6 +62,7 @@
     isDomainIn: domain?.state !== 'out',
     windowMs: reporting.windowMs,
     members: pool?.kind === 'plain' ? [...members] : [],
+    ...(rollout ? {rollout} : {}),
   };
 }
 
@@ -64,5 +78,10 @@
   for (const key of getViewKeys(agent)) {
     changedAt = Math.max(changedAt, state.records.get(key)?.offset ?? -1);
   }
+  const rollout = getRolloutOfAgent(state, agent);
+  if (rollout) {
+    const rolloutAt = getRolloutChange(rollout, agent.upstream.id);
+    changedAt = Math.max(changedAt, rolloutAt);
+  }
   return changedAt;
 }
--- a/packages/domain/src/checkpointPlan.ts
+++ b/packages/domain/src/checkpointPlan.ts
@@ -139,6 +139,9 @@
     entries,
     lastSealed: state.lastSealed,
     lease: state.lease,
+    ...(state.rollouts.size > 0
+      ? {rollouts: [...state.rollouts.values()]}
+      : {}),
     ...(isLast
       ? {cycleStart: cycle.cycleStart, dropped: [...cycle.expired]}
       : {}),
--- a/packages/domain/src/controlRecords.ts
+++ b/packages/domain/src/controlRecords.ts
@@ -68,6 +68,32 @@
   operator: z.string(),
 });
 
+/** One step of bringing a weight version to all engines of a model. */
+export const rolloutSchema = z.object({
+  type: z.literal('rollout'),
+  fencing: z.number().int().min(0),
+  model: z.string(),
+  version: z.number().int().min(1),
+  phase: z.enum(['stage', 'activate']),
+  /**
+   * Agents up to this wave activate; 0 while staging. A value of `waves` says
+   * that the rollout is complete.
+   */
+  wave: z.number().int().min(0),
+  /** Number of waves, the same in all records of a version. */
+  waves: z.number().int().min(1),
+});
+
+/** The rollout of a model as the log decided it. */
+export const rolloutStateSchema = rolloutSchema.omit({type: true}).extend({
+  /** Offsets of the records that advanced this version, in order. */
+  steps: z.array(
+    z.object({wave: z.number().int(), offset: z.number().int().min(0)}),
+  ),
+  /** Highest version of the model whose rollout is complete, 0 if none. */
+  completed: z.number().int().min(0),
+});
+
 /** Live state written again before retention removes it. */
 export const checkpointSchema = z.object({
   type: z.literal('checkpoint'),
@@ -86,6 +112,8 @@
       isReleased: z.boolean(),
     })
     .optional(),
+  /** The newest rollout of each model as of `asOf`. */
+  rollouts: z.array(rolloutStateSchema).optional(),
   /** Tombstones that every process forgets at this record. */
   dropped: z
     .array(z.object({key: z.string(), offset: z.number().int().min(0)}))
@@ -108,6 +136,7 @@
   sealSchema,
   checkpointSchema,
   quarantineSchema,
+  rolloutSchema,
 ]);
 
 export type Figures = z.infer<typeof figuresSchema>;
@@ -116,6 +145,8 @@
 export type Seal = z.infer<typeof sealSchema>;
 export type Checkpoint = z.infer<typeof checkpointSchema>;
 export type Carried = z.infer<typeof carriedSchema>;
+export type RolloutRecord = z.infer<typeof rolloutSchema>;
+export type RolloutState = z.infer<typeof rolloutStateSchema>;
 export type ControlPayload = z.infer<typeof controlPayloadSchema>;
 
 /** One record as read from a stream of the log. */
--- a/packages/domain/src/controlReplay.ts
+++ b/packages/domain/src/controlReplay.ts
@@ -1,4 +1,9 @@
-import type {Carried, Checkpoint, LogRecord} from './controlRecords.js';
+import type {
+  Carried,
+  Checkpoint,
+  LogRecord,
+  RolloutState,
+} from './controlRecords.js';
 import {checkpointSchema, putSchema} from './controlRecords.js';
 import type {ControlState} from './controlState.js';
 import {
@@ -11,7 +16,8 @@
 
 /** Payload that takes the place of one that a checkpoint has decided. */
 const DECIDED = {type: 'decided'};
-const LEASE_TYPES = new Set(['claim', 'renew', 'release', 'seal']);
+/** Payloads whose outcome depends on the lease at their place in the log. */
+const LEASE_TYPES = new Set(['claim', 'renew', 'release', 'seal', 'rollout']);
 
 /** What the checkpoints of a truncated log say about its beginning. */
 interface Basis {
@@ -21,6 +27,7 @@
   lease: LeaseState;
   leaseAsOf: number;
   lastSealed: number;
+  rollouts: readonly RolloutState[];
 }
 
 interface PlacedCheckpoint {
@@ -51,9 +58,10 @@
     lease: noLease,
     leaseAsOf: -1,
     lastSealed: -1,
+    rollouts: [],
   };
   for (const {checkpoint} of usable) {
-    const {asOf, entries, lease, lastSealed} = checkpoint;
+    const {asOf, entries, lease, lastSealed, rollouts = []} = checkpoint;
     for (const entry of entries) {
       const known = basis.carried.get(entry.key);
       if (!known || known.asOf < asOf) {
@@ -61,7 +69,7 @@
       }
     }
     if (lease && asOf > basis.leaseAsOf) {
-      Object.assign(basis, {lease, leaseAsOf: asOf, lastSealed});
+      Object.assign(basis, {lease, leaseAsOf: asOf, lastSealed, rollouts});
     }
   }
   return basis;
@@ -110,6 +118,7 @@
     ),
     lease: basis.lease,
     lastSealed: basis.lastSealed,
+    rollouts: new Map(basis.rollouts.map(item => [item.model, item])),
   };
   const rest = records.map(record => getUndecided(basis, record));
   return {...applyControlRecords(start, rest), isWhole: true};
--- a/packages/domain/src/controlState.ts
+++ b/packages/domain/src/controlState.ts
@@ -11,17 +11,21 @@
   ControlPayload,
   LogRecord,
   Put,
+  RolloutRecord,
+  RolloutState,
   Seal,
 } from './controlRecords.js';
 import {
   carriedSchema,
   controlPayloadSchema,
+  rolloutStateSchema,
   sealSchema,
 } from './controlRecords.js';
 import type {LeaseState} from './lease.js';
 import {applyLeaseRecord, noLease} from './lease.js';
 import type {RecordBodies, RecordKind} from './records.js';
 import {parseRecordKey, restoreBody} from './records.js';
+import {applyRollout, isNewerRollout} from './rollout.js';
 
 /** The newest accepted version of one configuration record. */
 export interface StoredRecord {
@@ -54,6 +58,8 @@
   lastSealed: number;
   seals: ReadonlyMap<number, Seal & {offset: number}>;
   quarantine: ReadonlyMap<string, string>;
+  /** The newest rollout by model. */
+  rollouts: ReadonlyMap<string, RolloutState>;
   outcomes: ReadonlyMap<string, AppendOutcome>;
   /** Records whose schema is newer than this process understands. */
   newerSchemas: number;
@@ -70,6 +76,7 @@
   lastSealed: -1,
   seals: new Map(),
   quarantine: new Map(),
+  rollouts: new Map(),
   outcomes: new Map(),
   newerSchemas: 0,
   isWhole: false,
@@ -94,6 +101,7 @@
     z.tuple([z.number().int(), sealSchema.extend({offset: z.number().int()})]),
   ),
   quarantine: z.array(z.tuple([z.string(), z.string()])),
+  rollouts: z.array(rolloutStateSchema).default([]),
   newerSchemas: z.number().int(),
   isWhole: z.boolean(),
   droppedAt: z.number().int().optional(),
@@ -107,6 +115,7 @@
   lastSealed: number;
   seals: Map<number, Seal & {offset: number}>;
   quarantine: Map<string, string>;
+  rollouts: Map<string, RolloutState>;
   outcomes: Map<string, AppendOutcome>;
   newerSchemas: number;
   isWhole: boolean;
@@ -182,6 +191,11 @@
       draft.droppedAt = offset;
     }
   }
+  for (const rollout of checkpoint.rollouts ?? []) {
+    const current = draft.rollouts.get(rollout.model);
+    if (current && !isNewerRollout(rollout, current)) continue;
+    draft.rollouts.set(rollout.model, rollout);
+  }
   draft.lastSealed = Math.max(draft.lastSealed, checkpoint.lastSealed);
   return {tag: 'accepted', offset};
 }
@@ -200,6 +214,25 @@
   return {tag: 'accepted', offset};
 }
 
+/** Only the lease holder declares rollouts; a repeat changes nothing. */
+function applyRolloutRecord(
+  draft: Draft,
+  offset: number,
+  record: RolloutRecord,
+): AppendOutcome {
+  if (record.fencing !== draft.lease.fencing) {
+    return {tag: 'invalid', detail: 'stale fencing number'};
+  }
+  const applied = applyRollout(
+    draft.rollouts.get(record.model),
+    record,
+    offset,
+  );
+  if (typeof applied === 'string') return {tag: 'invalid', detail: applied};
+  draft.rollouts.set(record.model, applied);
+  return {tag: 'accepted', offset};
+}
+
 function applyLease(
   draft: Draft,
   offset: number,
@@ -233,6 +266,7 @@
     trimOldest(draft.quarantine, REMEMBERED_QUARANTINES);
     return {tag: 'accepted', offset};
   },
+  rollout: applyRolloutRecord,
 };
 
 function applyRecord(draft: Draft, record: LogRecord): void {
@@ -258,6 +292,7 @@
     records: new Map(state.records),
     seals: new Map(state.seals),
     quarantine: new Map(state.quarantine),
+    rollouts: new Map(state.rollouts),
     outcomes: new Map(state.outcomes),
   };
   for (const record of records) applyRecord(draft, record);
@@ -324,6 +359,7 @@
     records: [...state.records],
     seals: [...state.seals],
     quarantine: [...state.quarantine],
+    rollouts: [...state.rollouts.values()],
     outcomes: [],
   };
 }
@@ -343,6 +379,7 @@
     records,
     seals: new Map(snapshot.seals),
     quarantine: new Map(snapshot.quarantine),
+    rollouts: new Map(snapshot.rollouts.map(item => [item.model, item])),
     outcomes: new Map(),
   };
 }
--- a/packages/domain/src/fencing.ts
+++ b/packages/domain/src/fencing.ts
@@ -60,6 +60,28 @@
   return {tag: 'accept'};
 }
 
+/**
+ * Decides on a step of a rollout that the log declared. It does not wait for
+ * the predecessor's orders to expire, because a version never goes back: the
+ * outcome is the same in whichever order the two take effect.
+ */
+export function decideDeclared(
+  fence: Fence,
+  order: Order,
+  heard: number | null,
+): OrderDecision {
+  const stored = fence.outcomes.get(order.orderId);
+  if (stored) return {tag: 'answer', outcome: stored};
+  const highestFencing = getHighestKnown(fence, heard ?? -1);
+  const refuse = (reason: 'not_ready' | 'stale_fencing'): OrderDecision => ({
+    tag: 'answer',
+    outcome: {tag: 'refused', reason, highestFencing},
+  });
+  if (heard === null) return refuse('not_ready');
+  if (order.fencing < highestFencing) return refuse('stale_fencing');
+  return {tag: 'accept'};
+}
+
 /** Raises the fence to an order that is about to be executed. */
 export function withAccepted(fence: Fence, order: Order): Fence {
   return {...fence, accepted: Math.max(fence.accepted, order.fencing)};
--- a/packages/domain/src/messages.ts
+++ b/packages/domain/src/messages.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 
-import {figuresSchema} from './controlRecords.js';
+import {figuresSchema, rolloutStateSchema} from './controlRecords.js';
 import {instanceSchema} from './instances.js';
 import {poolSchema, upstreamSchema} from './records.js';
 
@@ -15,6 +15,10 @@
   /** Live weight version; 0 for plain services. */
   version: z.number(),
   cold: z.boolean(),
+  /** Newest weight version that the engine has staged; only in polls. */
+  staged: z.number().int().optional(),
+  /** Version whose last stage or swap failed; only in polls. */
+  failedVersion: z.number().int().optional(),
 });
 
 /** Usage of one account over the link between one entry and one agent. */
@@ -46,6 +50,8 @@
   crashes: z.array(crashReportSchema),
   /** `membersHash` of the last answer that this entry gave to this agent. */
   membersHash: z.string().optional(),
+  /** Weight version for which the agent waits to be told a source. */
+  wantedVersion: z.number().int().optional(),
 });
 
 /** The part of the control state that one agent needs. */
@@ -62,6 +68,17 @@
   windowMs: z.number().int(),
   /** Agents of the same pool, for dedup partners; only for plain pools. */
   members: z.array(instanceSchema),
+  /** The rollout of the model of an engine pool. */
+  rollout: rolloutStateSchema.optional(),
+});
+
+/** Where an agent may fetch a weight version from. */
+export const weightSourcesSchema = z.object({
+  version: z.number().int(),
+  /** Data listeners of agents that have staged the version, `ip:port`. */
+  addresses: z.array(z.string()),
+  /** True if the agent is among those that fetch from the store first. */
+  mayUseStore: z.boolean(),
 });
 
 /** Answer to `control.pull`; `view` is null if nothing changed. */
@@ -69,6 +86,8 @@
   entryEpoch: z.string(),
   highest: z.number().int(),
   view: agentViewSchema.nullable(),
+  /** Set while the agent has not staged the version of its rollout. */
+  weights: weightSourcesSchema.optional(),
   /** Hash of the members in `view`; sent back with the next poll. */
   membersHash: z.string().optional(),
 });
@@ -79,7 +98,7 @@
     type: z.enum(['load', 'stage', 'activate']),
     model: z.string(),
     version: z.number().int(),
-    /** Peer engine to fetch from, `ip:port`; the store if absent. */
+    /** Base URL of a peer to fetch from; the store if absent. */
     source: z.string().optional(),
   }),
   z.object({type: z.literal('adapter'), adapter: z.string()}),
@@ -144,6 +163,7 @@
 export type Pull = z.infer<typeof pullSchema>;
 export type AgentView = z.infer<typeof agentViewSchema>;
 export type PullAnswer = z.infer<typeof pullAnswerSchema>;
+export type WeightSources = z.infer<typeof weightSourcesSchema>;
 export type OrderAction = z.infer<typeof orderActionSchema>;
 export type Order = z.infer<typeof orderSchema>;
 export type OrderPreparation = z.infer<typeof orderPreparationSchema>;
--- /dev/null
+++ b/packages/domain/src/rollout.test.ts
@@ -0,0 +1,206 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import fc from 'fast-check';
+
+import {planCheckpoint} from './checkpointPlan.js';
+import type {ControlPayload, LogRecord} from './controlRecords.js';
+import {rebuildControlState} from './controlReplay.js';
+import {
+  applyControlRecords,
+  emptyControlState,
+  restoreControlState,
+  serializeControlState,
+} from './controlState.js';
+import {
+  chooseWaves,
+  getNextWave,
+  getRolloutChange,
+  getWave,
+} from './rollout.js';
+
+const SEED = 20_260;
+
+function toRecords(payloads: ControlPayload[], first = 0): LogRecord[] {
+  return payloads.map((payload, index) => ({
+    offset: first + index,
+    appendId: `a${first + index}`,
+    payload,
+  }));
+}
+
+function fold(payloads: ControlPayload[]) {
+  const start = {...emptyControlState, isWhole: true};
+  return applyControlRecords(start, toRecords(payloads));
+}
+
+const claim: ControlPayload = {type: 'claim', holder: 'e1', expects: -1};
+const takeover: ControlPayload = {type: 'claim', holder: 'e2', expects: 0};
+
+function declare(
+  version: number,
+  wave: number | 'stage',
+  fencing = 0,
+  waves = 8,
+): ControlPayload {
+  const base = {type: 'rollout' as const, fencing, model: 'm', version, waves};
+  return wave === 'stage'
+    ? {...base, phase: 'stage', wave: 0}
+    : {...base, phase: 'activate', wave};
+}
+
+/** Name of the failure, records, and the position that is in force. */
+const cases: Array<[string, ControlPayload[], string]> = [
+  [
+    'a record of an earlier holder',
+    [claim, declare(2, 'stage'), takeover, declare(3, 'stage', 0)],
+    '2 stage 0',
+  ],
+  [
+    'a record of a process that never held the lease',
+    [claim, declare(2, 'stage', 7)],
+    'none',
+  ],
+  [
+    'an older version published late',
+    [claim, declare(5, 'stage'), declare(4, 'stage')],
+    '5 stage 0',
+  ],
+  [
+    'a lower wave of the same version',
+    [claim, declare(2, 3), declare(2, 1)],
+    '2 activate 3',
+  ],
+  [
+    'staging after activation began',
+    [claim, declare(2, 0), declare(2, 'stage')],
+    '2 activate 0',
+  ],
+  [
+    'other waves within a version, which would move replicas',
+    [claim, declare(2, 1), declare(2, 2, 0, 9)],
+    '2 activate 1',
+  ],
+  [
+    'a wave after the last one',
+    [claim, declare(2, 1), declare(2, 9)],
+    '2 activate 1',
+  ],
+  [
+    'a successor that cannot continue',
+    [claim, declare(2, 1), takeover, declare(2, 2, 2)],
+    '2 activate 2',
+  ],
+];
+
+describe('rollout records', () => {
+  for (const [failure, payloads, expected] of cases) {
+    it(`guard against ${failure}`, () => {
+      const rollout = fold(payloads).rollouts.get('m');
+      const found = rollout
+        ? `${rollout.version} ${rollout.phase} ${rollout.wave}`
+        : 'none';
+      assert.equal(found, expected);
+    });
+  }
+
+  it('repeated with another append id end no held poll', () => {
+    const payloads = [claim, declare(2, 'stage'), declare(2, 'stage')];
+    const rollout = fold(payloads).rollouts.get('m')!;
+    assert.equal(getRolloutChange(rollout, 'u1'), 1);
+    assert.equal(rollout.steps.length, 1);
+  });
+
+  it('of other waves end no held poll of an agent', () => {
+    // Guards against a wake-up of all agents by every wave.
+    const payloads = [claim, declare(2, 'stage')];
+    for (let wave = 0; wave <= 8; wave++) payloads.push(declare(2, wave));
+    for (const id of ['u1', 'u2', 'u3', 'u4']) {
+      const changes = payloads.map((_, index) => {
+        const rollout = fold(payloads.slice(0, index + 1)).rollouts.get('m');
+        return rollout ? getRolloutChange(rollout, id) : -1;
+      });
+      assert.deepEqual([...new Set(changes)], [-1, 1, 2 + getWave(id, 8)]);
+    }
+  });
+
+  it('survive snapshots, and snapshots without them are read', () => {
+    // Guards against a new entry that forgets the rollout or fails to start.
+    const state = fold([claim, declare(2, 8), declare(3, 'stage')]);
+    const data = serializeControlState(state) as {rollouts?: unknown};
+    const copy = JSON.parse(JSON.stringify(data)) as typeof data;
+    assert.deepEqual(restoreControlState(copy)?.rollouts, state.rollouts);
+    assert.equal(state.rollouts.get('m')?.completed, 2);
+    delete copy.rollouts;
+    assert.equal(restoreControlState(copy)?.rollouts.size, 0);
+  });
+
+  it('survive a truncated log through checkpoints', () => {
+    // Guards against retention that lets an older version be declared again.
+    const before = [claim, declare(5, 0), declare(5, 1)];
+    const state = fold(before);
+    const cycle = {
+      cycleStart: before.length,
+      remaining: [],
+      expired: [],
+      nextAtMs: 0,
+      intervalMs: 1,
+    };
+    const {checkpoint} = planCheckpoint(cycle, state, 0, 0);
+    const all = toRecords([
+      ...before,
+      checkpoint,
+      declare(4, 'stage'),
+      declare(5, 2),
+    ]);
+    const whole = rebuildControlState(0, all)!;
+    const rebuilt = rebuildControlState(3, all.slice(3))!;
+    assert.equal(rebuilt.rollouts.get('m')?.wave, 2);
+    assert.deepEqual(rebuilt.rollouts, whole.rollouts);
+  });
+});
+
+describe('waves', () => {
+  it('keep 75% of each pool, or all but one of a small one', () => {
+    // Guards against waves that take too much of a pool out of service.
+    const pool = (min: number, max: number) =>
+      fc
+        .tuple(fc.string({maxLength: 8}), fc.integer({min, max}))
+        .map(([name, size]) =>
+          Array.from({length: size}, (_, index) => `${name}-${index}`),
+        );
+    const pools = fc.oneof(
+      fc.tuple(pool(4, 24)),
+      fc.tuple(pool(4, 600)),
+      fc.tuple(pool(1, 3), pool(4, 12)),
+    );
+    fc.assert(
+      fc.property(pools, chosen => {
+        const waves = chooseWaves(chosen);
+        assert.ok(waves !== null);
+        for (const upstreams of chosen) {
+          const sizes = new Map<number, number>();
+          for (const upstream of upstreams) {
+            const wave = getWave(upstream, waves);
+            sizes.set(wave, (sizes.get(wave) ?? 0) + 1);
+          }
+          const most = Math.max(...sizes.values());
+          if (upstreams.length < 4) assert.equal(most, 1);
+          else assert.ok(most * 4 <= upstreams.length);
+        }
+      }),
+      {seed: SEED, numRuns: 150},
+    );
+  });
+
+  it('that are empty are skipped and none with members is', () => {
+    const ids = ['u1', 'u2', 'u3', 'u4'];
+    const visited = new Set<number>();
+    for (let wave = -1; wave < 64;) {
+      wave = getNextWave(ids, wave, 64);
+      visited.add(wave);
+    }
+    const own = ids.map(id => getWave(id, 64)).sort((a, b) => a - b);
+    assert.deepEqual([...visited], [...new Set(own), 64]);
+  });
+});
