Retry failed swaps after the waves and test rollouts with processes

Cause: a failed swap that was retried during a later wave added to the replicas that did not serve, so a pool could fall below 75%.

The weight store stand-in adds one abort listener per transfer instead of one per chunk.

--- a/packages/daemon/src/agentOrders.test.ts
+++ b/packages/daemon/src/agentOrders.test.ts
@@ -65,7 +65,10 @@
   }
 }
 
-async function startOrders(kind: 'engine' | 'plain' = 'engine') {
+async function startOrders(
+  kind: 'engine' | 'plain' = 'engine',
+  passedMs = READY_MS,
+) {
   const engine = new Engine();
   const url = await engine.start();
   const clock = new ManualClock();
@@ -83,7 +86,7 @@
     onStatus: status => gate.noteStatus(status, gate.getOrderCount()),
     onCrash: () => {},
   });
-  const heard = {fencing: 7, isDrained: false};
+  const heard = {fencing: 7 as number | null, isDrained: false};
   const orders = new AgentOrders({
     context: {
       self: {
@@ -108,7 +111,7 @@
     getHeard: () => heard.fencing,
     onDrain: () => (heard.isDrained = true),
   });
-  clock.advance(READY_MS);
+  clock.advance(passedMs);
   await watcher.check();
   let written = 0;
   const write = (action: OrderAction, changed: Partial<Order> = {}): Order => {
@@ -217,6 +220,31 @@
     assert.equal(engine.version, 4);
   });
 
+  it('executes a declared step before the start-up wait is over', async () => {
+    // Guards against a replaced agent that holds old weights for 12 s, and
+    // against steps under a fencing number that the engine refuses.
+    const {engine, orders, heard} = await startOrders('engine', 0);
+    const stage = {type: 'activate' as const, model: 'm', version: 2};
+    heard.fencing = null;
+    const early = await orders.executeDeclared('r1', stage);
+    assert.deepEqual([early.tag, engine.received.length], ['refused', 0]);
+    heard.fencing = 9;
+    const outcome = await orders.executeDeclared('r2', stage);
+    assert.equal(outcome.tag, 'done');
+    assert.equal(engine.received[0].fencing, 9);
+  });
+
+  it('counts a swap that the engine answers with a failure', async () => {
+    // Guards against a version that is reported live and is not.
+    const {engine, gate, orders, write} = await startOrders();
+    engine.replies.push(response => {
+      response.end('{"status":"failed","detail":"no memory"}');
+    });
+    const outcome = await orders.execute(write(activate(2)));
+    assert.deepEqual(outcome, {tag: 'failed', detail: 'no memory'});
+    assert.equal(gate.getLoad().version, 1);
+  });
+
   it('drains any upstream and passes no other order to a service', async () => {
     // Guards against engine orders sent to a plain service.
     const {engine, orders, heard, write} = await startOrders('plain');
--- /dev/null
+++ b/packages/daemon/src/agentRollout.test.ts
@@ -0,0 +1,298 @@
+import assert from 'node:assert/strict';
+import * as http from 'node:http';
+import {afterEach, describe, it} from 'node:test';
+
+import {
+  ManualClock,
+  Metrics,
+  closeServer,
+  createLogger,
+  listen,
+} from '@vanillacross/common';
+import type {
+  AgentView,
+  OrderAction,
+  OrderOutcome,
+  RolloutState,
+} from '@vanillacross/domain';
+import {poolSchema} from '@vanillacross/domain';
+
+import {AgentRollout} from './agentRollout.js';
+import type {EngineStatus} from './agentWatcher.js';
+import {
+  MAX_WEIGHT_FETCHES,
+  createWeightPassage,
+  getWeightSourceUrl,
+} from './agentWeights.js';
+import {advance, createAgentInstance, createTestContext} from './testFakes.js';
+import {WeightSourceChoice} from './weightSources.js';
+
+const closers: Array<() => Promise<void> | void> = [];
+afterEach(async () => {
+  for (const close of closers.splice(0)) await close();
+});
+
+function createView(version: number, changed: Partial<RolloutState> = {}) {
+  const rollout: RolloutState = {
+    fencing: 3,
+    model: 'm',
+    version,
+    phase: 'activate',
+    wave: 1,
+    waves: 1,
+    steps: [],
+    completed: version,
+    ...changed,
+  };
+  const pool = poolSchema.parse({kind: 'engine', model: 'm'});
+  return {pool, rollout} as AgentView;
+}
+
+/** An agent's rollout task before an engine in memory. */
+function startRollout() {
+  const clock = new ManualClock();
+  const status: EngineStatus = {
+    epoch: 'g1',
+    state: 'warm',
+    weightVersion: 1,
+    running: 0,
+    waiting: 0,
+  };
+  const orders: Array<OrderAction & {type: 'stage' | 'activate'}> = [];
+  const engine = {
+    status,
+    staged: new Set<number>(),
+    failingSwaps: 0,
+    isUp: true,
+  };
+  const link = {contact: clock.now(), view: createView(1), isCut: false};
+  const execute = (
+    action: OrderAction & {type: 'stage' | 'activate'},
+  ): OrderOutcome => {
+    orders.push(action);
+    if (action.type === 'stage') {
+      engine.staged.add(action.version);
+    } else if (engine.failingSwaps-- > 0) {
+      return {tag: 'failed', detail: 'swap failed'};
+    } else {
+      if (!engine.staged.has(action.version)) {
+        return {tag: 'failed', detail: 'not staged'};
+      }
+      engine.status = {...engine.status, weightVersion: action.version};
+    }
+    return {tag: 'done'};
+  };
+  const rollout = new AgentRollout({
+    clock,
+    logger: createLogger('test', 'silent'),
+    metrics: new Metrics(),
+    upstream: 'u1',
+    orders: {executeDeclared: async (_id, action) => execute(action)},
+    getView: () => link.view,
+    getStatus: () => (engine.isUp ? engine.status : null),
+    getContact: () => link.contact,
+    getSourceUrl: address => `http://${address}`,
+    checkStatus: async () => {},
+    onProgress: () => {},
+  });
+  const stopped = new AbortController();
+  const loop = rollout.run(stopped.signal);
+  closers.push(async () => {
+    stopped.abort();
+    await loop;
+  });
+  const show = (view: AgentView) => {
+    link.view = view;
+    rollout.noteView(view);
+  };
+  const run = async (spanMs: number) => {
+    for (let passed = 0; passed < spanMs; passed += 250) {
+      if (!link.isCut) link.contact = clock.now();
+      await advance(clock, 250, 250);
+    }
+  };
+  const offer = (version: number, addresses: string[], mayUseStore = false) =>
+    rollout.noteSources({version, addresses, mayUseStore});
+  return {rollout, engine, link, orders, show, run, offer};
+}
+
+describe('rollout at an agent', () => {
+  it('stages first and activates when its wave is declared', async () => {
+    // Guards against swaps outside of the waves.
+    const {engine, orders, show, run, offer} = startRollout();
+    const staging = {phase: 'stage', wave: 0, completed: 1} as const;
+    show(createView(2, staging));
+    offer(2, ['peer:1']);
+    await run(2_000);
+    assert.deepEqual(orders, [
+      {type: 'stage', model: 'm', version: 2, source: 'http://peer:1'},
+    ]);
+    show(createView(2));
+    await run(1_000);
+    assert.equal(engine.status.weightVersion, 2);
+  });
+
+  it('retries a failed swap with backoff and reports it', async () => {
+    // Guards against a swap that is given up, and one repeated at full rate.
+    const {rollout, engine, orders, show, run, offer} = startRollout();
+    engine.failingSwaps = 3;
+    show(createView(2));
+    offer(2, [], true);
+    await run(500);
+    assert.equal(rollout.getFailed(), 2);
+    assert.equal(rollout.mayServe(), true);
+    await run(10_000);
+    const swaps = orders.filter(order => order.type === 'activate');
+    assert.equal(swaps.length, 4);
+    assert.equal(engine.status.weightVersion, 2);
+    assert.equal(rollout.getFailed(), undefined);
+  });
+
+  it('retries after the waves, so that no later wave gets larger', async () => {
+    // Guards against a retry that leaves less than 75% of a pool serving.
+    const {engine, orders, show, run, offer} = startRollout();
+    engine.failingSwaps = 1;
+    show(createView(2, {wave: 0, waves: 1, completed: 1}));
+    offer(2, [], true);
+    await run(8_000);
+    const countSwaps = () =>
+      orders.filter(order => order.type === 'activate').length;
+    assert.equal(countSwaps(), 1);
+    show(createView(2));
+    await run(2_000);
+    assert.equal(countSwaps(), 2);
+    assert.equal(engine.status.weightVersion, 2);
+  });
+
+  it('brings an engine that restarted with old weights up to date', async () => {
+    // Guards against samples of an old version after a return.
+    const {rollout, engine, show, run, offer} = startRollout();
+    show(createView(9));
+    assert.equal(rollout.mayServe(), false);
+    offer(9, ['peer:1']);
+    await run(1_000);
+    assert.equal(rollout.mayServe(), true);
+    engine.staged.clear();
+    engine.status = {...engine.status, epoch: 'g2', weightVersion: 1};
+    assert.equal(rollout.mayServe(), false);
+    await run(500);
+    assert.equal(rollout.getWanted(), 9);
+    offer(9, ['peer:2']);
+    await run(1_000);
+    assert.equal(engine.status.weightVersion, 9);
+    assert.equal(rollout.mayServe(), true);
+  });
+
+  it('falls back to the store only after a deadline', async () => {
+    // Guards against fetches by all engines that overload the store.
+    const {rollout, orders, show, run} = startRollout();
+    show(createView(2));
+    assert.equal(rollout.getWanted(), 2);
+    await run(4_000);
+    assert.deepEqual(orders, []);
+    await run(8_000);
+    assert.deepEqual(orders[0], {type: 'stage', model: 'm', version: 2});
+  });
+
+  it('asks an entry after a pause before it goes on', async () => {
+    // Guards against a paused agent that swaps outside of its wave.
+    const {engine, link, orders, show, run, offer} = startRollout();
+    show(createView(2, {phase: 'stage', wave: 0, completed: 1}));
+    offer(2, ['peer:1']);
+    link.isCut = true;
+    await run(60_000);
+    orders.length = 0;
+    show(createView(3));
+    offer(3, ['peer:1']);
+    await run(1_000);
+    assert.deepEqual(orders, []);
+    link.isCut = false;
+    await run(1_000);
+    assert.equal(engine.status.weightVersion, 3);
+  });
+
+  it('never goes back to an older version or wave', async () => {
+    // Guards against a late view of an entry that is behind.
+    const {engine, orders, show, run, offer} = startRollout();
+    show(createView(5));
+    show(createView(4));
+    offer(4, ['peer:1']);
+    offer(5, ['peer:2']);
+    await run(1_000);
+    show(createView(4));
+    await run(1_000);
+    assert.equal(engine.status.weightVersion, 5);
+    assert.ok(orders.every(action => action.version === 5));
+  });
+});
+
+describe('weight sources', () => {
+  it('hand out an address four times a second and few to the store', () => {
+    // Guards against one staged engine or the store serving everyone.
+    const clock = new ManualClock();
+    const choice = new WeightSourceChoice(clock);
+    const load = {running: 0, limit: 1, waiting: 0, epoch: '', cold: false};
+    const holders = Array.from({length: 12}, (_, index) => ({
+      instance: createAgentInstance(`u${index}`, `d${index % 2}`),
+      load: {...load, version: 1, ...(index === 0 ? {staged: 2} : {})},
+      isReachable: true,
+    }));
+    const chosen = holders
+      .slice(1)
+      .map(({instance}) => choice.choose(instance, 2, holders));
+    const handed = chosen.filter(({addresses}) => addresses.length > 0);
+    assert.equal(handed.length, 4);
+    assert.ok(chosen.filter(({mayUseStore}) => mayUseStore).length <= 4);
+    clock.advance(1_001);
+    const again = choice.choose(holders[5].instance, 2, holders);
+    assert.deepEqual(again.addresses, ['u0:80']);
+  });
+});
+
+describe('weights passed on by an agent', () => {
+  it('need the path token, and only some fetch at the same time', async () => {
+    // Guards against reads without authority and an engine that serves only
+    // its peers.
+    const held: http.ServerResponse[] = [];
+    const upstream = http.createServer((_request, response) => {
+      held.push(response);
+    });
+    const base = await listen(upstream, {host: '127.0.0.1', port: 0});
+    const context = createTestContext(createAgentInstance('u1'));
+    const agent = new http.Agent({keepAlive: true});
+    const passage = createWeightPassage(
+      context,
+      new URL(`http://${base}`),
+      agent,
+    );
+    const server = http.createServer((request, response) => {
+      assert.ok(passage.matches(request));
+      void passage.perform(request, response);
+    });
+    const address = await listen(server, {host: '127.0.0.1', port: 0});
+    closers.push(async () => {
+      agent.destroy();
+      for (const item of [server, upstream]) {
+        item.closeAllConnections();
+        await closeServer(item);
+      }
+    });
+    const get = (secret: string, version: number, asked = version) =>
+      fetch(
+        `${getWeightSourceUrl(secret, address, 'm', version)}/v1/weights/m/${asked}`,
+      );
+    assert.equal((await get('other', 2)).status, 403);
+    assert.equal((await get('cluster', 2, 3)).status, 403);
+    const running = Array.from({length: MAX_WEIGHT_FETCHES}, () =>
+      get('cluster', 2),
+    );
+    while (held.length < MAX_WEIGHT_FETCHES) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    assert.equal((await get('cluster', 2)).status, 503);
+    for (const response of held) response.end('weights');
+    for (const answer of await Promise.all(running)) {
+      assert.equal(await answer.text(), 'weights');
+    }
+  });
+});
--- a/packages/daemon/src/agentRollout.ts
+++ b/packages/daemon/src/agentRollout.ts
@@ -9,6 +9,7 @@
 import {
   getLowestServingVersion,
   isActivationDue,
+  isRolloutComplete,
   isNewerRollout,
 } from '@vanillacross/domain';
 
@@ -74,6 +75,8 @@
   /** Failed steps in a row, and the type of the last of them. */
   private failures = 0;
   private failedType: 'stage' | 'activate' = 'stage';
+  /** Time of the last failed swap of this version; null if none failed. */
+  private swapFailedAt: number | null = null;
   private attempt = 0;
   private retryAt = 0;
   /** Time since which the version is not staged; null if it is. */
@@ -151,6 +154,7 @@
     this.retryAt = 0;
     this.sources = null;
     this.missingSince = null;
+    this.swapFailedAt = null;
     this.damaged = 0;
   }
 
@@ -212,9 +216,21 @@
     if (!rollout || this.options.clock.now() < this.retryAt) return false;
     if (!this.isStaged(status, rollout.version)) return this.stage(rollout);
     if (!isActivationDue(rollout, this.options.upstream)) return false;
+    if (this.isHeldBack(rollout)) return false;
     return this.activate(rollout);
   }
 
+  /**
+   * A swap that failed in its wave is retried when the waves are over, because
+   * it would add to the replicas of a later wave that do not serve. The wait
+   * is bounded in case nobody declares the end.
+   */
+  private isHeldBack(rollout: RolloutState): boolean {
+    if (this.swapFailedAt === null || isRolloutComplete(rollout)) return false;
+    const {clock} = this.options;
+    return clock.now() - this.swapFailedAt < MAX_RETRY_MS;
+  }
+
   /** Peers first, then the store if this agent may use it by now. */
   private chooseSource(rollout: RolloutState): {source?: string} | null {
     const {clock, upstream, getSourceUrl} = this.options;
@@ -262,6 +278,7 @@
       this.options.onProgress();
     } else if (outcome.tag === 'failed') {
       this.damaged = version;
+      this.swapFailedAt = this.options.clock.now();
     }
     // The next step needs the status after the swap.
     await this.options.checkStatus();
--- a/packages/daemon/src/membership.ts
+++ b/packages/daemon/src/membership.ts
@@ -19,6 +19,7 @@
   getRolloutOfAgent,
   instanceSchema,
   isAgent,
+  isRolloutComplete,
   pullSchema,
 } from '@vanillacross/domain';
 import type {InstanceListPort} from '@vanillacross/platform';
@@ -372,6 +373,14 @@
     return weights && isUsable ? createAnswer({weights}) : null;
   };
 
+  /** The end of the waves matters to agents whose swap failed in its wave. */
+  const getLateRolloutChange = (state: ControlState, member: Member) => {
+    const rollout = getRolloutOfAgent(state, member.instance);
+    if (!rollout || !isRolloutComplete(rollout)) return -1;
+    const isLate = member.load?.failedVersion === rollout.version;
+    return isLate ? (rollout.steps.at(-1)?.offset ?? -1) : -1;
+  };
+
   /** The answer to send now; null if the agent's view is up to date. */
   const getNewAnswer = (pull: Pull, member: Member): PullAnswer | null => {
     const state = control.getState();
@@ -380,8 +389,11 @@
     // An older view would be dropped by the agent.
     if (state.highest < pull.offset) return null;
     const list = getMemberList(state, agent.upstream.pool);
-    const isCurrent =
-      pull.offset >= 0 && pull.offset >= getAgentViewChange(state, agent);
+    const changedAt = Math.max(
+      getAgentViewChange(state, agent),
+      getLateRolloutChange(state, member),
+    );
+    const isCurrent = pull.offset >= 0 && pull.offset >= changedAt;
     if (isCurrent && pull.membersHash === list.hash) {
       return getWantedWeights(state, pull, member);
     }
--- /dev/null
+++ b/packages/integration/src/rollout.test.ts
@@ -0,0 +1,208 @@
+import assert from 'node:assert/strict';
+import {after, before, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import type {Deployment, EntryMember} from './deployment.js';
+import {
+  createAccountRecords,
+  createRecord,
+  startDeployment,
+  waitUntil,
+} from './deployment.js';
+
+const KEY = 'rollout-key';
+const ENGINES = 8;
+const WORKERS = 6;
+const VERSION_BYTES = 1024 * 1024;
+/** Eight fetches from the store would take 4 s. */
+const STORE_BYTES_PER_SECOND = 2 * VERSION_BYTES;
+const SAMPLE_MS = 10;
+/** Wide, because a successor waits for the lease of a killed holder. */
+const LIVE_TIMEOUT_MS = 60_000;
+
+let deployment: Deployment;
+
+before(async () => {
+  deployment = await startDeployment({
+    entries: 2,
+    weights: {bytesPerSecond: STORE_BYTES_PER_SECOND},
+    pools: [
+      {
+        id: 'coach',
+        body: {
+          kind: 'engine',
+          model: 'coach',
+          maxConcurrent: 16,
+          ramp: {initial: 16},
+          minUpstreams: ENGINES,
+          maxUpstreams: ENGINES,
+        },
+        upstreams: ENGINES,
+        engine: {model: 'coach', activateMs: 300, tokenMs: 2},
+        checksFencing: true,
+      },
+    ],
+    records: [
+      ...createAccountRecords('desk', KEY, {maxConcurrent: 64}),
+      createRecord('route', 'completions', {
+        pathPrefix: '/v1/completions',
+        methods: ['POST'],
+        model: 'coach',
+        pool: 'coach',
+        access: ['desk'],
+        repeat: 'idempotent',
+      }),
+    ],
+  });
+});
+after(() => deployment.stop());
+
+function getVersions(): number[] {
+  return deployment.agents.map(
+    agent => agent.engine!.getAudit().orders.length && getLive(agent),
+  );
+}
+
+function getLive(agent: Deployment['agents'][number]): number {
+  return agent
+    .engine!.getAudit()
+    .orders.filter(
+      order => order.action === 'activate' && order.outcome.status === 'done',
+    )
+    .reduce((highest, order) => Math.max(highest, order.version ?? 0), 1);
+}
+
+/** Sends requests and samples the engines while something happens. */
+async function runUnderTraffic(
+  entries: readonly EntryMember[],
+  action: () => Promise<void>,
+) {
+  let isOver = false;
+  let answered = 0;
+  const failures: string[] = [];
+  let leastServing = ENGINES;
+  const work = async (worker: number) => {
+    const entry = entries[worker % entries.length];
+    while (!isOver) {
+      const answer = await fetch(`${entry.url}/v1/completions`, {
+        method: 'POST',
+        headers: {
+          authorization: `Bearer ${KEY}`,
+          'content-type': 'application/json',
+        },
+        body: JSON.stringify({model: 'coach', prompt: 'p', max_tokens: 8}),
+      }).catch((error: Error) => error);
+      const text =
+        answer instanceof Error ? answer.message : await answer.text();
+      answered++;
+      const isGood = !(answer instanceof Error) && answer.status === 200;
+      if (!isGood) failures.push(text);
+    }
+  };
+  const sample = async () => {
+    while (!isOver) {
+      const swapping = deployment.agents.filter(agent =>
+        agent.engine!.isSwapping(),
+      ).length;
+      leastServing = Math.min(leastServing, ENGINES - swapping);
+      await sleep(SAMPLE_MS);
+    }
+  };
+  const running = Promise.all([
+    sample(),
+    ...Array.from({length: WORKERS}, (_, worker) => work(worker)),
+  ]);
+  try {
+    await action();
+  } finally {
+    isOver = true;
+    await running;
+  }
+  return {answered, failures, leastServing};
+}
+
+function waitLive(version: number): Promise<void> {
+  return waitUntil(
+    `version ${version} is live`,
+    () => getVersions().every(live => live === version),
+    LIVE_TIMEOUT_MS,
+  );
+}
+
+function publish(version: number): void {
+  deployment.platform.weights.publish('coach', version, VERSION_BYTES);
+}
+
+async function getHolder(): Promise<EntryMember> {
+  let holder: EntryMember | undefined;
+  await waitUntil('an entry holds the lease', async () => {
+    for (const entry of deployment.entries) {
+      const answer = await fetch(`http://${entry.admin}/metrics`);
+      const text = await answer.text();
+      if (/^vc_lease_held 1$/m.test(text)) holder = entry;
+    }
+    return holder !== undefined;
+  });
+  return holder!;
+}
+
+function checkService(
+  result: Awaited<ReturnType<typeof runUnderTraffic>>,
+): void {
+  assert.deepEqual(result.failures, []);
+  assert.ok(result.answered > 0);
+  assert.ok(
+    result.leastServing >= ENGINES * 0.75,
+    `${result.leastServing} of ${ENGINES} served`,
+  );
+}
+
+describe('weight rollout with real processes', () => {
+  it('reaches all engines from a slow store without a failed request', async () => {
+    // Guards against lost capacity, lost requests and an overloaded store.
+    const {weights} = deployment.platform;
+    const sentBefore = weights.getSentBytes();
+    const result = await runUnderTraffic(deployment.entries, async () => {
+      publish(2);
+      await waitLive(2);
+    });
+    checkService(result);
+    const fetched = (weights.getSentBytes() - sentBefore) / VERSION_BYTES;
+    assert.ok(fetched < ENGINES, `${fetched} fetches from the store`);
+  });
+
+  it('goes on over a failing swap and versions out of order', async () => {
+    // Guards against one engine that blocks the others, and a step back.
+    const [faulty, ...others] = deployment.agents;
+    faulty.engine!.setFailingSwaps(3);
+    const result = await runUnderTraffic(deployment.entries, async () => {
+      publish(4);
+      publish(3);
+      await waitUntil('the others are live', () =>
+        others.every(agent => getLive(agent) === 4),
+      );
+      publish(1);
+      await waitLive(4);
+    });
+    checkService(result);
+    const ordered = deployment.agents.flatMap(agent =>
+      agent.engine!.getAudit().orders.map(order => order.version),
+    );
+    assert.ok(!ordered.includes(3) && !ordered.includes(1));
+  });
+
+  it('is continued after the lease holder was killed', async () => {
+    // Guards against a rollout that stops half way with its holder.
+    const holder = await getHolder();
+    const others = deployment.entries.filter(entry => entry !== holder);
+    const result = await runUnderTraffic(others, async () => {
+      publish(5);
+      await waitUntil('the first engines are live', () =>
+        getVersions().includes(5),
+      );
+      await deployment.remove(holder);
+      await waitLive(5);
+    });
+    checkService(result);
+  });
+});
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -46,6 +46,8 @@
   /** Makes the engine cold again without a crash. */
   makeCold(spanMs?: number): void;
   setFailingSwaps(count: number): void;
+  /** True while a swap of weights pauses generation. */
+  isSwapping(): boolean;
 }
 
 const messageSchema = z.looseObject({role: z.string(), content: z.string()});
@@ -127,7 +129,11 @@
     service.resetConnections();
   });
   const clock = createTokenClock(options, () => state.isStalled());
-  const orders = createEngineOrders(options, value => clock.setPaused(value));
+  let isSwapping = false;
+  const orders = createEngineOrders(options, value => {
+    isSwapping = value;
+    clock.setPaused(value);
+  });
   const kvStates = new Map<string, KvState>();
   let cancelled = 0;
   let completed = 0;
@@ -364,6 +370,7 @@
     crash: state.crash,
     makeCold: state.makeCold,
     setFailingSwaps: orders.setFailingSwaps,
+    isSwapping: () => isSwapping,
     close: async () => {
       clock.stop();
       await service.close();
--- a/packages/standins/src/weightStore.ts
+++ b/packages/standins/src/weightStore.ts
@@ -40,15 +40,15 @@
     'content-type': 'application/octet-stream',
     'content-length': bytes,
   });
+  const closed = new Promise(resolve =>
+    signal.addEventListener('abort', resolve, {once: true}),
+  );
   for (let left = bytes; left > 0 && !signal.aborted;) {
     const size = Math.min(left, CHUNK.length);
     await waitTurn(size);
     const written = new Promise(resolve =>
       response.write(CHUNK.subarray(0, size), resolve),
     );
-    const closed = new Promise(resolve =>
-      signal.addEventListener('abort', resolve, {once: true}),
-    );
     await Promise.race([written, closed]);
     left -= size;
   }
