Let late swaps wait for the end of the waves

Change: an engine that staged too late for its wave swaps when the rollout is complete, or after 15 s, unless its weights are too old to serve. The store fallback waits 8 s to 16 s instead of 5 s to 10 s.

--- a/packages/daemon/src/agentRollout.ts
+++ b/packages/daemon/src/agentRollout.ts
@@ -25,7 +25,7 @@
  * Time after which an agent without any source fetches from the store; the
  * same again is added by hash, so that the agents do not come all at once.
  */
-const STORE_FALLBACK_MS = 5_000;
+const STORE_FALLBACK_MS = 8_000;
 /**
  * An agent that heard no entry for this long, for example because it was
  * paused, polls before its next step. A poll is held for up to 10 s.
@@ -75,8 +75,8 @@
   /** Failed steps in a row, and the type of the last of them. */
   private failures = 0;
   private failedType: 'stage' | 'activate' = 'stage';
-  /** Time of the last failed swap of this version; null if none failed. */
-  private swapFailedAt: number | null = null;
+  /** Time at which the swap missed its wave or failed; null if neither. */
+  private heldSince: number | null = null;
   private attempt = 0;
   private retryAt = 0;
   /** Time since which the version is not staged; null if it is. */
@@ -154,7 +154,7 @@
     this.retryAt = 0;
     this.sources = null;
     this.missingSince = null;
-    this.swapFailedAt = null;
+    this.heldSince = null;
     this.damaged = 0;
   }
 
@@ -221,14 +221,16 @@
   }
 
   /**
-   * A swap that failed in its wave is retried when the waves are over, because
-   * it would add to the replicas of a later wave that do not serve. The wait
-   * is bounded in case nobody declares the end.
+   * A swap that failed in its wave, or that was staged too late for it, is done
+   * when the waves are over, because it would add to the replicas of a later
+   * wave that do not serve. The wait is bounded in case nobody declares the
+   * end. An engine that may not serve loses nothing by swapping at once.
    */
   private isHeldBack(rollout: RolloutState): boolean {
-    if (this.swapFailedAt === null || isRolloutComplete(rollout)) return false;
+    if (this.heldSince === null || isRolloutComplete(rollout)) return false;
+    if (!this.mayServe()) return false;
     const {clock} = this.options;
-    return clock.now() - this.swapFailedAt < MAX_RETRY_MS;
+    return clock.now() - this.heldSince < MAX_RETRY_MS;
   }
 
   /** Peers first, then the store if this agent may use it by now. */
@@ -265,6 +267,10 @@
     if (outcome.tag === 'done') {
       this.staged = Math.max(this.staged, version);
       if (this.damaged === version) this.damaged = 0;
+      const current = this.rollout ?? rollout;
+      if (isActivationDue(current, this.options.upstream)) {
+        this.heldSince ??= this.options.clock.now();
+      }
       this.options.onProgress();
     }
     return true;
@@ -278,7 +284,7 @@
       this.options.onProgress();
     } else if (outcome.tag === 'failed') {
       this.damaged = version;
-      this.swapFailedAt = this.options.clock.now();
+      this.heldSince = this.options.clock.now();
     }
     // The next step needs the status after the swap.
     await this.options.checkStatus();
--- a/packages/daemon/src/membership.ts
+++ b/packages/daemon/src/membership.ts
@@ -373,11 +373,11 @@
     return weights && isUsable ? createAnswer({weights}) : null;
   };
 
-  /** The end of the waves matters to agents whose swap failed in its wave. */
+  /** The end of the waves matters to agents that did not swap in theirs. */
   const getLateRolloutChange = (state: ControlState, member: Member) => {
     const rollout = getRolloutOfAgent(state, member.instance);
     if (!rollout || !isRolloutComplete(rollout)) return -1;
-    const isLate = member.load?.failedVersion === rollout.version;
+    const isLate = (member.load?.version ?? 0) < rollout.version;
     return isLate ? (rollout.steps.at(-1)?.offset ?? -1) : -1;
   };
 
