Excuse only unheard agents at a wave's deadline

Change: only agents that no entry hears are excused. Agents that failed or missed their wave are counted apart and swap after the waves.

--- a/packages/daemon/src/agentRollout.ts
+++ b/packages/daemon/src/agentRollout.ts
@@ -93,9 +93,10 @@
     return isUsable ? this.staged : undefined;
   }
 
-  /** Version whose last step failed; undefined if none did. */
+  /** Version whose last step failed or missed its wave, if any. */
   getFailed(): number | undefined {
-    return this.failures > 0 ? this.rollout?.version : undefined;
+    const isLate = this.failures > 0 || this.heldSince !== null;
+    return isLate ? this.rollout?.version : undefined;
   }
 
   /** Version that this agent waits to be told a source of. */
@@ -280,6 +281,7 @@
     const {model, version} = rollout;
     const outcome = await this.perform({type: 'activate', model, version});
     if (outcome.tag === 'done') {
+      this.heldSince = null;
       this.highestLive = Math.max(this.highestLive, version);
       this.options.onProgress();
     } else if (outcome.tag === 'failed') {
--- a/packages/daemon/src/rolloutProgress.ts
+++ b/packages/daemon/src/rolloutProgress.ts
@@ -37,9 +37,9 @@
   live: z.number().int(),
   staged: z.number().int(),
   waiting: z.number().int(),
-  /** Agents whose last step failed; they are in no other count. */
+  /** Agents that failed or missed their wave; they are in no other count. */
   failed: z.number().int(),
-  /** Agents in `staged` and `waiting` whose wave is in force. */
+  /** Agents in `staged` whose wave is in force. */
   due: z.number().int(),
 });
 
@@ -94,7 +94,7 @@
   const due = getWave(instance.upstream.id, waves) <= wave ? 1 : 0;
   return load?.staged === version
     ? {...noProgress, staged: 1, due}
-    : {...noProgress, waiting: 1, due};
+    : {...noProgress, waiting: 1};
 }
 
 /** Counts over all entries how far a rollout is. */
--- a/packages/daemon/src/weightRollout.ts
+++ b/packages/daemon/src/weightRollout.ts
@@ -39,7 +39,7 @@
   deadline: MonotonicMs;
 }
 
-/** Agents that a deadline passed over and that delay no further wave. */
+/** Agents that no entry heard at a deadline; they delay no further wave. */
 interface Excused {
   version: number;
   count: number;
@@ -145,16 +145,17 @@
     rollout: RolloutState,
     members: ReadonlyMap<string, readonly string[]>,
     {pools}: RolloutProgress,
-  ): number {
-    let unfinished = 0;
+  ): {missing: number; late: number} {
+    let missing = 0;
+    let late = 0;
     for (const [pool, ids] of members) {
       const counts = pools[pool];
       const {live = 0, staged = 0, waiting = 0, failed = 0} = counts ?? {};
-      const missing = ids.length - live - staged - waiting - failed;
-      const late = rollout.phase === 'stage' ? waiting : (counts?.due ?? 0);
-      unfinished += Math.max(0, missing) + late;
+      const heard = live + staged + waiting + failed;
+      missing += Math.max(0, ids.length - heard);
+      late += rollout.phase === 'stage' ? waiting : (counts?.due ?? 0);
     }
-    return unfinished;
+    return {missing, late};
   }
 
   /**
@@ -178,18 +179,19 @@
       waves,
     });
     const members = getMembers(model);
-    const unfinished = countUnfinished(rollout, members, counts);
+    const {missing, late} = countUnfinished(rollout, members, counts);
     const known = excused.get(model);
     const allowed = known?.version === version ? known.count : 0;
-    if (unfinished > allowed) {
+    if (late > 0 || missing > allowed) {
       if (clock.now() < deadline) return;
       if (phase === 'stage' && !areMostStaged(counts)) return;
-      excused.set(model, {version, count: unfinished});
+      excused.set(model, {version, count: missing});
       metrics.count('vc_rollout_deadlines', {phase});
       logger.warn('a rollout step goes on without some agents', {
         model,
         version,
-        unfinished,
+        missing,
+        late,
         failed: counts.failed,
       });
     }
