--- /dev/null
+++ b/packages/bench/src/weightRollout.ts
@@ -0,0 +1,174 @@
+import type {Deployment} from '@vanillacross/integration';
+import {startDeployment, waitUntil} from '@vanillacross/integration';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import type {Bench, Measurement} from './types.js';
+
+const SIZES = [8, 16, 32];
+const ENTRIES = 3;
+const TARGET_MS = 22_000;
+const TARGET_SHARE = 0.75;
+const VERSION_BYTES = 4 * 1024 * 1024;
+/** Direct fetches by all engines would take this much longer than allowed. */
+const DIRECT_RATIO = 1.25;
+const SWAP_MS = 250;
+const SAMPLE_MS = 5;
+/** Interval between versions at the target, for the rate per node. */
+const PERIOD_MS = 180_000;
+const MODEL = 'coach';
+const FIRST_VERSION = 2;
+
+interface Round {
+  engines: number;
+  /** From publication to the last live replica, ms. */
+  spanMs: number;
+  leastShare: number;
+  /** Time in which the store alone could serve all engines, ms. */
+  directMs: number;
+  /** Whole versions that the store sent. */
+  storeFetches: number;
+  /** Control bytes of the busiest entry. */
+  nodeBytes: number;
+  /** Polls that agents sent, for each replica. */
+  pollsPerReplica: number;
+}
+
+/** Sums a metric over the admin pages of all entries. */
+async function readMetric(
+  deployment: Deployment,
+  name: string,
+): Promise<number[]> {
+  const pages = deployment.entries.map(async entry => {
+    const answer = await fetch(`http://${entry.admin}/metrics`);
+    const line = new RegExp(`^${name} (\\S+)$`, 'm').exec(await answer.text());
+    return Number(line?.[1] ?? 0);
+  });
+  return Promise.all(pages);
+}
+
+function isLive(agent: Deployment['agents'][number], version: number): boolean {
+  return agent
+    .engine!.getAudit()
+    .orders.some(
+      order =>
+        order.action === 'activate' &&
+        order.version === version &&
+        order.outcome.status === 'done',
+    );
+}
+
+/** Publishes a version and waits until all engines run it. */
+async function measure(deployment: Deployment, version: number) {
+  const {agents, platform} = deployment;
+  const start = performance.now();
+  const limitMs = 3 * TARGET_MS;
+  let leastShare = 1;
+  platform.weights.publish(MODEL, version, VERSION_BYTES);
+  while (!agents.every(agent => isLive(agent, version))) {
+    if (performance.now() - start > limitMs) {
+      return {spanMs: limitMs, leastShare};
+    }
+    const swapping = agents.filter(agent => agent.engine!.isSwapping()).length;
+    leastShare = Math.min(leastShare, 1 - swapping / agents.length);
+    await sleep(SAMPLE_MS);
+  }
+  return {spanMs: performance.now() - start, leastShare};
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
+
+async function runRound(engines: number): Promise<Round> {
+  const directMs = TARGET_MS * DIRECT_RATIO;
+  const bytesPerSecond = (engines * VERSION_BYTES * 1_000) / directMs;
+  const deployment = await startDeployment({
+    entries: ENTRIES,
+    weights: {bytesPerSecond},
+    pools: [
+      {
+        id: 'engines',
+        body: {
+          kind: 'engine',
+          model: MODEL,
+          minUpstreams: engines,
+          maxUpstreams: engines,
+        },
+        upstreams: engines,
+        engine: {model: MODEL, activateMs: SWAP_MS},
+      },
+    ],
+  });
+  try {
+    await waitUntil('an entry holds the lease', async () => {
+      return sum(await readMetric(deployment, 'vc_lease_held')) > 0;
+    });
+    const polls = sum(await readMetric(deployment, 'vc_pulls_total'));
+    const bytes = await readMetric(deployment, 'vc_peer_bytes');
+    const sent = deployment.platform.weights.getSentBytes();
+    const result = await measure(deployment, FIRST_VERSION);
+    const pollsAfter = sum(await readMetric(deployment, 'vc_pulls_total'));
+    const bytesAfter = await readMetric(deployment, 'vc_peer_bytes');
+    const sentAfter = deployment.platform.weights.getSentBytes();
+    return {
+      engines,
+      ...result,
+      directMs,
+      storeFetches: (sentAfter - sent) / VERSION_BYTES,
+      nodeBytes: Math.max(...bytesAfter.map((b, i) => b - bytes[i])),
+      pollsPerReplica: (pollsAfter - polls) / engines,
+    };
+  } finally {
+    await deployment.stop();
+  }
+}
+
+function getRow(round: Round): string[] {
+  return [
+    String(round.engines),
+    (round.spanMs / 1_000).toFixed(1),
+    round.leastShare.toFixed(2),
+    (round.directMs / 1_000).toFixed(1),
+    round.storeFetches.toFixed(1),
+    (round.nodeBytes / 1_024).toFixed(1),
+    (round.nodeBytes / 1_024 / (PERIOD_MS / 1_000)).toFixed(2),
+    round.pollsPerReplica.toFixed(1),
+  ];
+}
+
+async function run(): Promise<Measurement> {
+  const rounds: Round[] = [];
+  for (const engines of SIZES) rounds.push(await runRound(engines));
+  const largest = rounds[rounds.length - 1];
+  const isMet = rounds.every(
+    ({spanMs, leastShare}) => spanMs <= TARGET_MS && leastShare >= TARGET_SHARE,
+  );
+  return {
+    headers: [
+      'engines',
+      'all live s',
+      'least share serving',
+      'direct fetches s',
+      'store fetches',
+      'KB per node',
+      'KB/s per node at one in 3 min',
+      'polls per replica',
+    ],
+    rows: rounds.map(getRow),
+    figure: largest.spanMs,
+    baseline: largest.directMs,
+    details: {
+      leastShare: Math.min(...rounds.map(round => round.leastShare)),
+      nodeBytes: largest.nodeBytes,
+      pollsPerReplica: largest.pollsPerReplica,
+    },
+    conclusion: `target ${isMet ? 'met' : 'missed'} at up to ${largest.engines} engines: all live within ${TARGET_MS / 1_000} s, at least ${TARGET_SHARE * 100}% serving`,
+  };
+}
+
+export const weightRollout: Bench = {
+  name: 'weight-rollout',
+  summary:
+    'time until new weights are live on all engines (22 s) and the least share that serves meanwhile (75%)',
+  run,
+};
