--- a/packages/daemon/src/agent.ts
+++ b/packages/daemon/src/agent.ts
@@ -71,6 +71,8 @@
       createCallPeer(context.clusterSecret),
     ),
     getHighestFencing: () => link.getHighestFencing(),
+    getContact: () => link.getContact(),
+    onProgress: () => link.pollNow(),
     limits: {maxBodyBytes: settings.limits.maxBodyBytes},
   });
   const link: AgentLink = createAgentLink(context, {
@@ -82,7 +84,10 @@
     onReportDelivered: (report, entry) => server.markReported(report, entry.id),
     onNoAnswer: () => directory.pollNow(),
     instance: self,
+    getWantedVersion: () => server.getWantedVersion(),
+    onWeights: sources => server.noteWeights(sources),
   });
+  link.subscribe(view => server.noteView(view));
   const admin = createAdminServer(
     context,
     settings.listen.admin,
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -14,6 +14,7 @@
 import type {ClientFactory} from './orderTask.js';
 import {createClientFactory, createOrderTask} from './orderTask.js';
 import {createReportTask} from './reportTask.js';
+import {createProgressCount} from './rolloutProgress.js';
 import type {Context, ControlFollower, Membership, Part} from './types.js';
 import {createUpstreamScaling} from './upstreamScaling.js';
 import {createUsageCollection} from './usageCollection.js';
@@ -45,7 +46,7 @@
 export interface Controller extends Part {
   /** Null while this entry may not send orders. */
   getTenure(): Tenure | null;
-  /** `usage.collect`, `usage.orphans`, `load.collect` and `crash.report`. */
+  /** `usage.collect`, `usage.orphans`, `load.collect`, `crash.report`, `rollout.progress`. */
   rpcMethods: RpcMethods;
 }
 
@@ -81,6 +82,12 @@
     lease,
     createClient,
   );
+  const progress = createProgressCount(
+    context,
+    control,
+    membership,
+    createClient,
+  );
   const tasks: Part[] = [
     loads,
     crashes,
@@ -98,8 +105,7 @@
       control,
       membership,
       lease,
-      orders,
-      loads,
+      progress,
       ports.weights,
     ),
     createReportTask(context, control, lease, usage, ports.reports),
@@ -130,6 +136,7 @@
       ...loads.rpcMethods,
       ...usage.rpcMethods,
       ...crashes.rpcMethods,
+      ...progress.rpcMethods,
     },
   };
 }
