Report a fallen or doubled limit to the entries at once

Cause: an agent whose last poll said no places (before its pool record was there) is not chosen, so no answer brings its new limit, and its held poll lasts 10 s; requests waited in the queue until their deadline. Ruled out: dedup (the agent was informed), admission (no other request ran).

--- a/packages/daemon/src/agentServer.ts
+++ b/packages/daemon/src/agentServer.ts
@@ -132,6 +132,8 @@
   let isDrained = false;
   let address = options.listenAddress ?? context.self.address;
   let idle: (() => void) | null = null;
+  /** Limit and cold state of the last report to an entry. */
+  let reported = {limit: 0, cold: false};
   let tasks: Promise<unknown> = Promise.resolve();
 
   let statusPosition = 0;
@@ -144,6 +146,7 @@
     getKind: () => getPool()?.kind ?? null,
     onCheck: () => {
       statusPosition = gate.getOrderCount();
+      announceLoad();
     },
     onStatus: status => gate.noteStatus(status, statusPosition),
     onCrash: crash => {
@@ -211,6 +214,20 @@
     };
   }
 
+  /**
+   * Tells the entries of a limit that fell or doubled. They hold polls for
+   * seconds, and a pool whose agents last reported no places gets no request
+   * whose answer could bring the new limit.
+   */
+  function announceLoad(): void {
+    const {limit, cold} = getReportedLoad();
+    const isNews =
+      limit < reported.limit ||
+      cold !== reported.cold ||
+      (limit > reported.limit && limit >= 2 * reported.limit);
+    if (isNews) options.onProgress?.();
+  }
+
   function refuse(
     request: IncomingMessage,
     response: ServerResponse,
@@ -409,11 +426,18 @@
     name: 'agent',
     getAddress: () => address,
     getLoad: () => gate.getLoad(),
-    getReport: (receiver = '') => usage.getReport(getReportedLoad(), receiver),
+    getReport: (receiver = '') => {
+      const load = getReportedLoad();
+      reported = load;
+      return usage.getReport(load, receiver);
+    },
     markReported: (report, receiver = '') =>
       usage.markReported(report, receiver),
     isLeaving: () => isLeaving,
-    noteView: view => rollout.noteView(view),
+    noteView: view => {
+      rollout.noteView(view);
+      announceLoad();
+    },
     getWantedVersion: () => rollout.getWanted(),
     noteWeights: sources => rollout.noteSources(sources),
     isReady: () => gate.isKnown() && watcher.isUp() && !isLeaving,
