Add tests of faults on the request path; report crashes to entries at once

A crash report waited for the agent's held poll (up to 10 s), and a request that was being retried was not checked against the quarantine. One poisonous request that was sent again crashed all four engines of a pool 27 times before it was refused. The agent now ends its polls when it has a crash to report, and an entry pauses before it sends a request again that two upstreams have cut, and checks the quarantine.

--- a/packages/daemon/src/agent.ts
+++ b/packages/daemon/src/agent.ts
@@ -53,6 +53,8 @@
     upstream: settings.upstream,
     getView: () => link.getView(),
     getHighestFencing: () => link.getHighestFencing(),
+    // A held poll would delay the quarantine of the request by up to 10 s.
+    onCrash: () => link.pollNow(),
     limits: {maxBodyBytes: settings.limits.maxBodyBytes},
   });
   const link: AgentLink = createAgentLink(context, {
--- a/packages/daemon/src/agentServer.ts
+++ b/packages/daemon/src/agentServer.ts
@@ -41,6 +41,8 @@
   getView: () => AgentView | null;
   /** Highest fencing number that an entry named; -1 if there was no lease. */
   getHighestFencing: () => number;
+  /** Called when a crash report is ready to be handed to the entries. */
+  onCrash?: () => void;
   /** Told the highest log offset that a request names. */
   noteOffset?: (offset: number) => void;
   /** Address of the data listener; that of the instance if absent. */
@@ -137,6 +139,7 @@
         requests: crash.fingerprints.length,
       });
       usage.addCrash(crash);
+      options.onCrash?.();
     },
   });
   const dedup = new AgentDedup({
--- a/packages/daemon/src/dispatcher.ts
+++ b/packages/daemon/src/dispatcher.ts
@@ -191,6 +191,8 @@
       random,
       window,
       getOffset: () => control.getState().highest,
+      isQuarantined: () =>
+        control.getState().quarantine.has(request.fingerprint),
       maxBufferedAnswer: options.maxBufferedAnswer ?? MAX_BUFFERED_ANSWER,
       signal: createRequestSignal(request, ended.signal),
       onSent: () => grant.noteSent(),
--- a/packages/daemon/src/requestRun.ts
+++ b/packages/daemon/src/requestRun.ts
@@ -41,6 +41,8 @@
   /** Usage window in which the request started. */
   window: number;
   getOffset: () => number;
+  /** Says whether the request's fingerprint is quarantined by now. */
+  isQuarantined: () => boolean;
   maxBufferedAnswer: number;
   /** Aborted at the deadline, by the caller or at a hard stop. */
   signal: AbortSignal;
@@ -64,6 +66,14 @@
 
 /** Retries of one request; waiting for room at full upstreams is not one. */
 const MAX_RETRIES = 4;
+/** Cuts by distinct upstreams after which the request itself is suspect. */
+const SUSPECT_CUTS = 2;
+/**
+ * Pause before a suspect request is sent again, ms. In this time the crashes
+ * are reported and the request is quarantined, so that it crashes no third
+ * upstream.
+ */
+const SUSPECT_PAUSE_MS = 1_500;
 /** Interval at which a request looks for an upstream with room, ms. */
 const ROOM_POLL_MS = 10;
 
@@ -88,6 +98,7 @@
   const {clock, metrics} = context;
   let mayHaveRun = false;
   let retries = 0;
+  let cuts = 0;
   let waits = 0;
 
   function refuse(code: RefusalCode): Result<RunAnswer, Refusal> {
@@ -222,6 +233,7 @@
       return ok('wait');
     }
     retries += 1;
+    if (!failure.isNotRun) cuts += 1;
     if (retries > MAX_RETRIES) return fail('upstream_failed');
     if (!input.budgets.takeOfAccount(request.account)) {
       return fail('retry_budget');
@@ -230,7 +242,9 @@
     if (request.idempotencyKey === undefined || isHomeGone(failure)) {
       targets.exclude(target.instance.upstream.id);
     }
-    await wait(getBackoffMs(retries - 1, input.random));
+    const pauseMs = getBackoffMs(retries - 1, input.random);
+    await wait(cuts < SUSPECT_CUTS ? pauseMs : SUSPECT_PAUSE_MS);
+    if (input.isQuarantined()) return fail('quarantined');
     return ok('retry');
   }
 
--- a/packages/integration/src/index.ts
+++ b/packages/integration/src/index.ts
@@ -1,4 +1,5 @@
 /** Process harness, deployments and contract tests. */
+export * from './callers.js';
 export * from './contract.js';
 export * from './deployment.js';
 export * from './engineContract.js';
--- /dev/null
+++ b/packages/integration/src/requestFaults.test.ts
@@ -0,0 +1,665 @@
+import * as assert from 'node:assert/strict';
+import * as http from 'node:http';
+import {after, before, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import {getSha256} from '@vanillacross/common';
+import type {ProxyFault} from '@vanillacross/standins';
+
+import type {CallerAnswer, CallerRequest, RunningLoad} from './callers.js';
+import {callEntry, startLoad} from './callers.js';
+import type {AgentMember, Deployment, EntryMember} from './deployment.js';
+import {
+  createAccountRecords,
+  createRecord,
+  startDeployment,
+  waitUntil,
+} from './deployment.js';
+
+const DESK_KEY = 'sk-desk-4f1d';
+const GATE_KEY = 'sk-gate-77aa';
+const LEAVER_KEY = 'sk-leaver-90c2';
+const MODEL = 'seats-model';
+const WORKERS = 12;
+/** New work that starts later than this after a notice breaks the rule, ms. */
+const NOTICE_MS = 3_000;
+/** Longer than the lease and its margin, ms. */
+const OUTAGE_MS = 12_500;
+/** Shorter than the faults of a link last, so that deadlines pass. */
+const BRIEF_TIMEOUT_MS = 1_500;
+/** Wide, because the machine may be busy. */
+const LOOKUP_TIMEOUT_MS = 20_000;
+
+let deployment: Deployment;
+let serial = 0;
+/** All answers of the file, for the checks over all cases. */
+const ledger: CallerAnswer[] = [];
+/** Members that a case removed; their audits still count. */
+const removedAgents: AgentMember[] = [];
+
+function getId(): string {
+  return `request-${++serial}-end`;
+}
+
+function getEntry(index: number): EntryMember {
+  return deployment.entries[index % deployment.entries.length];
+}
+
+async function send(request: CallerRequest): Promise<CallerAnswer> {
+  const answer = await callEntry(request);
+  ledger.push(answer);
+  return answer;
+}
+
+function getLookup(
+  index: number,
+  bytes = 100,
+  route = '/lookup',
+): CallerRequest {
+  const id = getId();
+  const path = `${route}/seat?id=${id}&bytes=${bytes}`;
+  return {base: getEntry(index).url, id, path, key: DESK_KEY};
+}
+
+function getHold(index: number, idempotencyKey?: string): CallerRequest {
+  const id = getId();
+  return {
+    base: getEntry(index).url,
+    id,
+    method: 'POST',
+    path: '/holds',
+    key: DESK_KEY,
+    headers: {
+      'content-type': 'application/json',
+      ...(idempotencyKey && {'idempotency-key': idempotencyKey}),
+    },
+    body: {id},
+  };
+}
+
+function getCompletion(
+  index: number,
+  fields: Record<string, unknown> = {},
+  key = DESK_KEY,
+): CallerRequest {
+  const id = getId();
+  return {
+    base: getEntry(index).url,
+    id,
+    method: 'POST',
+    path: '/v1/completions',
+    key,
+    headers: {'content-type': 'application/json'},
+    body: {model: MODEL, prompt: `seat ${id}`, max_tokens: 4, ...fields},
+  };
+}
+
+function startLookups(bytes?: number, route?: string): RunningLoad {
+  const load = startLoad(WORKERS, index => getLookup(index, bytes, route));
+  return {
+    answers: load.answers,
+    stop: async () => {
+      const answers = await load.stop();
+      ledger.push(...answers);
+      return answers;
+    },
+  };
+}
+
+function getAgents(pool: string): AgentMember[] {
+  return deployment.agents.filter(agent => agent.pool === pool);
+}
+
+function getAllAgents(): AgentMember[] {
+  return [...deployment.agents, ...removedAgents];
+}
+
+function getAudit(agent: AgentMember) {
+  return (agent.engine ?? agent.plain)!.getAudit();
+}
+
+/** Requests that an upstream got after a moment; health checks do not count. */
+function countWorkAfter(agent: AgentMember, atMs: number): number {
+  const {requests} = getAudit(agent);
+  return requests.filter(
+    request => request.atMs > atMs && request.path.startsWith('/lookup'),
+  ).length;
+}
+
+/** A successful answer is whole and belongs to its own request (R11). */
+function checkOwn(answers: readonly CallerAnswer[]): void {
+  for (const answer of answers) {
+    if (answer.status !== 200) continue;
+    assert.ok(answer.isWhole, `${answer.id} is whole`);
+    assert.ok(answer.body, `${answer.id} is JSON: ${answer.text.slice(0, 80)}`);
+    assert.ok(
+      answer.text.includes(answer.id),
+      `${answer.id} got ${answer.text.slice(0, 80)}`,
+    );
+  }
+}
+
+/** Any other answer is a whole error body or a broken connection (R11). */
+function checkErrors(answers: readonly CallerAnswer[]): void {
+  for (const answer of answers) {
+    if (answer.status === 200 || !answer.isWhole) continue;
+    assert.ok(answer.error, `${answer.id} has an error body: ${answer.text}`);
+  }
+}
+
+function getFailed(answers: readonly CallerAnswer[]): string[] {
+  return answers
+    .filter(answer => answer.status !== 200)
+    .map(({id, status, text}) => `${id} ${status} ${text.slice(0, 120)}`);
+}
+
+function checkNoneFailed(answers: readonly CallerAnswer[]): void {
+  assert.ok(answers.length > 0);
+  checkOwn(answers);
+  assert.deepEqual(getFailed(answers).slice(0, 5), []);
+}
+
+/** How often each `once` request ran, over all upstreams. */
+function getExecutions(id: string): number {
+  return getAllAgents()
+    .map(agent => agent.plain?.getExecutions()[id] ?? 0)
+    .reduce((sum, count) => sum + count, 0);
+}
+
+function isSeenByUpstream(id: string): boolean {
+  return getAllAgents().some(agent =>
+    getAudit(agent).requests.some(
+      request => request.path.includes(id) || request.body.includes(id),
+    ),
+  );
+}
+
+function setKeyState(state: 'active' | 'withdrawn', baseRevision: number) {
+  const hash = getSha256(LEAVER_KEY);
+  return deployment.publish([
+    {
+      key: 'key/leaver-key',
+      body: {account: 'leaver', hash, state},
+      baseRevision,
+    },
+  ]);
+}
+
+function setDomainState(state: 'in' | 'out', baseRevision: number) {
+  const body = {region: 'region-1', state};
+  return deployment.publish([{key: 'domain/domain-b', body, baseRevision}]);
+}
+
+async function withdrawKey(): Promise<void> {
+  let streamed = '';
+  const stream = send({
+    ...getCompletion(0, {max_tokens: 3_000, stream: true}, LEAVER_KEY),
+    onData: text => (streamed += text),
+  });
+  const idle = new http.Agent({keepAlive: true, maxSockets: 1});
+  const first = await send({...getLookup(1), key: LEAVER_KEY, agent: idle});
+  assert.equal(first.status, 200);
+  await waitUntil('the stream has begun', () => streamed.includes('data: '));
+  await setKeyState('withdrawn', 1);
+  const withdrawnAt = Date.now();
+  const cut = await stream;
+  assert.ok(!cut.text.includes('[DONE]'), 'no normal end');
+  assert.match(cut.text, /key_withdrawn/);
+  await sleep(Math.max(0, NOTICE_MS - (Date.now() - withdrawnAt)));
+  const again = await send({...getLookup(1), key: LEAVER_KEY, agent: idle});
+  // A connection that the entry closed is as good as a refusal.
+  assert.ok([0, 401].includes(again.status), `status ${again.status}`);
+  for (let i = 0; i < deployment.entries.length; i++) {
+    const refused = await send({...getLookup(i), key: LEAVER_KEY});
+    assert.equal(refused.status, 401);
+  }
+  idle.destroy();
+}
+
+async function takeDomainOut(): Promise<void> {
+  const load = startLookups();
+  await sleep(1_000);
+  await setDomainState('out', 1);
+  const limit = Date.now() + NOTICE_MS;
+  await sleep(2 * NOTICE_MS);
+  const gone = getAgents('seats').filter(({domain}) => domain === 'domain-b');
+  const late = gone.map(agent => countWorkAfter(agent, limit));
+  await setDomainState('in', 2);
+  const inAt = Date.now();
+  await waitUntil('the failure domain gets work again', () =>
+    gone.every(agent => countWorkAfter(agent, inAt) > 0),
+  );
+  checkNoneFailed(await load.stop());
+  assert.deepEqual(
+    late,
+    gone.map(() => 0),
+  );
+}
+
+async function leaveBySigterm(): Promise<void> {
+  const agent = await deployment.addUpstream('seats', 'domain-c');
+  const load = startLookups();
+  await waitUntil(
+    'the new upstream gets work',
+    () => countWorkAfter(agent, 0) > 0,
+  );
+  const limit = Date.now() + NOTICE_MS;
+  removedAgents.push(agent);
+  const exit = await removeAgent(agent, 'SIGTERM');
+  await sleep(Math.max(0, limit + NOTICE_MS - Date.now()));
+  checkNoneFailed(await load.stop());
+  assert.equal(countWorkAfter(agent, limit), 0);
+  assert.equal(exit.code, 0);
+}
+
+async function removeAgent(agent: AgentMember, signal: NodeJS.Signals) {
+  await deployment.remove(agent, signal);
+  return agent.process.exited;
+}
+
+async function stopEntry(): Promise<void> {
+  const entry = await deployment.addEntry('domain-a');
+  const before = ledger.length;
+  let stopping = false;
+  await waitUntil('the new entry serves', async () => {
+    const answer = await send({...getLookup(0), base: entry.url});
+    return answer.status === 200;
+  });
+  // Larger answers are more likely to be under way when the signal arrives.
+  const load = startLoad(WORKERS, () => {
+    const request = getLookup(0, 200_000);
+    const base = stopping ? getEntry(serial).url : entry.url;
+    return {...request, base};
+  });
+  await sleep(1_000);
+  const removed = deployment.remove(entry, 'SIGTERM');
+  await sleep(300);
+  stopping = true;
+  await removed;
+  const answers = await load.stop();
+  ledger.push(...answers);
+  checkOwn(answers);
+  checkErrors(answers);
+  assert.ok(answers.filter(answer => answer.status === 200).length > 0);
+  for (const {id, status, error} of answers) {
+    if (status === 200) continue;
+    assert.ok(status === 0 || error?.notRun, `${id} was cut: ${status}`);
+    assert.ok(!isSeenByUpstream(id), `${id} reached an upstream and was cut`);
+  }
+  assert.ok(ledger.length > before);
+  assert.equal((await entry.process.exited).code, 0);
+}
+
+interface LinkCase {
+  fault: ProxyFault;
+  /** Padding of each answer, bytes. */
+  bytes: number;
+}
+
+/** Faults of the link between an agent and its upstream. */
+const linkCases: Record<string, LinkCase> = {
+  'cut in the body': {
+    fault: {backward: {cutAfterBytes: 3_000}},
+    bytes: 20_000,
+  },
+  'reset in the body': {
+    fault: {backward: {resetAfterBytes: 3_000}},
+    bytes: 20_000,
+  },
+  'refused connections': {fault: {refuse: true}, bytes: 100},
+  'a black hole': {fault: {backward: {blackHole: true}}, bytes: 100},
+  'half-open connections': {fault: {halfOpen: true}, bytes: 100},
+  'answers after the deadline': {
+    fault: {backward: {delayMs: BRIEF_TIMEOUT_MS + 500}},
+    bytes: 100,
+  },
+  'answers held and released later': {
+    fault: {backward: {holdOldest: true}},
+    bytes: 100,
+  },
+};
+
+async function breakLink({fault, bytes}: LinkCase): Promise<void> {
+  const [agent] = getAgents('seats');
+  const proxy = agent.proxies.upstream!;
+  const load = startLookups(bytes, '/brief');
+  await sleep(300);
+  proxy.setFault(fault);
+  if (fault.refuse ?? fault.halfOpen) proxy.resetConnections();
+  // Late answers arrive before the end; the rest comes when it is cleared.
+  await sleep(2 * BRIEF_TIMEOUT_MS);
+  proxy.clear();
+  await sleep(500);
+  proxy.resetConnections();
+  const answers = await load.stop();
+  checkOwn(answers);
+  checkErrors(answers);
+  assert.ok(answers.some(answer => answer.status === 200));
+  await waitUntil('the upstream is used again', async () => {
+    const from = Date.now();
+    await Promise.all(
+      Array.from({length: WORKERS}, (_, index) => send(getLookup(index))),
+    );
+    return countWorkAfter(agent, from - 1) > 0;
+  });
+}
+
+async function releaseHeldAnswers(): Promise<void> {
+  const proxies = getAgents('seats').map(agent => agent.proxies.upstream!);
+  for (const proxy of proxies) proxy.setFault({backward: {delayMs: 700}});
+  const waiting = Array.from({length: 30}, (_, index) =>
+    send(getLookup(index)),
+  );
+  await sleep(200);
+  for (const proxy of proxies) {
+    proxy.setFault({backward: {holdOldest: true}});
+  }
+  const later = Array.from({length: 30}, (_, index) => send(getLookup(index)));
+  await sleep(1_500);
+  for (const proxy of proxies) proxy.clear();
+  checkNoneFailed(await Promise.all([...waiting, ...later]));
+}
+
+async function cutStreams(): Promise<void> {
+  const agents = getAgents('engines');
+  for (const {proxies} of agents) {
+    proxies.upstream!.setFault({backward: {cutAfterBytes: 6_000}});
+  }
+  const answers = await Promise.all(
+    Array.from({length: 9}, (_, index) =>
+      send(getCompletion(index, {max_tokens: 200, stream: true})),
+    ),
+  );
+  for (const {proxies} of agents) {
+    proxies.upstream!.clear();
+    proxies.upstream!.resetConnections();
+  }
+  for (const {id, text, isWhole} of answers) {
+    const isError = !isWhole || text.includes('"error"');
+    assert.ok(isError, `${id} ended as an error`);
+    assert.ok(!text.includes('[DONE]'), `${id} has no normal end`);
+  }
+}
+
+/** Sends `once` calls whose first answers are lost; each runs at most once. */
+async function loseAnswers(): Promise<void> {
+  const holds = getAgents('holds');
+  for (const {plain} of holds) {
+    const match = {method: 'POST', path: '/holds'};
+    plain!.setFaults([{match, effect: 'lose_answer', times: 4}]);
+  }
+  const plainCalls = Array.from({length: 8}, (_, index) => getHold(index));
+  const keyedCalls = Array.from({length: 8}, (_, index) =>
+    getHold(index, `hold-${index}`),
+  );
+  const answers = await Promise.all([...plainCalls, ...keyedCalls].map(send));
+  const lost = answers.filter(answer => answer.error);
+  assert.ok(lost.length > 0, 'some answers were lost');
+  for (const {id, status, error} of lost) {
+    assert.equal(error?.code, 'outcome_unknown', id);
+    assert.equal(error?.notRun, false, id);
+    assert.equal(status, 504, id);
+  }
+  for (const {plain} of holds) plain!.setFaults([]);
+  for (const [index, request] of keyedCalls.entries()) {
+    const base = getEntry(index + 1).url;
+    const repeat = await send({...request, base});
+    const isAnswered = repeat.status === 200 && repeat.body?.id === request.id;
+    const isUnknown = repeat.error?.code === 'outcome_unknown';
+    assert.ok(isAnswered || isUnknown, `${request.id}: ${repeat.text}`);
+    assert.equal(getExecutions(request.id), 1, request.id);
+  }
+  for (const {id} of plainCalls) {
+    assert.ok(getExecutions(id) <= 1, `${id} ran at most once`);
+  }
+}
+
+/** An agent dies while lookups and `once` calls run on its upstream. */
+async function killAgent(): Promise<void> {
+  const [hold] = getAgents('holds');
+  const load = startLookups();
+  hold.plain!.setServiceMs(1_500);
+  const calls = Array.from({length: 12}, (_, index) =>
+    getHold(index, index % 2 === 0 ? `kill-${index}` : undefined),
+  );
+  const running = Promise.all(calls.map(send));
+  await waitUntil('the upstream runs calls', () =>
+    calls.some(({id}) => (hold.plain!.getExecutions()[id] ?? 0) > 0),
+  );
+  const [seat] = getAgents('seats').slice(-1);
+  removedAgents.push(hold, seat);
+  await Promise.all([deployment.remove(hold), deployment.remove(seat)]);
+  for (const answer of await running) {
+    const isDone = answer.status === 200;
+    const isUnknown = answer.error?.code === 'outcome_unknown';
+    assert.ok(
+      isDone || isUnknown || answer.error?.notRun,
+      `${answer.id}: ${answer.text}`,
+    );
+    assert.ok(getExecutions(answer.id) <= 1, answer.id);
+  }
+  await sleep(1_000);
+  checkNoneFailed(await load.stop());
+  for (const [index, request] of calls.entries()) {
+    await send({...request, base: getEntry(index + 1).url});
+    if (request.headers?.['idempotency-key']) {
+      assert.ok(getExecutions(request.id) <= 1, `${request.id} after a repeat`);
+    }
+  }
+}
+
+async function refuseSpoofed(): Promise<void> {
+  const spoofed = {
+    'vc-account': 'gate',
+    'vc-auth': 'forged',
+    'vc-repeat': 'idempotent',
+    'x-account': 'gate',
+    'x-account-id': 'gate',
+    'x-vc-account': 'gate',
+    cookie: `key=${DESK_KEY}`,
+    'x-note': `my key is ${DESK_KEY}`,
+  };
+  const foreign = await send({
+    ...getLookup(0),
+    path: `/gate/open?id=${getId()}`,
+    headers: spoofed,
+  });
+  assert.equal(foreign.status, 403);
+  assert.equal(foreign.error?.notRun, true);
+  const own = await send({
+    ...getLookup(0),
+    path: `/gate/open?id=${getId()}`,
+    key: GATE_KEY,
+  });
+  assert.equal(own.status, 200);
+  for (const name of ['key', 'api_key', 'access_token', 'other']) {
+    const request = getLookup(1);
+    const path = `${request.path}&${name}=${DESK_KEY}`;
+    const answer = await send({...request, path, headers: spoofed});
+    checkNoneFailed([answer]);
+  }
+  const none = await send({...getLookup(2), key: undefined});
+  assert.equal(none.status, 401);
+}
+
+async function surviveLogOutage(): Promise<void> {
+  const load = startLookups();
+  deployment.platform.log.setOutage(true);
+  await sleep(OUTAGE_MS);
+  deployment.platform.log.setOutage(false);
+  await sleep(1_000);
+  checkNoneFailed(await load.stop());
+}
+
+interface FaultCase {
+  name: string;
+  /** The rules of section 3 of the design that the case guards. */
+  guards: string;
+  run(): Promise<void>;
+}
+
+const cases: FaultCase[] = [
+  {
+    name: 'spoofed accounts, forged internal headers and keys in queries',
+    guards: 'R4, R5',
+    run: refuseSpoofed,
+  },
+  {
+    name: 'a key withdrawn during a stream and on an idle connection',
+    guards: 'R6',
+    run: withdrawKey,
+  },
+  {
+    name: 'a failure domain taken out and in under load',
+    guards: 'R10',
+    run: takeDomainOut,
+  },
+  {
+    name: 'an upstream that leaves by SIGTERM under load',
+    guards: 'R14, R15',
+    run: leaveBySigterm,
+  },
+  {name: 'an entry that stops under load', guards: 'R15', run: stopEntry},
+  ...Object.entries(linkCases).map(([name, linkCase]) => ({
+    name: `upstream link: ${name}`,
+    guards: 'R11',
+    run: () => breakLink(linkCase),
+  })),
+  {
+    name: 'answers held and released across connections',
+    guards: 'R11',
+    run: releaseHeldAnswers,
+  },
+  {name: 'streams cut by the upstream', guards: 'R11', run: cutStreams},
+  {
+    name: 'lost answers of calls that must not be repeated',
+    guards: 'R12, R13',
+    run: loseAnswers,
+  },
+  {
+    name: 'agents killed in mid-request',
+    guards: 'R11, R12, R13',
+    run: killAgent,
+  },
+  {
+    name: 'a log outage longer than the lease under load',
+    guards: 'no request depends on the log',
+    run: surviveLogOutage,
+  },
+];
+
+describe('request faults', {timeout: 400_000}, () => {
+  before(async () => {
+    const plain = {kind: 'plain' as const, ramp: {initial: 32}};
+    deployment = await startDeployment({
+      entries: 3,
+      proxied: ['upstream'],
+      pools: [
+        {id: 'seats', body: {...plain, maxConcurrent: 32}, upstreams: 6},
+        {id: 'holds', body: {...plain, maxConcurrent: 32}, upstreams: 3},
+        {
+          id: 'engines',
+          body: {
+            kind: 'engine',
+            model: MODEL,
+            maxConcurrent: 16,
+            ramp: {initial: 16},
+          },
+          upstreams: 4,
+          engine: {
+            model: MODEL,
+            tokenMs: 5,
+          },
+        },
+      ],
+      records: [
+        ...createAccountRecords('desk', DESK_KEY),
+        ...createAccountRecords('gate', GATE_KEY),
+        ...createAccountRecords('leaver', LEAVER_KEY),
+        createRecord('route', 'lookup', {
+          pathPrefix: '/lookup',
+          methods: ['GET'],
+          pool: 'seats',
+          access: ['desk', 'leaver'],
+          repeat: 'idempotent',
+          timeoutMs: LOOKUP_TIMEOUT_MS,
+        }),
+        createRecord('route', 'brief', {
+          pathPrefix: '/brief',
+          methods: ['GET'],
+          pool: 'seats',
+          access: ['desk'],
+          repeat: 'idempotent',
+          timeoutMs: BRIEF_TIMEOUT_MS,
+        }),
+        createRecord('route', 'gate', {
+          pathPrefix: '/gate',
+          methods: ['GET'],
+          pool: 'seats',
+          access: ['gate'],
+          repeat: 'idempotent',
+        }),
+        createRecord('route', 'holds', {
+          pathPrefix: '/holds',
+          methods: ['POST'],
+          pool: 'holds',
+          access: ['desk'],
+          repeat: 'once',
+          timeoutMs: 8_000,
+        }),
+        createRecord('route', 'completions', {
+          pathPrefix: '/v1/completions',
+          methods: ['POST'],
+          model: MODEL,
+          pool: 'engines',
+          access: ['desk', 'leaver'],
+          repeat: 'idempotent',
+        }),
+      ],
+    });
+    await waitUntil('all routes serve', async () => {
+      const answers = await Promise.all(
+        deployment.entries.flatMap((_, index) => [
+          callEntry(getLookup(index)),
+          callEntry(getHold(index)),
+          callEntry(getCompletion(index)),
+        ]),
+      );
+      return answers.every(answer => answer.status === 200);
+    });
+  });
+  after(() => deployment?.stop());
+
+  for (const {name, guards, run} of cases) {
+    it(`keeps its rules over ${name} (guards: ${guards})`, run);
+  }
+
+  it('refused as not run only what no upstream saw (guards: R12)', () => {
+    const refused = ledger.filter(answer => answer.error?.notRun);
+    assert.ok(refused.length > 0);
+    const seen = refused.filter(({id}) => isSeenByUpstream(id));
+    // A repeat of a call that ran before is not a refusal of the first run.
+    const ran = new Set(
+      ledger.filter(answer => !answer.error?.notRun).map(({id}) => id),
+    );
+    const untrue = seen.filter(({id}) => !ran.has(id));
+    assert.deepEqual(
+      untrue.map(({id, text}) => `${id} ${text}`),
+      [],
+    );
+  });
+
+  it('showed no key and no account to any upstream (guards: R5)', () => {
+    for (const agent of getAllAgents()) {
+      for (const request of getAudit(agent).requests) {
+        const text = JSON.stringify(request);
+        for (const key of [DESK_KEY, GATE_KEY, LEAVER_KEY]) {
+          assert.ok(!text.includes(key), text);
+        }
+        const names = Object.keys(request.headers);
+        const internal = names.filter(name => /^vc-|account|^auth/.test(name));
+        assert.deepEqual(internal, [], request.path);
+      }
+    }
+  });
+});
