--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,6 +1,17 @@
+import {coldStart} from './coldStart.js';
+import {domainDeparture} from './domainDeparture.js';
+import {fairness} from './fairness.js';
+import {logOutage} from './logOutage.js';
 import {passthrough} from './passthrough.js';
 import {slopesBench} from './slopes.js';
 import type {Bench} from './types.js';
 
 /** All benches by name. */
-export const benches: readonly Bench[] = [passthrough, slopesBench];
+export const benches: readonly Bench[] = [
+  coldStart,
+  domainDeparture,
+  fairness,
+  logOutage,
+  passthrough,
+  slopesBench,
+];
--- /dev/null
+++ b/packages/bench/src/domainDeparture.ts
@@ -0,0 +1,82 @@
+import type {LoadResult} from './load.js';
+import {getLatency, isGood, runOpenLoop} from './load.js';
+import {getLookup, startLookupDeployment} from './lookupDeployment.js';
+import {getMedian} from './statistics.js';
+import type {Bench, Measurement} from './types.js';
+
+const PER_SECOND = 150;
+const PHASE_MS = 6_000;
+const ROUNDS = 3;
+/** New work that starts later than this breaks the target, ms. */
+const NOTICE_MS = 3_000;
+const TARGET_P99_RATIO = 1.5;
+
+function countFailed(result: LoadResult): number {
+  return result.answers.filter(answer => !isGood(answer)).length;
+}
+
+async function run(): Promise<Measurement> {
+  const deployment = await startLookupDeployment({
+    entries: 3,
+    upstreams: 6,
+    pool: {maxConcurrent: 32, ramp: {initial: 32}},
+    plain: {serviceMs: 10},
+    accounts: ['desk'],
+  });
+  let revision = 1;
+  const setState = async (state: 'in' | 'out') => {
+    const body = {region: 'region-1', state};
+    const key = 'domain/domain-b' as const;
+    await deployment.publish([{key, body, baseRevision: revision++}]);
+  };
+  try {
+    const gone = deployment.agents.filter(a => a.domain === 'domain-b');
+    const getRequest = (index: number) => getLookup(deployment, index, 'desk');
+    await runOpenLoop(PER_SECOND, 2_000, getRequest);
+    const before: number[] = [];
+    const during: number[] = [];
+    let failed = 0;
+    let late = 0;
+    let requests = 0;
+    for (let round = 0; round < ROUNDS; round++) {
+      const normal = await runOpenLoop(PER_SECOND, PHASE_MS, getRequest);
+      const limit = Date.now() + NOTICE_MS;
+      const departure = runOpenLoop(PER_SECOND, PHASE_MS, getRequest);
+      await setState('out');
+      const result = await departure;
+      for (const {plain} of gone) {
+        const {requests: seen} = plain!.getAudit();
+        late += seen.filter(request => request.atMs > limit).length;
+      }
+      await setState('in');
+      const back = await runOpenLoop(PER_SECOND, 2_000, getRequest);
+      before.push(getLatency(normal, 0.99));
+      during.push(getLatency(result, 0.99));
+      failed += countFailed(result) + countFailed(back);
+      requests += result.answers.length + back.answers.length;
+    }
+    const figure = getMedian(during);
+    const baseline = getMedian(before);
+    const isMet =
+      failed === 0 && late === 0 && figure <= baseline * TARGET_P99_RATIO;
+    return {
+      headers: ['phase', 'p99 ms', 'failed', 'new work after 3 s'],
+      rows: [
+        ['before', baseline.toFixed(1), '-', '-'],
+        ['departure', figure.toFixed(1), String(failed), String(late)],
+      ],
+      figure,
+      baseline,
+      details: {failed, late, requests},
+      conclusion: `target ${isMet ? 'met' : 'missed'}: none failed, p99 at most ${TARGET_P99_RATIO} times, no new work after 3 s`,
+    };
+  } finally {
+    await deployment.stop();
+  }
+}
+
+export const domainDeparture: Bench = {
+  name: 'domain-departure',
+  summary: 'a failure domain leaves under load and returns',
+  run,
+};
--- /dev/null
+++ b/packages/bench/src/lookupDeployment.ts
@@ -0,0 +1,84 @@
+import type {Deployment, RecordInput} from '@vanillacross/integration';
+import {
+  createAccountRecords,
+  createRecord,
+  startDeployment,
+  waitUntil,
+} from '@vanillacross/integration';
+import type {PlainServiceOptions} from '@vanillacross/standins';
+
+import type {LoadRequest} from './load.js';
+import {createLoadAgent, isGood, send} from './load.js';
+
+export interface LookupOptions {
+  domains?: string[];
+  entries: number;
+  upstreams: number;
+  /** Further fields of the pool's record. */
+  pool: Record<string, unknown>;
+  plain?: PlainServiceOptions;
+  accounts: string[];
+  timeoutMs?: number;
+}
+
+/** Entries, and one pool of plain upstreams behind `/lookup`. */
+export async function startLookupDeployment(
+  options: LookupOptions,
+): Promise<Deployment> {
+  const {accounts, timeoutMs = 20_000} = options;
+  const records: RecordInput[] = [
+    ...accounts.flatMap(account =>
+      createAccountRecords(account, getKey(account), {maxConcurrent: 256}),
+    ),
+    createRecord('route', 'lookup', {
+      pathPrefix: '/lookup',
+      methods: ['GET'],
+      pool: 'seats',
+      access: accounts as [string, ...string[]],
+      repeat: 'idempotent',
+      timeoutMs,
+    }),
+  ];
+  const deployment = await startDeployment({
+    domains: options.domains ?? ['domain-a', 'domain-b', 'domain-c'],
+    entries: options.entries,
+    pools: [
+      {
+        id: 'seats',
+        body: {kind: 'plain', ...options.pool},
+        upstreams: options.upstreams,
+        plain: options.plain,
+      },
+    ],
+    records,
+  });
+  const agent = createLoadAgent(8);
+  await waitUntil('all entries serve', async () => {
+    const answers = await Promise.all(
+      deployment.entries.map((_, index) =>
+        send(getLookup(deployment, index, accounts[0]), agent),
+      ),
+    );
+    return answers.every(isGood);
+  });
+  agent.destroy();
+  return deployment;
+}
+
+function getKey(account: string): string {
+  return `key-of-${account}`;
+}
+
+/** A lookup through one of the entries in turn. */
+export function getLookup(
+  deployment: Deployment,
+  index: number,
+  account: string,
+): LoadRequest {
+  const {entries} = deployment;
+  return {
+    method: 'GET',
+    url: `${entries[index % entries.length].url}/lookup/${index}`,
+    headers: {authorization: `Bearer ${getKey(account)}`},
+  };
+}
