--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -3,6 +3,8 @@
 import {fairness} from './fairness.js';
 import {logOutage} from './logOutage.js';
 import {passthrough} from './passthrough.js';
+import {retryStorm} from './retryStorm.js';
+import {routing} from './routing.js';
 import {slopesBench} from './slopes.js';
 import type {Bench} from './types.js';
 
@@ -13,5 +15,7 @@
   fairness,
   logOutage,
   passthrough,
+  retryStorm,
+  routing,
   slopesBench,
 ];
--- /dev/null
+++ b/packages/bench/src/retryStorm.ts
@@ -0,0 +1,142 @@
+import {parseAddress} from '@vanillacross/common';
+
+import type {LoadRequest, LoadResult} from './load.js';
+import {
+  createLoadAgent,
+  getGoodput,
+  isGood,
+  runClosedLoop,
+  send,
+} from './load.js';
+import {getLookup, startLookupDeployment} from './lookupDeployment.js';
+import {readMetrics} from './processMetrics.js';
+import {getMedian} from './statistics.js';
+import type {Bench, Measurement} from './types.js';
+
+const ROUNDS = 3;
+const ROUND_MS = 3_000;
+const WORKERS = 16;
+const UPSTREAMS = 6;
+const MAX_SENDS = 5;
+const TARGET_SENDS = 1.1;
+
+interface Round {
+  goodput: number;
+  sendsPerRequest: number;
+  failed: number;
+}
+
+function toRound(result: LoadResult, sends: number): Round {
+  return {
+    goodput: getGoodput(result),
+    sendsPerRequest: sends / result.answers.length,
+    failed: result.answers.filter(answer => !isGood(answer)).length,
+  };
+}
+
+/** A client-side dispatcher that sends straight to random upstreams. */
+async function runClient(urls: string[], maxSends: number): Promise<Round> {
+  const agent = createLoadAgent(WORKERS * 2);
+  const answers: LoadResult['answers'] = [];
+  let sends = 0;
+  const start = performance.now();
+  const getRequest = (): LoadRequest => {
+    const url = urls[Math.floor(Math.random() * urls.length)];
+    return {method: 'GET', url: `${url}/lookup/seat`};
+  };
+  await Promise.all(
+    Array.from({length: WORKERS}, async () => {
+      while (performance.now() - start < ROUND_MS) {
+        let answer = await send(getRequest(), agent);
+        sends++;
+        for (let i = 1; i < maxSends && !isGood(answer); i++) {
+          answer = await send(getRequest(), agent);
+          sends++;
+        }
+        answers.push(answer);
+      }
+    }),
+  );
+  agent.destroy();
+  return toRound({answers, spanMs: performance.now() - start}, sends);
+}
+
+async function run(): Promise<Measurement> {
+  const deployment = await startLookupDeployment({
+    entries: 1,
+    upstreams: UPSTREAMS,
+    pool: {maxConcurrent: 32, ramp: {initial: 32}},
+    plain: {serviceMs: 20},
+    accounts: ['desk'],
+  });
+  const [entry] = deployment.entries;
+  const readSends = async () =>
+    (await readMetrics(entry.admin)).get('vc_sends') ?? Number.NaN;
+  const services = deployment.agents.map(agent => agent.plain!);
+  const urls = services.map(({address}) => {
+    const {host, port} = parseAddress(address)!;
+    return `http://${host}:${port}`;
+  });
+  const runSystem = async (): Promise<Round> => {
+    let index = 0;
+    const before = await readSends();
+    const result = await runClosedLoop(WORKERS, ROUND_MS, () =>
+      getLookup(deployment, index++, 'desk'),
+    );
+    return toRound(result, (await readSends()) - before);
+  };
+  try {
+    await runSystem();
+    // They read the request and then reset the connection.
+    for (const service of services.slice(0, UPSTREAMS / 2)) {
+      service.setFaults([{match: {path: '/lookup'}, effect: 'refuse'}]);
+    }
+    const rounds: Record<string, Round[]> = {
+      'no retry': [],
+      'retry always': [],
+      'entry and agents': [],
+    };
+    for (let round = 0; round < ROUNDS; round++) {
+      rounds['no retry'].push(await runClient(urls, 1));
+      rounds['retry always'].push(await runClient(urls, MAX_SENDS));
+      rounds['entry and agents'].push(await runSystem());
+    }
+    return summarize(rounds);
+  } finally {
+    await deployment.stop();
+  }
+}
+
+function summarize(rounds: Record<string, Round[]>): Measurement {
+  const median = (name: string, field: keyof Round) =>
+    getMedian(rounds[name].map(round => round[field]));
+  const figure = median('entry and agents', 'sendsPerRequest');
+  const worst = Math.max(
+    ...rounds['entry and agents'].map(round => round.sendsPerRequest),
+  );
+  return {
+    headers: ['dispatcher', 'sends per request', 'goodput/s', 'failed'],
+    rows: Object.keys(rounds).map(name => [
+      name,
+      median(name, 'sendsPerRequest').toFixed(3),
+      median(name, 'goodput').toFixed(0),
+      median(name, 'failed').toFixed(0),
+    ]),
+    figure,
+    baseline: median('retry always', 'sendsPerRequest'),
+    details: {
+      worst,
+      goodput: median('entry and agents', 'goodput'),
+      goodputNoRetry: median('no retry', 'goodput'),
+      goodputRetryAlways: median('retry always', 'goodput'),
+      failed: median('entry and agents', 'failed'),
+    },
+    conclusion: `target ${worst <= TARGET_SENDS ? 'met' : 'missed'}: at most ${TARGET_SENDS} sends per request in each round`,
+  };
+}
+
+export const retryStorm: Bench = {
+  name: 'retry-storm',
+  summary: 'half of the upstreams fail; sends per request at most 1.1',
+  run,
+};
