--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,11 +1,23 @@
+import {coldStart} from './coldStart.js';
+import {domainDeparture} from './domainDeparture.js';
+import {fairness} from './fairness.js';
+import {logOutage} from './logOutage.js';
 import {passthrough} from './passthrough.js';
+import {retryStorm} from './retryStorm.js';
+import {routing} from './routing.js';
 import {slopesBench} from './slopes.js';
 import type {Bench} from './types.js';
 import {weightRollout} from './weightRollout.js';
 
 /** All benches by name. */
 export const benches: readonly Bench[] = [
+  coldStart,
+  domainDeparture,
+  fairness,
+  logOutage,
   passthrough,
+  retryStorm,
+  routing,
   slopesBench,
   weightRollout,
 ];
--- a/packages/daemon/src/agent.ts
+++ b/packages/daemon/src/agent.ts
@@ -73,6 +73,8 @@
     getHighestFencing: () => link.getHighestFencing(),
     getContact: () => link.getContact(),
     onProgress: () => link.pollNow(),
+    // A held poll would delay the quarantine of the request by up to 10 s.
+    onCrash: () => link.pollNow(),
     limits: {maxBodyBytes: settings.limits.maxBodyBytes},
   });
   const link: AgentLink = createAgentLink(context, {
--- a/packages/daemon/src/agentServer.ts
+++ b/packages/daemon/src/agentServer.ts
@@ -45,6 +45,8 @@
   getView: () => AgentView | null;
   /** Highest fencing number that an entry named; -1 if there was no lease. */
   getHighestFencing: () => number;
+  /** Called when a crash report is ready to be handed to the entries. */
+  onCrash?: () => void;
   /** Told the highest log offset that a request names. */
   noteOffset?: (offset: number) => void;
   /** Asks the entries for requests with idempotency keys of the pool. */
@@ -156,6 +158,7 @@
         requests: crash.fingerprints.length,
       });
       usage.addCrash(crash);
+      options.onCrash?.();
     },
   });
   const dedup = new AgentDedup({
--- a/packages/integration/src/index.ts
+++ b/packages/integration/src/index.ts
@@ -1,5 +1,6 @@
 /** Process harness, deployments and contract tests. */
 export * from './commandLine.js';
+export * from './callers.js';
 export * from './contract.js';
 export * from './deployment.js';
 export * from './engineContract.js';
