Pass answers on at the agent by events and in one write

A short answer left the agent in three writes (head, body, end with trailers), as the head was flushed at once, and each part of a body cost the promises of async iteration. The socket is now corked until the end of the answer or of the turn of the event loop, and parts are passed on by 'data' events with pause and resume for backpressure. A request with content-length 0 is sent on without a pipe.

Ruled out: parsing of events at the agent (8% of the agent's busy time with streams; writev is 13%), so events are still parsed one by one.

--- a/packages/daemon/src/agentExchange.ts
+++ b/packages/daemon/src/agentExchange.ts
@@ -27,6 +27,7 @@
 const TRAILER_NAMES = [HEADERS.outcome, HEADERS.spans, HEADERS.usage].join(
   ', ',
 );
+const EMPTY_BODY = Buffer.alloc(0);
 const NO_USAGE = {prompt: 0, generated: 0};
 
 /** One admitted request and what it needs to run. */
@@ -93,6 +94,9 @@
 
 async function prepareBody(exchange: Exchange): Promise<PreparedBody> {
   const {request, pool, isKeyed, limits} = exchange;
+  if (request.headers['content-length'] === '0') {
+    return {tag: 'body', body: EMPTY_BODY};
+  }
   if (pool.kind === 'plain' && !isKeyed) return {tag: 'body', body: request};
   const {signal} = exchange.cancel;
   const cancelled = new Promise<null>(resolve => {
@@ -141,29 +145,63 @@
 }
 
 /**
- * Writes with backpressure. A caller that is gone or does not read until the
- * exchange is cancelled holds nothing up.
+ * Passes a body on with backpressure; false if it was cut. A caller that is
+ * gone or does not read until the exchange is cancelled holds nothing up.
+ * Uses events, as async iteration costs several promises per part.
  */
-function write(
+function passBody(
+  answer: IncomingMessage,
   response: ServerResponse,
-  chunk: Buffer,
   signal: AbortSignal,
-): Promise<void> {
-  if (response.destroyed || signal.aborted) return Promise.resolve();
-  if (response.write(chunk)) return Promise.resolve();
+  onChunk: (chunk: Buffer) => void,
+): Promise<boolean> {
   return new Promise(resolve => {
-    const done = () => {
-      response.off('drain', done);
-      response.off('close', done);
-      signal.removeEventListener('abort', done);
-      resolve();
+    const onResume = () => answer.resume();
+    const settle = (isComplete: boolean) => {
+      response.off('drain', onResume);
+      response.off('close', onResume);
+      signal.removeEventListener('abort', onResume);
+      resolve(isComplete);
     };
-    response.on('drain', done);
-    response.on('close', done);
-    signal.addEventListener('abort', done);
+    answer.on('data', (chunk: Buffer) => {
+      try {
+        onChunk(chunk);
+      } catch (error) {
+        answer.destroy(error as Error);
+        return;
+      }
+      if (response.destroyed || signal.aborted) return;
+      if (!response.write(chunk)) answer.pause();
+    });
+    answer.on('error', () => settle(false));
+    answer.on('end', () => settle(answer.complete));
+    answer.on('close', () => settle(answer.complete));
+    response.on('drain', onResume);
+    response.on('close', onResume);
+    signal.addEventListener('abort', onResume);
+    if (answer.destroyed) settle(answer.readableEnded && answer.complete);
   });
 }
 
+/**
+ * Writes the head with the first parts of the body if they have arrived, so
+ * that a short answer leaves in one write; else in this turn of the loop.
+ */
+function writeHead(
+  response: ServerResponse,
+  status: number,
+  head: http.OutgoingHttpHeaders,
+): void {
+  if (response.destroyed) return;
+  const {socket} = response;
+  socket?.cork();
+  response.writeHead(status, head);
+  response.flushHeaders();
+  const uncork = setImmediate(() => socket?.uncork());
+  // The end of the response uncorks its socket itself.
+  response.once('prefinish', () => clearImmediate(uncork));
+}
+
 /**
  * An answer without length or chunks ends when its connection closes, which
  * also happens when its sender dies; it cannot be shown to be whole.
@@ -232,29 +270,20 @@
     sendBodiless(response, status, head);
     return {tag: 'whole', stored: keeper.getStored(status, head)};
   }
-  if (!response.destroyed) {
-    response.writeHead(status, {...head, trailer: TRAILER_NAMES});
-    response.flushHeaders();
-  }
+  writeHead(response, status, {...head, trailer: TRAILER_NAMES});
   if (pool.kind === 'plain') gate.noteFirstToken(clock.now() - startedAt);
   let isFirst = true;
-  let isWhole = isDelimited(answer);
-  try {
-    for await (const chunk of answer as AsyncIterable<Buffer>) {
-      if (isFirst && isStream && pool.kind === 'engine') {
-        gate.noteFirstToken(clock.now() - startedAt);
-      }
-      isFirst = false;
-      observer.write(chunk);
-      if (exchange.isKeyed) keeper.write(chunk);
-      await write(response, chunk, exchange.cancel.signal);
+  const {signal} = exchange.cancel;
+  const isComplete = await passBody(answer, response, signal, chunk => {
+    if (isFirst && isStream && pool.kind === 'engine') {
+      gate.noteFirstToken(clock.now() - startedAt);
     }
-    isWhole &&= answer.complete;
-  } catch {
-    isWhole = false;
-  }
+    isFirst = false;
+    observer.write(chunk);
+    if (exchange.isKeyed) keeper.write(chunk);
+  });
   const observed = observer.end();
-  isWhole &&= observed.isEnded;
+  const isWhole = isDelimited(answer) && isComplete && observed.isEnded;
   if (observed.mismatches > 0) {
     metrics.count('vc_agent_label_mismatches_total');
   }
