Answer bodies above the limit instead of resetting the connection

readBody iterated over the stream and left it early when a body was too large, which destroys the socket, so callers of the RPC listener could get a reset in the place of the refusal. It now reads by events, pauses on failure and takes a signal; the readers of callers' bodies and of the agent use it and have none of their own. RPC answers 413 instead of 400, and RPC and operator listeners drop the rest of the body so that the answer is read.

On the code before, the new RPC test fails; the two tests of readBody with small stated and chunked bodies also pass there, as loopback buffers let the answer through.

--- /dev/null
+++ b/packages/common/src/http.test.ts
@@ -0,0 +1,96 @@
+import assert from 'node:assert/strict';
+import * as http from 'node:http';
+import {afterEach, describe, it} from 'node:test';
+
+import {closeServer, listen, readBody, sendJson} from './http.js';
+import {RPC_PATH, createRpcHandler, getAuth} from './rpc.js';
+
+const SECRET = 'cluster secret';
+const LIMIT = 1_000;
+
+describe('bodies above the limit', () => {
+  let servers: http.Server[] = [];
+
+  async function serve(listener: http.RequestListener): Promise<string> {
+    const server = http.createServer(listener);
+    servers.push(server);
+    return listen(server, {host: '127.0.0.1', port: 0});
+  }
+
+  /** Sends all of a body and returns the status; fails on a reset. */
+  function post(
+    address: string,
+    headers: http.OutgoingHttpHeaders,
+    parts: readonly Buffer[],
+  ): Promise<number | undefined> {
+    return new Promise((resolve, reject) => {
+      const outgoing = http.request(
+        `http://${address}${RPC_PATH}`,
+        {method: 'POST', headers},
+        answer => {
+          answer.resume();
+          answer.on('end', () => resolve(answer.statusCode));
+        },
+      );
+      outgoing.on('error', reject);
+      for (const part of parts) outgoing.write(part);
+      outgoing.end();
+    });
+  }
+
+  afterEach(async () => {
+    for (const server of servers) server.closeAllConnections();
+    await Promise.all(servers.map(closeServer));
+    servers = [];
+  });
+
+  for (const framing of ['stated length', 'chunks']) {
+    it(`leave the connection open for the answer: ${framing}`, async () => {
+      // Guards against a reset in the place of the refusal.
+      const address = await serve((request, response) => {
+        void readBody(request, LIMIT).then(body => {
+          sendJson(response, body.ok ? 200 : 413, {});
+          request.resume();
+        });
+      });
+      const body = Buffer.alloc(4_000_000);
+      const headers =
+        framing === 'chunks' ? {} : {'content-length': body.length};
+      assert.equal(await post(address, headers, [body, Buffer.alloc(0)]), 413);
+      assert.equal(await post(address, {}, [Buffer.alloc(LIMIT)]), 200);
+    });
+  }
+
+  it('are answered with 413 by the RPC listener', async () => {
+    // Guards against callers that take a size limit for a lost peer.
+    const handle = createRpcHandler(SECRET, {});
+    const address = await serve((request, response) => {
+      void handle(request, response);
+    });
+    const headers = {
+      'vc-request': 'id',
+      'vc-auth': getAuth(SECRET, 'POST', RPC_PATH, 'id', Date.now()),
+    };
+    const parts = Array.from({length: 17}, () => Buffer.alloc(1024 * 1024));
+    assert.equal(await post(address, headers, parts), 413);
+  });
+
+  it('count as cut when the signal aborts', async () => {
+    // Guards against a stalled upload that holds its place for ever.
+    const controller = new AbortController();
+    const seen = new Promise(resolve => {
+      void serve((request, response) => {
+        void readBody(request, LIMIT, controller.signal).then(body => {
+          resolve(body);
+          response.destroy();
+        });
+        controller.abort('deadline');
+      }).then(address => {
+        const outgoing = http.request(`http://${address}/`, {method: 'POST'});
+        outgoing.on('error', () => {});
+        outgoing.write('x');
+      });
+    });
+    assert.deepEqual(await seen, {ok: false, error: {tag: 'cut'}});
+  });
+});
--- a/packages/common/src/http.ts
+++ b/packages/common/src/http.ts
@@ -49,23 +49,50 @@
   'EADDRNOTAVAIL',
 ]);
 
-/** Reads a whole body, up to a limit in bytes. */
-export async function readBody(
+/**
+ * Reads a whole body, up to a limit in bytes. On failure the connection stays
+ * open, so that a server can still answer; reading is paused, and the caller
+ * of this function resumes or destroys the stream. An aborted signal counts
+ * as a cut body.
+ */
+export function readBody(
   stream: http.IncomingMessage,
   limitBytes: number,
+  signal?: AbortSignal,
 ): Promise<Result<Buffer, BodyFailure>> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of stream as AsyncIterable<Buffer>) {
+  const stated = Number(stream.headers['content-length'] ?? 0);
+  if (stated > limitBytes) {
+    return Promise.resolve(fail({tag: 'too_large', limitBytes}));
+  }
+  if (stream.destroyed || signal?.aborted) {
+    return Promise.resolve(fail({tag: 'cut'}));
+  }
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const settle = (result: Result<Buffer, BodyFailure>) => {
+      signal?.removeEventListener('abort', onCut);
+      stream.off('data', onData);
+      stream.off('end', onEnd);
+      stream.off('close', onCut);
+      if (!result.ok) stream.pause();
+      resolve(result);
+    };
+    const onData = (chunk: Buffer) => {
       size += chunk.length;
-      if (size > limitBytes) return fail({tag: 'too_large', limitBytes});
       chunks.push(chunk);
-    }
-  } catch {
-    return fail({tag: 'cut'});
-  }
-  return stream.complete ? ok(Buffer.concat(chunks)) : fail({tag: 'cut'});
+      if (size > limitBytes) settle(fail({tag: 'too_large', limitBytes}));
+    };
+    const onEnd = () =>
+      settle(stream.complete ? ok(Buffer.concat(chunks)) : fail({tag: 'cut'}));
+    const onCut = () => settle(fail({tag: 'cut'}));
+    stream.on('data', onData);
+    stream.on('end', onEnd);
+    stream.on('close', onCut);
+    // Stays, as the error of a cut may follow the close.
+    stream.on('error', onCut);
+    signal?.addEventListener('abort', onCut);
+  });
 }
 
 /** Parses JSON text without throwing. */
--- a/packages/common/src/rpc.ts
+++ b/packages/common/src/rpc.ts
@@ -102,7 +102,10 @@
     }
     const body = await readJson(request, MAX_RPC_BYTES);
     if (!body.ok) {
-      sendJson(response, 400, {error: body.error.tag});
+      const isTooLarge = body.error.tag === 'too_large';
+      sendJson(response, isTooLarge ? 413 : 400, {error: body.error.tag});
+      // Dropping the rest lets the sender finish and read the answer.
+      request.resume();
       return;
     }
     const answer = await server.receive(body.value as JSONRPCRequest);
--- a/packages/daemon/src/agentExchange.ts
+++ b/packages/daemon/src/agentExchange.ts
@@ -99,16 +99,9 @@
   }
   if (pool.kind === 'plain' && !isKeyed) return {tag: 'body', body: request};
   const {signal} = exchange.cancel;
-  const cancelled = new Promise<null>(resolve => {
-    if (signal.aborted) resolve(null);
-    signal.addEventListener('abort', () => resolve(null), {once: true});
-  });
   // An upload that stalls must not hold its place beyond the deadline.
-  const body = await Promise.race([
-    readBody(request, limits.maxBodyBytes),
-    cancelled,
-  ]);
-  if (!body) return {tag: 'cancelled'};
+  const body = await readBody(request, limits.maxBodyBytes, signal);
+  if (signal.aborted) return {tag: 'cancelled'};
   if (!body.ok) return {tag: body.error.tag === 'cut' ? 'cut' : 'too_large'};
   if (pool.kind === 'plain') return {tag: 'body', body: body.value};
   const priority = getNumberHeader(request, HEADERS.priority);
--- a/packages/daemon/src/callerBody.ts
+++ b/packages/daemon/src/callerBody.ts
@@ -1,57 +1,23 @@
 import type {Result} from '@vanillacross/common';
-import {fail, ok} from '@vanillacross/common';
+import {fail, readBody} from '@vanillacross/common';
 import type {IncomingMessage} from 'node:http';
 
 import {createNotRun} from './refusals.js';
 import type {Refusal} from './types.js';
 
-function createTooLarge(limitBytes: number): Refusal {
-  const message = `the body is longer than ${limitBytes} bytes`;
-  return createNotRun('too_large', message);
-}
-
-/**
- * Reads a caller's body up to a limit in bytes. Unlike `readBody` it leaves
- * the connection open on failure, so that the caller gets the refusal.
- */
-export function readCallerBody(
+/** Reads a caller's body up to a limit in bytes. */
+export async function readCallerBody(
   request: IncomingMessage,
   limitBytes: number,
   signal: AbortSignal,
 ): Promise<Result<Buffer, Refusal>> {
-  const stated = Number(request.headers['content-length'] ?? 0);
-  if (stated > limitBytes) {
-    return Promise.resolve(fail(createTooLarge(limitBytes)));
+  const body = await readBody(request, limitBytes, signal);
+  if (body.ok) return body;
+  if (body.error.tag === 'too_large') {
+    const message = `the body is longer than ${limitBytes} bytes`;
+    return fail(createNotRun('too_large', message));
   }
-  return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    const settle = (result: Result<Buffer, Refusal>) => {
-      signal.removeEventListener('abort', onClose);
-      request.off('data', onData);
-      request.off('end', onEnd);
-      request.off('close', onClose);
-      resolve(result);
-    };
-    const onData = (chunk: Buffer) => {
-      size += chunk.length;
-      chunks.push(chunk);
-      if (size <= limitBytes) return;
-      request.pause();
-      settle(fail(createTooLarge(limitBytes)));
-    };
-    const onEnd = () => settle(ok(Buffer.concat(chunks)));
-    const onClose = () => {
-      request.pause();
-      const message = 'the caller disconnected';
-      settle(fail(createNotRun('cancelled', message)));
-    };
-    request.on('data', onData);
-    request.on('end', onEnd);
-    request.on('close', onClose);
-    signal.addEventListener('abort', onClose);
-    request.on('error', () => {});
-  });
+  return fail(createNotRun('cancelled', 'the caller disconnected'));
 }
 
 /** Bytes of request bodies that are held for each account. */
--- a/packages/daemon/src/operatorActions.ts
+++ b/packages/daemon/src/operatorActions.ts
@@ -233,7 +233,11 @@
 
   const postRecords = async ({request}: OperatorRequest): Promise<Answer> => {
     const raw = await readJson(request, MAX_BODY_BYTES);
-    if (!raw.ok) return fail({...bodyErrors[raw.error.tag], notRun: true});
+    if (!raw.ok) {
+      // Dropping the rest lets the sender finish and read the answer.
+      request.resume();
+      return fail({...bodyErrors[raw.error.tag], notRun: true});
+    }
     const parsed = putsSchema.safeParse(raw.value);
     if (!parsed.success) {
       const mistakes = parsed.error.issues.map(
