Read answers at the entry with one promise a part

Each part of an answer passed through three async generators and an async write. A reader over 'readable' and read() replaces the generators, a write that the socket takes needs no promise, and an answer that is whole and smaller than the socket's buffer is ended with one call (UpstreamAnswer has the optional field whole). Cancellation uses a listener in the place of http.request's signal option, which watches the end of the stream; vc-load is parsed once for each answer; a pool is found to be empty without listing and sorting all of its members.

Ruled out: connection reuse (the kept connections are reused) and admission (3% of the entry's busy time when a place is free).

--- a/packages/daemon/src/agentConnection.ts
+++ b/packages/daemon/src/agentConnection.ts
@@ -88,12 +88,14 @@
           'content-length': String(exchange.body.length),
         },
         agent,
-        signal: exchange.signal,
       });
     } catch (error) {
       // Node refuses header values and paths that HTTP does not allow.
       return settle({tag: 'refused', detail: (error as Error).message});
     }
+    // Own listener, as Node's `signal` option watches the end of the stream.
+    const cancel = () => outgoing.destroy(new Error('cancelled'));
+    exchange.signal.addEventListener('abort', cancel);
     outgoing.on('socket', socket =>
       watchConnect(outgoing, socket, () => {
         isConnected = true;
@@ -107,6 +109,7 @@
       settle({tag, detail: error.message});
     });
     outgoing.on('close', () => {
+      exchange.signal.removeEventListener('abort', cancel);
       if (!isSettled) settle({tag: 'unknown', detail: 'connection closed'});
     });
     outgoing.on('response', response => {
--- a/packages/daemon/src/answerBuffer.ts
+++ b/packages/daemon/src/answerBuffer.ts
@@ -17,16 +17,21 @@
   return /^text\/event-stream\b/i.test(contentType ?? '');
 }
 
-async function* joinChunks(
-  first: readonly Buffer[],
-  rest: AsyncGenerator<Buffer, void, undefined>,
-): AsyncGenerator<Buffer, void, undefined> {
-  try {
-    yield* first;
-    yield* rest;
-  } finally {
-    await rest.return();
-  }
+function joinChunks(
+  first: Buffer[],
+  rest: ArrivingAnswer['chunks'],
+): AsyncIterable<Buffer> {
+  const iterator: AsyncIterator<Buffer, void, undefined> = {
+    next: () => {
+      const value = first.shift();
+      return value ? Promise.resolve({done: false, value}) : rest.next();
+    },
+    return: async () => {
+      await rest.return?.();
+      return {done: true, value: undefined};
+    },
+  };
+  return {[Symbol.asyncIterator]: () => iterator};
 }
 
 /**
--- a/packages/daemon/src/answerWriter.ts
+++ b/packages/daemon/src/answerWriter.ts
@@ -34,15 +34,15 @@
   });
 }
 
-async function write(
+/** Writes at once; a promise only if the caller must read first. */
+function write(
   response: ServerResponse,
-  bytes: Buffer | string,
+  bytes: Buffer,
   stallMs: number,
-): Promise<boolean> {
+): boolean | Promise<boolean> {
   if (bytes.length === 0) return true;
   if (response.destroyed) return false;
-  if (response.write(bytes)) return true;
-  return waitForDrain(response, stallMs);
+  return response.write(bytes) || waitForDrain(response, stallMs);
 }
 
 function endWithError(response: ServerResponse, refusal: Refusal): void {
@@ -85,10 +85,18 @@
   }
   response.statusCode = answer.status;
   if (isStream) response.flushHeaders();
+  const {whole} = answer;
+  // What fits into the socket's buffer needs no wait and leaves in one write.
+  if (whole && whole.length < response.writableHighWaterMark) {
+    const finished = await answer.finished;
+    if (response.destroyed) return {tag: 'callerGone'};
+    return endWhole(response, whole, finished);
+  }
   const filter = isStream ? createEventFilter() : null;
   for await (const chunk of answer.body) {
     const bytes = filter ? filter.push(chunk) : chunk;
-    if (await write(response, bytes, stallMs)) continue;
+    const written = write(response, bytes, stallMs);
+    if (written === true || (await written)) continue;
     response.destroy();
     return {tag: 'callerGone'};
   }
--- a/packages/daemon/src/attempt.ts
+++ b/packages/daemon/src/attempt.ts
@@ -31,7 +31,7 @@
   status: number;
   headers: IncomingHttpHeaders;
   /** Parts of the body; ends early without an error if the answer is cut. */
-  chunks: AsyncGenerator<Buffer, void, undefined>;
+  chunks: AsyncIterator<Buffer, void, undefined>;
   /** Resolves when the answer is over; null if it was cut. */
   ended: Promise<AnswerEnd | null>;
   /** What the agent observed of a cut answer; null if it could not say. */
@@ -118,6 +118,7 @@
 function readEnd(
   input: AttemptInput,
   response: IncomingMessage,
+  load: Load | null,
   wanted: 'whole' | 'cut',
 ): AnswerEnd | null {
   const status = response.statusCode ?? 0;
@@ -130,7 +131,6 @@
   if (attemptId !== undefined && attemptId !== input.attemptId) return null;
   const spans = readField(values, HEADERS.spans, spansSchema) ?? [];
   const usage = readField(values, HEADERS.usage, usageSchema);
-  const load = readField(response.headers, HEADERS.load, loadSchema);
   const engineEpoch = getText(response.headers, 'x-engine-epoch');
   return {
     spans: spans satisfies Span[],
@@ -139,22 +139,54 @@
   };
 }
 
-async function* readChunks(
+/**
+ * Reads a body part by part; a cut ends it without an error and shows in
+ * `ended`. Async generators would cost several promises for each token.
+ */
+function readChunks(
   response: IncomingMessage,
-): AsyncGenerator<Buffer, void, undefined> {
-  try {
-    for await (const chunk of response) yield chunk as Buffer;
-  } catch {
-    // A cut shows in `ended`.
-  }
+): AsyncIterator<Buffer, void, undefined> {
+  let isOver = response.destroyed;
+  let wake: (() => void) | null = null;
+  const notify = () => {
+    const waiting = wake;
+    wake = null;
+    waiting?.();
+  };
+  const finish = () => {
+    isOver = true;
+    notify();
+  };
+  response.on('readable', notify);
+  response.on('end', finish);
+  response.on('error', finish);
+  response.on('close', finish);
+  const next = (): Promise<IteratorResult<Buffer, void>> => {
+    const chunk = response.read() as Buffer | null;
+    if (chunk !== null) return Promise.resolve({done: false, value: chunk});
+    if (isOver) return Promise.resolve({done: true, value: undefined});
+    return new Promise(resolve => {
+      wake = () => resolve(next());
+    });
+  };
+  return {
+    next,
+    return: () => {
+      response.destroy();
+      return Promise.resolve({done: true, value: undefined});
+    },
+  };
 }
 
 function getArrivingAnswer(
   input: AttemptInput,
   response: IncomingMessage,
+  load: Load | null,
 ): ArrivingAnswer {
   const ended = new Promise<AnswerEnd | null>(resolve => {
-    response.once('end', () => resolve(readEnd(input, response, 'whole')));
+    response.once('end', () =>
+      resolve(readEnd(input, response, load, 'whole')),
+    );
     response.once('close', () => resolve(null));
   });
   return {
@@ -162,7 +194,7 @@
     headers: response.headers,
     chunks: readChunks(response),
     ended,
-    getPartial: () => readEnd(input, response, 'cut'),
+    getPartial: () => readEnd(input, response, load, 'cut'),
     cancel: () => response.destroy(),
   };
 }
@@ -208,7 +240,7 @@
     response.resume();
     return {tag: 'unknown', reason: refusal, load, isConnected: true};
   }
-  const answer = getArrivingAnswer(input, response);
+  const answer = getArrivingAnswer(input, response, load);
   const agentEpoch = getText(response.headers, AGENT_EPOCH_HEADER) ?? null;
   return {tag: 'answer', answer, load, agentEpoch};
 }
--- a/packages/daemon/src/dispatcher.ts
+++ b/packages/daemon/src/dispatcher.ts
@@ -72,12 +72,14 @@
  */
 function getCallerHeaders(
   request: DispatchRequest,
-  {answer, length}: RunAnswer,
+  {answer, whole}: RunAnswer,
 ): Record<string, string> {
   const headers = sanitizeAnswerHeaders(answer.headers);
   if (request.method === 'HEAD') return headers;
   delete headers['content-length'];
-  if (length !== null && length > 0) headers['content-length'] = String(length);
+  if (whole && whole.length > 0) {
+    headers['content-length'] = String(whole.length);
+  }
   return headers;
 }
 
@@ -204,7 +206,7 @@
       grant.finish();
       return outcome;
     }
-    const {answer, upstream, agentEpoch, body, finished} = outcome.value;
+    const {answer, upstream, agentEpoch, finished} = outcome.value;
     metrics.observe('vc_first_byte_ms', clock.now() - startedAt);
     void finished.then(result => {
       release();
@@ -218,7 +220,15 @@
       grant.finish(tokens > 0 ? tokens : undefined);
     });
     const headers = getCallerHeaders(request, outcome.value);
-    return ok({status: answer.status, headers, upstream, body, finished});
+    const {body, whole} = outcome.value;
+    return ok({
+      status: answer.status,
+      headers,
+      upstream,
+      body,
+      whole: whole ?? undefined,
+      finished,
+    });
   }
 
   async function dispatch(
--- a/packages/daemon/src/requestRun.ts
+++ b/packages/daemon/src/requestRun.ts
@@ -54,8 +54,8 @@
   upstream: string;
   agentEpoch: string | null;
   body: AsyncIterable<Buffer>;
-  /** Length of the body if all of it has arrived; null while it streams. */
-  length: number | null;
+  /** The body if all of it has arrived; null while it streams. */
+  whole: Buffer | null;
   finished: Promise<Result<AnswerEnd, Refusal>>;
 }
 
@@ -159,8 +159,8 @@
     const base = {answer, upstream, agentEpoch, finished};
     const value =
       start.tag === 'whole'
-        ? {...base, body: getSingle(start.body), length: start.body.length}
-        : {...base, body: start.body, length: null};
+        ? {...base, body: getSingle(start.body), whole: start.body}
+        : {...base, body: start.body, whole: null};
     return {tag: 'answer', value};
   }
 
--- a/packages/daemon/src/targets.ts
+++ b/packages/daemon/src/targets.ts
@@ -50,7 +50,10 @@
 
   return {
     queue: request.poolId,
-    isEmpty: membership.getPoolMembers(request.poolId).length === 0,
+    // Listing all members of a large pool costs more than the candidates.
+    isEmpty:
+      membership.getCandidates(request.poolId).length === 0 &&
+      membership.getPoolMembers(request.poolId).length === 0,
     getCapacity: () => {
       const views = getEligibleViews(always);
       return {slots: getFreeTotal(views), hasUpstream: views.length > 0};
--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -180,6 +180,8 @@
   upstream: string;
   /** Parts of the body; ends early if the answer is cut. */
   body: AsyncIterable<Buffer>;
+  /** The same body where all of it has arrived already. */
+  whole?: Buffer;
   /** Says, after the body ended, whether it was whole. */
   finished: Promise<Result<AnswerEnd, Refusal>>;
 }
