--- a/packages/daemon/src/dispatcher.ts
+++ b/packages/daemon/src/dispatcher.ts
@@ -60,6 +60,13 @@
 /** A constant, as making an error for each request costs time. */
 const REQUEST_ENDED = 'the request ended';
 
+/** Ends one request from outside. */
+interface RequestSignal {
+  signal: AbortSignal;
+  /** Ends the timer and the listeners behind the signal. */
+  release(): void;
+}
+
 const defaultAccount: Account = accountSchema.parse({});
 const defaultReporting = reportingSchema.parse({});
 
@@ -69,12 +76,14 @@
  */
 function getCallerHeaders(
   request: DispatchRequest,
-  {answer, length}: RunAnswer,
+  {answer, whole}: RunAnswer,
 ): Record<string, string> {
   const headers = sanitizeAnswerHeaders(answer.headers);
   if (request.method === 'HEAD') return headers;
   delete headers['content-length'];
-  if (length !== null && length > 0) headers['content-length'] = String(length);
+  if (whole && whole.length > 0) {
+    headers['content-length'] = String(whole.length);
+  }
   return headers;
 }
 
@@ -173,23 +182,19 @@
    * Own listeners, as `AbortSignal.any` keeps memory for signals that live
    * as long as the process.
    */
-  function createRequestSignal(
-    request: DispatchRequest,
-    ended: AbortSignal,
-  ): AbortSignal {
+  function createRequestSignal(request: DispatchRequest): RequestSignal {
     const controller = new AbortController();
-    const abort = () => controller.abort();
+    // With a constant reason, as the default one is an error with a stack.
+    const abort = () => controller.abort(REQUEST_ENDED);
     const sources = [request.signal, hardStop.signal];
     if (sources.some(source => source.aborted)) abort();
     for (const source of sources) source.addEventListener('abort', abort);
+    const cancelTimer = clock.callAt(request.deadline, abort);
     const release = () => {
+      cancelTimer();
       for (const source of sources) source.removeEventListener('abort', abort);
     };
-    ended.addEventListener('abort', release, {once: true});
-    void clock
-      .waitUntil(request.deadline, ended)
-      .then(() => ended.aborted || abort());
-    return controller.signal;
+    return {signal: controller.signal, release};
   }
 
   async function sendAdmitted(
@@ -200,7 +205,7 @@
   ): Promise<Result<UpstreamAnswer, Refusal>> {
     const window = getWindow();
     const startedAt = clock.now();
-    const ended = new AbortController();
+    const {signal, release} = createRequestSignal(request);
     const run = createRequestRun({
       context,
       request,
@@ -215,7 +220,7 @@
       isQuarantined: () =>
         control.getState().quarantine.has(request.fingerprint),
       maxBufferedAnswer: options.maxBufferedAnswer ?? MAX_BUFFERED_ANSWER,
-      signal: createRequestSignal(request, ended.signal),
+      signal,
       forwards: options.forwards,
       onSent: () => grant.noteSent(),
       onMissedEnd: (upstream, agentEpoch) =>
@@ -223,14 +228,14 @@
     });
     const outcome = await run();
     if (!outcome.ok) {
-      ended.abort(REQUEST_ENDED);
+      release();
       grant.finish();
       return outcome;
     }
-    const {answer, upstream, agentEpoch, body, finished} = outcome.value;
+    const {answer, upstream, agentEpoch, finished} = outcome.value;
     metrics.observe('vc_first_byte_ms', clock.now() - startedAt);
     void finished.then(result => {
-      ended.abort(REQUEST_ENDED);
+      release();
       metrics.observe('vc_dispatch_ms', clock.now() - startedAt);
       if (!result.ok) return grant.finish();
       const {usage} = result.value;
@@ -241,7 +246,15 @@
       grant.finish(tokens > 0 ? tokens : undefined);
     });
     const headers = getCallerHeaders(request, outcome.value);
-    return ok({status: answer.status, headers, upstream, body, finished});
+    const {body, whole} = outcome.value;
+    return ok({
+      status: answer.status,
+      headers,
+      upstream,
+      body,
+      whole: whole ?? undefined,
+      finished,
+    });
   }
 
   async function dispatch(
