Let the rest of a step be made by a known weight version in samples.test

Change: the test waits until an engine serves version 4 before it resubmits; the check is unchanged.

--- a/packages/integration/src/samples.test.ts
+++ b/packages/integration/src/samples.test.ts
@@ -241,6 +241,22 @@
     assert.deepEqual(answer.body, {recorded: true});
     assert.ok(coach.samples.size < SAMPLE_COUNT, 'the entry dies in mid-step');
     await deployment.remove(first);
+    // Whichever entry holds the lease next, the rest is made by version 4.
+    await waitUntil(
+      'an engine serves version 4',
+      () =>
+        deployment.agents.some(({engine}) =>
+          engine
+            ?.getAudit()
+            .orders.some(
+              ({action, version, outcome}) =>
+                action !== 'stage' &&
+                version === 4 &&
+                outcome.status === 'done',
+            ),
+        ),
+      STEP_TIMEOUT_MS,
+    );
 
     const unknown = await coach.deliver(second.url);
     assert.equal(unknown.status, 404, 'the other entry asks for the step');
