Test every parser with malformed input and fix what it breaks

Faults found and their causes:

- An authenticated RPC body of null or [null] made json-rpc-2.0 throw, so the peer listener dropped the connection.
Only objects are passed on now.
- A deeply nested prompt overflowed JSON.stringify and came back as internal with an unknown outcome.
It is bad_request and not run.
- max_tokens of 1e308 became the cost of a request and so the virtual time of its pool, after which no account's cost changed the order.
The cost is capped.
- An engine that stated 1e300 tokens made cells that the schemas of polls and seals refuse.
Counts above 1e9 are not counts, at agent and entry.
- The event filter and the event observer copied or split all bytes held at each part, which is quadratic: 400,000 one-byte parts did not finish within 40 s.
The filter also held everything after [DONE] without a bound.
- A directory named X.json or a dangling link ended the command line with an exception instead of a listed mistake.

--- /dev/null
+++ b/packages/cli/src/declarations.test.ts
@@ -0,0 +1,68 @@
+import {getAbuseSeed} from '@vanillacross/common';
+import * as fc from 'fast-check';
+import assert from 'node:assert/strict';
+import {
+  mkdirSync,
+  mkdtempSync,
+  rmSync,
+  symlinkSync,
+  writeFileSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {after, before, describe, it} from 'node:test';
+
+import {readDeclarations} from './declarations.js';
+
+const options = {seed: getAbuseSeed(), numRuns: 150};
+
+describe('malformed declarations', () => {
+  let directory = '';
+  before(() => {
+    directory = mkdtempSync(join(tmpdir(), 'declarations-'));
+    mkdirSync(join(directory, 'account'));
+  });
+  after(() => rmSync(directory, {recursive: true}));
+
+  it('are listed as mistakes, never thrown', () => {
+    const body = fc.oneof(
+      fc.jsonValue({maxDepth: 2}),
+      fc.constantFrom({weight: -1}, {weight: 'x'}, {extra: 1}, null, []),
+    );
+    const text = fc.oneof(
+      fc.string(),
+      fc.json(),
+      fc
+        .record({schemaVersion: fc.constantFrom(0, 1, 2, 'x'), body})
+        .map(value => JSON.stringify(value)),
+    );
+    const file = join(directory, 'account', 'one.json');
+    fc.assert(
+      fc.property(text, content => {
+        writeFileSync(file, content);
+        const read = readDeclarations(directory);
+        if (read.ok) {
+          // Only a body that is valid by its schema may be published.
+          assert.deepEqual(Object.keys(JSON.parse(content) as object), [
+            'schemaVersion',
+            'body',
+          ]);
+          return;
+        }
+        assert.equal(read.error.tag, 'usage');
+      }),
+      options,
+    );
+    rmSync(file);
+  });
+
+  it('that cannot be read are listed with the others', () => {
+    mkdirSync(join(directory, 'account', 'folder.json'));
+    symlinkSync(join(directory, 'none'), join(directory, 'dangling'));
+    writeFileSync(join(directory, 'account', 'a b.json'), '{"body":{}}');
+    const read = readDeclarations(directory);
+    assert.ok(!read.ok && read.error.tag === 'usage');
+    assert.match(read.error.message, /folder\.json: not readable/);
+    assert.match(read.error.message, /a b is not a record key/);
+  });
+});
--- a/packages/cli/src/declarations.ts
+++ b/packages/cli/src/declarations.ts
@@ -26,7 +26,13 @@
 });
 
 function readDeclaration(path: string, key: string): Declaration | string {
-  const json = parseJson(readFileSync(path, 'utf8'));
+  let text: string;
+  try {
+    text = readFileSync(path, 'utf8');
+  } catch (error) {
+    return `${path}: not readable: ${(error as Error).message}`;
+  }
+  const json = parseJson(text);
   if (!json.ok) return `${path}: not JSON: ${json.error.detail}`;
   const file = fileSchema.safeParse(json.value);
   if (!file.success) {
@@ -59,7 +65,8 @@
   const mistakes: string[] = [];
   for (const kind of readdirSync(directory).sort()) {
     const folder = join(directory, kind);
-    if (kind.startsWith('.') || !statSync(folder).isDirectory()) continue;
+    const isFolder = statSync(folder, {throwIfNoEntry: false})?.isDirectory();
+    if (kind.startsWith('.') || !isFolder) continue;
     if (!isRecordKind(kind)) {
       mistakes.push(`${folder}: no such record kind`);
       continue;
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,4 +1,5 @@
 /** Helpers that every package may use. */
+export * from './abuse.js';
 export * from './brand.js';
 export * from './clock.js';
 export * from './hash.js';
--- a/packages/common/src/rpc.ts
+++ b/packages/common/src/rpc.ts
@@ -105,6 +105,13 @@
       sendJson(response, 400, {error: body.error.tag});
       return;
     }
+    // The library throws on members of a batch that are not objects, and own
+    // processes send no batches.
+    const isObject = typeof body.value === 'object' && body.value !== null;
+    if (!isObject || Array.isArray(body.value)) {
+      sendJson(response, 400, {error: 'not_a_request'});
+      return;
+    }
     const answer = await server.receive(body.value as JSONRPCRequest);
     sendJson(response, 200, answer ?? {});
   };
--- a/packages/daemon/src/agentObserver.ts
+++ b/packages/daemon/src/agentObserver.ts
@@ -2,7 +2,7 @@
 import {StringDecoder} from 'node:string_decoder';
 
 import type {LiveVersions, Span} from '@vanillacross/domain';
-import {addTokens, noSpans} from '@vanillacross/domain';
+import {addTokens, MAX_STATED_TOKENS, noSpans} from '@vanillacross/domain';
 import type {ObservedSpans} from '@vanillacross/domain';
 
 /** Longest event or JSON answer that is inspected, bytes. */
@@ -46,9 +46,11 @@
 }
 
 function getCount(value: unknown): number | null {
-  return typeof value === 'number' && Number.isInteger(value) && value >= 0
-    ? value
-    : null;
+  const isCount =
+    Number.isInteger(value) &&
+    (value as number) >= 0 &&
+    (value as number) <= MAX_STATED_TOKENS;
+  return isCount ? (value as number) : null;
 }
 
 /** Tokens in one event: as stated, by ids, or one per choice with text. */
@@ -111,7 +113,10 @@
   }
 
   finish(isEnded: boolean): Observation {
-    const generated = Math.max(this.usage.generated, this.counted);
+    const generated = Math.min(
+      Math.max(this.usage.generated, this.counted),
+      MAX_STATED_TOKENS,
+    );
     return {
       spans: this.spans.spans.map(span => [...span] as Span),
       usage: {prompt: this.usage.prompt, generated},
@@ -139,7 +144,13 @@
   };
   return {
     write: chunk => {
-      const lines = (rest + decoder.write(chunk)).split(/\r\n|\n/);
+      const text = decoder.write(chunk);
+      // Splitting the whole line at every part of it takes quadratic time.
+      if (!text.includes('\n')) {
+        rest = rest.length > MAX_INSPECTED_BYTES ? '' : rest + text;
+        return;
+      }
+      const lines = (rest + text).split(/\r\n|\n/);
       rest = lines.pop() ?? '';
       if (rest.length > MAX_INSPECTED_BYTES) rest = '';
       for (const line of lines) readLine(line);
--- a/packages/daemon/src/attempt.ts
+++ b/packages/daemon/src/attempt.ts
@@ -1,7 +1,7 @@
 import type {Clock} from '@vanillacross/common';
 import {getAuth, parseJson} from '@vanillacross/common';
 import type {Load, Span} from '@vanillacross/domain';
-import {HEADERS, loadSchema} from '@vanillacross/domain';
+import {HEADERS, loadSchema, MAX_STATED_TOKENS} from '@vanillacross/domain';
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
 import {z} from 'zod';
 
@@ -54,11 +54,9 @@
 /** Header in which an agent names its epoch, for usage cells. */
 export const AGENT_EPOCH_HEADER = 'vc-agent-epoch';
 
-const spansSchema = z.array(z.tuple([z.number(), z.number()]));
-const usageSchema = z.object({
-  prompt: z.number().min(0),
-  generated: z.number().min(0),
-});
+const tokensSchema = z.number().int().min(0).max(MAX_STATED_TOKENS);
+const spansSchema = z.array(z.tuple([z.number().int(), tokensSchema]));
+const usageSchema = z.object({prompt: tokensSchema, generated: tokensSchema});
 
 type TrailerValues = NodeJS.Dict<string | string[]>;
 
--- a/packages/daemon/src/callerRequest.ts
+++ b/packages/daemon/src/callerRequest.ts
@@ -57,6 +57,8 @@
 const BYTES_PER_TOKEN = 4;
 /** Tokens assumed for a completion that states no limit. */
 const DEFAULT_MAX_TOKENS = 256;
+/** Largest cost that `max_tokens` may state; more breaks the fair shares. */
+const MAX_COST_TOKENS = 1_000_000;
 /** Part of a prompt that decides where its prefix is cached, characters. */
 const PREFIX_LENGTH = 256;
 
@@ -115,9 +117,16 @@
   return hash.update(body).digest('hex');
 }
 
-function getPromptText(completion: Completion): string {
+/** The prompt as text; null if it is nested too deeply to be written. */
+function getPromptText(completion: Completion): string | null {
   const prompt = completion.prompt ?? completion.messages ?? '';
-  return typeof prompt === 'string' ? prompt : JSON.stringify(prompt);
+  if (typeof prompt === 'string') return prompt;
+  try {
+    return JSON.stringify(prompt);
+  } catch {
+    // `JSON.parse` accepts deeper nesting than `JSON.stringify`.
+    return null;
+  }
 }
 
 function readCompletion(
@@ -138,11 +147,13 @@
   pool: Pool,
   completion: Completion | null,
   body: Buffer,
-): {cost: number; affinity: string} {
+): {cost: number; affinity: string} | null {
   if (pool.kind === 'plain' || !completion) return {cost: 1, affinity: ''};
   const promptTokens = Math.ceil(body.length / BYTES_PER_TOKEN);
-  const cost = promptTokens + (completion.max_tokens ?? DEFAULT_MAX_TOKENS);
-  const prefix = getPromptText(completion).slice(0, PREFIX_LENGTH);
+  const maxTokens = completion.max_tokens ?? DEFAULT_MAX_TOKENS;
+  const cost = promptTokens + Math.min(maxTokens, MAX_COST_TOKENS);
+  const prefix = getPromptText(completion)?.slice(0, PREFIX_LENGTH);
+  if (prefix === undefined) return null;
   return {cost, affinity: getSha256(`${completion.model}\n${prefix}`)};
 }
 
@@ -173,5 +184,9 @@
     return fail(createNotRun('quarantined', message));
   }
   const estimate = getEstimate(pool, completion.value, body);
+  if (!estimate) {
+    const message = 'the prompt is nested too deeply';
+    return fail(createNotRun('bad_request', message));
+  }
   return ok({account: account.value, entry, pool, fingerprint, ...estimate});
 }
--- a/packages/daemon/src/eventStream.ts
+++ b/packages/daemon/src/eventStream.ts
@@ -9,6 +9,10 @@
   flush(): Buffer;
 }
 
+/** Room for a partial event at the start, bytes. */
+const INITIAL_BYTES = 4 * 1024;
+/** Longest beginning of a blank line that may end a part, bytes. */
+const BLANK_LINE_BYTES = 3;
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const EMPTY = Buffer.alloc(0);
@@ -34,15 +38,39 @@
  * passed on, so that a cut stream can end with an error event (R11).
  */
 export function createEventFilter(): EventFilter {
-  let held: Buffer = EMPTY;
+  // Grows by doubling: copying every byte held at each part of an event takes
+  // quadratic time when an upstream sends small parts.
+  let store = Buffer.allocUnsafe(INITIAL_BYTES);
+  let size = 0;
+  let searched = 0;
   let hasDone = false;
+
+  const append = (chunk: Buffer) => {
+    if (size + chunk.length > store.length) {
+      const grown = Buffer.allocUnsafe(2 * (size + chunk.length));
+      store.copy(grown, 0, 0, size);
+      store = grown;
+    }
+    chunk.copy(store, size);
+    size += chunk.length;
+  };
+  const take = (length: number): Buffer => {
+    if (length === 0) return EMPTY;
+    const out = Buffer.from(store.subarray(0, length));
+    store.copyWithin(0, length, size);
+    size -= length;
+    return out;
+  };
   return {
     push: chunk => {
-      held = held.length === 0 ? chunk : Buffer.concat([held, chunk]);
+      // Nothing after the end event is part of the answer.
+      if (hasDone && size > MAX_PARTIAL_EVENT) return EMPTY;
+      append(chunk);
       if (hasDone) return EMPTY;
+      const held = store.subarray(0, size);
       let passed = 0;
       for (;;) {
-        const end = getEventEnd(held, passed);
+        const end = getEventEnd(held, Math.max(passed, searched));
         if (end < 0) break;
         if (isDone(held.toString('latin1', passed, end))) {
           hasDone = true;
@@ -50,18 +78,12 @@
         }
         passed = end;
       }
-      if (!hasDone && held.length - passed > MAX_PARTIAL_EVENT) {
-        passed = held.length;
-      }
-      const out = held.subarray(0, passed);
-      held = held.subarray(passed);
-      return out;
-    },
-    flush: () => {
-      const out = held;
-      held = EMPTY;
+      if (!hasDone && size - passed > MAX_PARTIAL_EVENT) passed = size;
+      const out = take(passed);
+      searched = Math.max(0, size - BLANK_LINE_BYTES);
       return out;
     },
+    flush: () => take(size),
   };
 }
 
--- a/packages/domain/src/constants.ts
+++ b/packages/domain/src/constants.ts
@@ -14,3 +14,8 @@
 export const REMEMBERED_SEALS = 256;
 /** Quarantined fingerprints that are kept. */
 export const REMEMBERED_QUARANTINES = 1_024;
+/**
+ * Largest token count that one message may state. Sums of larger counts leave
+ * the range of exact integers, and the schemas of polls and seals refuse them.
+ */
+export const MAX_STATED_TOKENS = 1_000_000_000;
--- a/packages/domain/src/controlState.ts
+++ b/packages/domain/src/controlState.ts
@@ -335,6 +335,8 @@
   const snapshot = parsed.data;
   const records = new Map<string, StoredRecord>();
   for (const [key, record] of snapshot.records) {
+    // A record under another key would be invisible to puts of its own key.
+    if (key !== record.key) return null;
     const stored = createStoredRecord({...record, body: record.raw}, undefined);
     if (typeof stored !== 'string') records.set(key, stored);
   }
