--- a/packages/daemon/src/callerServer.ts
+++ b/packages/daemon/src/callerServer.ts
@@ -120,7 +120,10 @@
   const logger = context.logger.part('callers');
   const getTable = createTableCache(control);
   const connectedCallers = createConnectedCallers();
-  const bodies = createBodyBudget(limits.maxAccountBytes);
+  // One body is always accepted, however large the limit of bodies is.
+  const bodies = createBodyBudget(
+    Math.max(limits.maxAccountBytes, limits.maxBodyBytes),
+  );
   let address = '';
   let isDraining = false;
   let unsubscribe = () => {};
--- a/packages/daemon/src/listenerAbuse.test.ts
+++ b/packages/daemon/src/listenerAbuse.test.ts
@@ -1,116 +1,25 @@
+import {getAbuseSeed, getSha256, parseJson} from '@vanillacross/common';
 import {
-  getAbuseSeed,
-  getSha256,
-  ok,
-  parseAddress,
-  parseJson,
-} from '@vanillacross/common';
-import {createAccessTable, getPathRoutes} from '@vanillacross/domain';
+  createAccessTable,
+  getPathRoutes,
+  usageCellSchema,
+} from '@vanillacross/domain';
 import * as fc from 'fast-check';
 import assert from 'node:assert/strict';
-import * as http from 'node:http';
-import * as net from 'node:net';
 import {afterEach, describe, it} from 'node:test';
 
 import {checkBody} from './callerRequest.js';
-import {createCallerServer, defaultCallerLimits} from './callerServer.js';
-import {createDispatcher} from './dispatcher.js';
+import {baseRecords, createFakeControl, KEY} from './entryFakes.test.js';
 import {
-  baseRecords,
-  createContext,
-  createFakeControl,
-  createFakeMembership,
-  KEY,
-  sendWhole,
-  startAgent,
-} from './entryFakes.test.js';
-import {createOperatorActions} from './operatorActions.js';
-import {createTrainerActions} from './trainerActions.js';
-import type {EntryMembership} from './membership.js';
-import type {ControlFollower} from './types.js';
+  sendRaw,
+  startEntry,
+  stopEntries,
+  TOKEN,
+  TRAINER_KEY,
+} from './listenerFakes.test.js';
 
-const TOKEN = 'operator-token';
 const options = {seed: getAbuseSeed(), numRuns: 60};
-const TRAINER_KEY = 'sk-two';
-
-const cleanups: Array<() => Promise<void>> = [];
-afterEach(async () => {
-  for (const cleanup of cleanups.splice(0).reverse()) await cleanup();
-});
-
-/** Starts one caller listener with all three interfaces of an entry. */
-async function startEntry() {
-  const agent = await startAgent('u1', response => sendWhole(response, 'ok'));
-  const context = createContext();
-  const control = createFakeControl({
-    ...baseRecords,
-    'trainer/t1': {account: 'two', model: 'm', maxVersionAge: 1},
-  });
-  let appends = 0;
-  const follower: ControlFollower = {
-    ...control,
-    append: async () => {
-      appends += 1;
-      return ok({tag: 'accepted' as const, offset: 0});
-    },
-  };
-  const membership = createFakeMembership([
-    {id: 'u1', address: agent.address},
-    {id: 'u2', address: agent.address, pool: 'engine'},
-  ]);
-  const dispatcher = createDispatcher(context, control, membership);
-  const operator = createOperatorActions(
-    context,
-    follower,
-    membership as unknown as EntryMembership,
-    {tokenHash: getSha256(TOKEN)},
-  );
-  const trainer = createTrainerActions(context, control, dispatcher, {
-    logPort: {
-      append: async () => ok([0]),
-      read: async () => ok({records: [], earliest: 0, next: 0}),
-    } as never,
-    scoring: null,
-    getNewestVersion: () => 1,
-  });
-  const server = createCallerServer(
-    context,
-    control,
-    membership,
-    dispatcher,
-    [...operator, ...trainer.actions],
-    defaultCallerLimits,
-  );
-  await dispatcher.start();
-  await server.start();
-  cleanups.push(async () => {
-    await trainer.part.stop(AbortSignal.abort());
-    await server.stop(AbortSignal.abort());
-    await dispatcher.stop(AbortSignal.abort());
-    await agent.close();
-  });
-  const send = (path: string, key: string, body: string, method = 'POST') =>
-    new Promise<{status: number; text: string}>((resolve, reject) => {
-      const request = http.request(
-        {
-          ...parseAddress(server.getAddress()),
-          path,
-          method,
-          headers: {authorization: `Bearer ${key}`},
-        },
-        response => {
-          let text = '';
-          response.on('data', chunk => (text += chunk));
-          response.on('end', () =>
-            resolve({status: response.statusCode ?? 0, text}),
-          );
-        },
-      );
-      request.on('error', reject);
-      request.end(body);
-    });
-  return {agent, control, send, server, context, getAppends: () => appends};
-}
+afterEach(stopEntries);
 
 function getCode(text: string): string {
   const parsed = parseJson(text);
@@ -215,8 +124,6 @@
 describe('malformed bytes on the caller listener', () => {
   it('are refused, and the listener keeps serving', async () => {
     const {send, server} = await startEntry();
-    const {host, port} = parseAddress(server.getAddress()) ?? {};
-    assert.ok(port);
     const token = fc.constantFrom(
       'GET /seats/1 HTTP/1.1\r\n',
       'POST /v1/completions HTTP/1.1\r\n',
@@ -234,14 +141,7 @@
     const part = fc.oneof(token, fc.string());
     await fc.assert(
       fc.asyncProperty(fc.array(part, {maxLength: 12}), async parts => {
-        await new Promise<void>(resolve => {
-          const socket = net.connect(port, host, () =>
-            socket.end(parts.join('')),
-          );
-          socket.on('error', () => {});
-          socket.on('close', () => resolve());
-          socket.resume();
-        });
+        await sendRaw(server.getAddress(), parts.join(''));
       }),
       options,
     );
@@ -249,3 +149,46 @@
     assert.equal(answer.status, 200);
   });
 });
+
+describe('malformed headers of an agent', () => {
+  it('give no usage that a poll or a seal refuses', async () => {
+    const value = fc.oneof(
+      fc.json({maxDepth: 2}).filter(text => /^[ -~]*$/.test(text)),
+      fc.constantFrom(
+        '{"prompt":1e300,"generated":1e300}',
+        '{"prompt":-1,"generated":0.5}',
+        '{"prompt":3,"generated":4}',
+        '[[1,1e300]]',
+        '[[0.5,2]]',
+        '{',
+      ),
+    );
+    const names = ['vc-load', 'vc-spans', 'vc-usage'] as const;
+    let values: string[] = [];
+    const {dispatcher, send} = await startEntry({}, response => {
+      response.writeHead(200, {
+        'vc-load': values[0],
+        trailer: 'vc-outcome, vc-spans, vc-usage',
+      });
+      response.write('ok');
+      response.addTrailers({
+        'vc-outcome': 'whole',
+        [names[1]]: values[1],
+        [names[2]]: values[2],
+      });
+      response.end();
+    });
+    await fc.assert(
+      fc.asyncProperty(fc.tuple(value, value, value), async texts => {
+        values = texts;
+        const answer = await send('/private/x', KEY, '{}');
+        assert.equal(answer.status, 200);
+        for (const cell of dispatcher.getCells()) {
+          assert.ok(usageCellSchema.safeParse(cell).success);
+        }
+      }),
+      options,
+    );
+    assert.ok(dispatcher.getCells().some(cell => cell.requests > 0));
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/listenerFakes.test.ts
@@ -0,0 +1,129 @@
+import {getSha256, ok, parseAddress} from '@vanillacross/common';
+import * as http from 'node:http';
+import * as net from 'node:net';
+
+import type {CallerLimits} from './callerServer.js';
+import {createCallerServer, defaultCallerLimits} from './callerServer.js';
+import {createDispatcher} from './dispatcher.js';
+import type {AgentHandler} from './entryFakes.test.js';
+import {
+  baseRecords,
+  createContext,
+  createFakeControl,
+  createFakeMembership,
+  sendWhole,
+  startAgent,
+} from './entryFakes.test.js';
+import type {EntryMembership} from './membership.js';
+import {createOperatorActions} from './operatorActions.js';
+import {createTrainerActions} from './trainerActions.js';
+import type {ControlFollower} from './types.js';
+
+/** An entry's caller listener with all three interfaces, for hostile input. */
+
+export const TOKEN = 'operator-token';
+/** Key of the account that owns the trainer `t1`. */
+export const TRAINER_KEY = 'sk-two';
+
+const cleanups: Array<() => Promise<void>> = [];
+/** Stops all entries that a test started. */
+export async function stopEntries(): Promise<void> {
+  for (const cleanup of cleanups.splice(0).reverse()) await cleanup();
+}
+
+/** Starts one caller listener with all three interfaces of an entry. */
+export async function startEntry(
+  limits: Partial<CallerLimits> = {},
+  handler: AgentHandler = response => sendWhole(response, 'ok'),
+) {
+  const agent = await startAgent('u1', handler);
+  const context = createContext();
+  const control = createFakeControl({
+    ...baseRecords,
+    'trainer/t1': {account: 'two', model: 'm', maxVersionAge: 1},
+  });
+  let appends = 0;
+  const follower: ControlFollower = {
+    ...control,
+    append: async () => {
+      appends += 1;
+      return ok({tag: 'accepted' as const, offset: 0});
+    },
+  };
+  const membership = createFakeMembership([
+    {id: 'u1', address: agent.address},
+    {id: 'u2', address: agent.address, pool: 'engine'},
+  ]);
+  const dispatcher = createDispatcher(context, control, membership);
+  const operator = createOperatorActions(
+    context,
+    follower,
+    membership as unknown as EntryMembership,
+    {tokenHash: getSha256(TOKEN)},
+  );
+  const trainer = createTrainerActions(context, control, dispatcher, {
+    logPort: {
+      append: async () => ok([0]),
+      read: async () => ok({records: [], earliest: 0, next: 0}),
+    } as never,
+    scoring: null,
+    getNewestVersion: () => 1,
+  });
+  const server = createCallerServer(
+    context,
+    control,
+    membership,
+    dispatcher,
+    [...operator, ...trainer.actions],
+    {...defaultCallerLimits, ...limits},
+  );
+  await dispatcher.start();
+  await server.start();
+  cleanups.push(async () => {
+    await trainer.part.stop(AbortSignal.abort());
+    await server.stop(AbortSignal.abort());
+    await dispatcher.stop(AbortSignal.abort());
+    await agent.close();
+  });
+  const send = (path: string, key: string, body: string, method = 'POST') =>
+    new Promise<{status: number; text: string}>((resolve, reject) => {
+      const request = http.request(
+        {
+          ...parseAddress(server.getAddress()),
+          path,
+          method,
+          headers: {authorization: `Bearer ${key}`},
+        },
+        response => {
+          let text = '';
+          response.on('data', chunk => (text += chunk));
+          response.on('end', () =>
+            resolve({status: response.statusCode ?? 0, text}),
+          );
+        },
+      );
+      request.on('error', reject);
+      request.end(body);
+    });
+  return {
+    agent,
+    control,
+    dispatcher,
+    send,
+    server,
+    context,
+    getAppends: () => appends,
+  };
+}
+
+/** Sends bytes on a connection and returns all that comes back. */
+export function sendRaw(address: string, bytes: string): Promise<string> {
+  const {host, port} = parseAddress(address)!;
+  return new Promise(resolve => {
+    let text = '';
+    const socket = net.connect(port, host, () => socket.end(bytes, 'latin1'));
+    socket.on('data', chunk => (text += chunk.toString('latin1')));
+    socket.on('error', () => {});
+    socket.on('close', () => resolve(text));
+  });
+}
--- a/packages/daemon/src/routePath.ts
+++ b/packages/daemon/src/routePath.ts
@@ -4,6 +4,7 @@
 import {
   getAccess,
   getKeyAccount,
+  OPEN_ACCOUNT,
   sanitizeRequestHeaders,
 } from '@vanillacross/domain';
 import {randomUUID} from 'node:crypto';
@@ -216,21 +217,19 @@
   exchange: CallerExchange,
   head: CheckedHead,
 ): Promise<Refusal | null> {
-  const {maxBodyBytes} = server.limits;
-  const body = await readCallerBody(
-    exchange.request,
-    maxBodyBytes,
-    exchange.controller.signal,
-  );
-  if (!body.ok) return body.error;
-  const checked = checkCallerBody(server, head, body.value);
-  if (!checked.ok) return checked.error;
-  const release = server.bodies.take(checked.value.account, body.value.length);
-  if (!release) {
-    const message = 'too many bytes of requests of the account are held';
-    return createNotRun('account_limit', message, 1);
-  }
+  const account = getKeyAccount(server.getTable(), head.key?.hash ?? null);
+  const share = server.bodies.open(account.ok ? account.value : OPEN_ACCOUNT);
   try {
+    // Reserved as it arrives: bodies of slow callers take memory as well.
+    const body = await readCallerBody(
+      exchange.request,
+      server.limits.maxBodyBytes,
+      exchange.controller.signal,
+      share.take,
+    );
+    if (!body.ok) return body.error;
+    const checked = checkCallerBody(server, head, body.value);
+    if (!checked.ok) return checked.error;
     const request = createDispatchRequest(
       server,
       exchange,
@@ -244,7 +243,7 @@
     await passOn(server, exchange, request.value.requestId, answer.value);
     return null;
   } finally {
-    release();
+    share.release();
   }
 }
 
