--- a/packages/common/src/http.ts
+++ b/packages/common/src/http.ts
@@ -42,7 +42,9 @@
 export type BodyFailure =
   | {tag: 'too_large'; limitBytes: number}
   | {tag: 'not_json'; detail: string}
-  | {tag: 'cut'};
+  | {tag: 'cut'}
+  /** The receiver has no memory left for it. */
+  | {tag: 'no_room'};
 
 const DEFAULT_MAX_BYTES = 64 * 1024 * 1024;
 
@@ -64,6 +66,7 @@
   stream: http.IncomingMessage,
   limitBytes: number,
   signal?: AbortSignal,
+  reserve: (bytes: number) => boolean = () => true,
 ): Promise<Result<Buffer, BodyFailure>> {
   const stated = Number(stream.headers['content-length'] ?? 0);
   if (stated > limitBytes) {
@@ -85,8 +88,9 @@
     };
     const onData = (chunk: Buffer) => {
       size += chunk.length;
-      chunks.push(chunk);
       if (size > limitBytes) settle(fail({tag: 'too_large', limitBytes}));
+      else if (reserve(chunk.length)) chunks.push(chunk);
+      else settle(fail({tag: 'no_room'}));
     };
     const onEnd = () =>
       settle(stream.complete ? ok(Buffer.concat(chunks)) : fail({tag: 'cut'}));
--- a/packages/daemon/src/operatorActions.ts
+++ b/packages/daemon/src/operatorActions.ts
@@ -107,6 +107,7 @@
   },
   not_json: {status: 400, code: 'bad_request', message: 'the body is not JSON'},
   cut: {status: 400, code: 'bad_request', message: 'the body is incomplete'},
+  no_room: {status: 503, code: 'account_limit', message: 'no memory is left'},
 };
 
 function createError(
