Honour the scaling setting and compare passthrough with one service

Cause: controller.scaling was not read, so a fleet grew although the settings left it off. The passthrough bench ran the system's service inside the load generator and the baseline's in a process of its own, which lowered the ratio. The security test of an oversized RPC body expected 400; the listener now answers 413, as the HTTP status for it is.

--- a/packages/bench/src/passthrough.ts
+++ b/packages/bench/src/passthrough.ts
@@ -4,6 +4,7 @@
   createRecord,
   startDeployment,
 } from '@vanillacross/integration';
+import type {ProcessHarness} from '@vanillacross/integration';
 import {fileURLToPath} from 'node:url';
 
 import type {LoadRequest} from './load.js';
@@ -42,29 +43,32 @@
   };
 }
 
-/** Starts a chain of two bare hops before a service of its own. */
+/** Starts a chain of two bare hops before a service. */
 async function startBareChain(
-  harness: ReturnType<typeof createProcessHarness>,
-) {
-  const service = await harness.startProcess({
-    name: 'service',
-    file: STANDINS_FILE,
-    args: ['plain', '--listen', '127.0.0.1:0'],
-  });
-  let address = String(service.ready.address);
+  harness: ProcessHarness,
+  serviceUrl: string,
+): Promise<string> {
+  let url = serviceUrl;
   for (const name of ['inner hop', 'outer hop']) {
     const hop = await harness.startProcess({
       name,
       file: HOP_FILE,
-      args: [`http://${address}`],
+      args: [url],
     });
-    address = String(hop.ready.address);
+    url = `http://${String(hop.ready.address)}`;
   }
-  return `http://${address}`;
+  return url;
 }
 
 async function run(): Promise<Measurement> {
   const harness = createProcessHarness();
+  // One service for both paths, so that its cost and process are the same.
+  const service = await harness.startProcess({
+    name: 'service',
+    file: STANDINS_FILE,
+    args: ['plain', '--listen', '127.0.0.1:0'],
+  });
+  const serviceUrl = `http://${String(service.ready.address)}`;
   const deployment = await startDeployment({
     domains: ['domain-a'],
     entries: 1,
@@ -73,6 +77,7 @@
         id: 'seats',
         body: {kind: 'plain', maxConcurrent: 256, ramp: {initial: 256}},
         upstreams: 1,
+        serviceUrl,
       },
     ],
     records: [
@@ -87,7 +92,7 @@
     ],
   });
   try {
-    const bareUrl = await startBareChain(harness);
+    const bareUrl = await startBareChain(harness, serviceUrl);
     const systemUrl = deployment.entries[0].url;
     await runRound(bareUrl);
     await runRound(systemUrl);
--- a/packages/common/src/rpcAbuse.test.ts
+++ b/packages/common/src/rpcAbuse.test.ts
@@ -104,6 +104,6 @@
 
   it('above the limit get an answer', async () => {
     const auth = getAuth(SECRET, 'POST', RPC_PATH, 'r', Date.now());
-    assert.equal(await post('x'.repeat(17 * 1024 * 1024), auth, 'r'), 400);
+    assert.equal(await post('x'.repeat(17 * 1024 * 1024), auth, 'r'), 413);
   });
 });
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -38,6 +38,8 @@
   getMissedEnds?: () => readonly MissedEnd[];
   /** How long the platform's log keeps records, ms. */
   retentionMs?: number;
+  /** Orders upstreams by demand; true if absent. */
+  isScaling?: boolean;
   /** Creates clients for peer listeners; tests pass their own. */
   createClient?: ClientFactory;
 }
@@ -91,15 +93,6 @@
   const tasks: Part[] = [
     loads,
     crashes,
-    createUpstreamScaling(
-      context,
-      control,
-      membership,
-      lease,
-      orders,
-      loads,
-      ports.ordering,
-    ),
     createWeightRollout(
       context,
       control,
@@ -116,6 +109,19 @@
       options.retentionMs ?? DEFAULT_RETENTION_MS,
     ),
   ];
+  if (options.isScaling ?? true) {
+    tasks.push(
+      createUpstreamScaling(
+        context,
+        control,
+        membership,
+        lease,
+        orders,
+        loads,
+        ports.ordering,
+      ),
+    );
+  }
   membership.onReport((cells, reports) => {
     usage.note(cells);
     crashes.note(reports);
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -119,6 +119,7 @@
       getCells: () => dispatcher.getCells(),
       getMissedEnds: () => dispatcher.getMissedEnds?.() ?? [],
       retentionMs: settings.controller.retentionMs,
+      isScaling: settings.controller.scaling,
     },
   );
   const {scoring, weights} = settings.platform;
--- a/packages/integration/src/deployment.ts
+++ b/packages/integration/src/deployment.ts
@@ -55,6 +55,8 @@
   upstreams: number;
   engine?: EngineOptions;
   plain?: PlainServiceOptions;
+  /** A running service that all upstreams of the pool stand for. */
+  serviceUrl?: string;
   /** Publishes upstream records that say so; engines then check too. */
   checksFencing?: boolean;
 }
@@ -400,8 +402,12 @@
     return entry;
   };
 
-  const startService = async (pool: PoolSpec, name: string) => {
+  const startService = async (
+    pool: PoolSpec,
+    name: string,
+  ): Promise<Pick<AgentMember, 'engine' | 'plain'>> => {
     const {checksFencing, engine: options} = pool;
+    if (pool.serviceUrl) return {};
     if (pool.body.kind === 'plain') {
       return {plain: await createPlainService({name, ...pool.plain})};
     }
@@ -418,10 +424,11 @@
     const upstream = wantedId ?? getNextId(poolId);
     const id = `agent-${upstream}`;
     const services = await startService(pool, upstream);
-    const service = (services.engine ?? services.plain)!;
-    closables.add(service);
+    const service = services.engine ?? services.plain;
+    if (service) closables.add(service);
+    const serviceUrl = service?.url ?? pool.serviceUrl ?? '';
     const proxies: Member['proxies'] = {};
-    const url = await getLinkUrl('upstream', service.url, proxies);
+    const url = await getLinkUrl('upstream', serviceUrl, proxies);
     const member = await startDaemon(id, 'agent', domain, proxies, {
       listen: {data: LOOPBACK},
       upstream: {id: upstream, pool: poolId, url},
