Cover attempt, account and upstream by vc-auth; pause a lease holder for real

Cause: a recorded request could run again within 30 s under a fresh attempt id, for another account or at another agent (R13). R7 and R8 were shown with fakes only.

--- a/packages/daemon/src/agentServer.test.ts
+++ b/packages/daemon/src/agentServer.test.ts
@@ -19,6 +19,7 @@
 import type {AgentLimits} from './agentLimits.js';
 import type {AgentServer} from './agentServer.js';
 import {createAgentServer} from './agentServer.js';
+import {getRequestProof} from './requestProof.js';
 
 type Handler = (
   request: IncomingMessage,
@@ -110,6 +111,7 @@
       limits: {statusIntervalMs: 20, ...limits},
     },
   );
+  upstreamIds.set(agent, id);
   await agent.start();
   closers.push(() => agent.stop(AbortSignal.abort()));
   await waitFor(() => agent.isReady());
@@ -133,6 +135,8 @@
 }
 
 let sent = 0;
+/** Upstream of each started agent; `vc-auth` names it. */
+const upstreamIds = new Map<AgentServer, string>();
 
 function open(
   agent: AgentServer,
@@ -142,18 +146,22 @@
 ): http.ClientRequest {
   const id = `r${++sent}`;
   const method = 'POST';
+  const covered: Record<string, string> = {
+    [HEADERS.request]: id,
+    [HEADERS.attempt]: id,
+    [HEADERS.repeat]: 'once',
+    [HEADERS.account]: 'acme',
+    [HEADERS.window]: '9',
+    [HEADERS.entryEpoch]: 'e1',
+    ...headers,
+  };
+  const proof = getRequestProof(upstreamIds.get(agent) ?? '', covered);
   const outgoing = http.request(`http://${agent.getAddress()}${path}`, {
     method,
     agent: false,
     headers: {
-      [HEADERS.request]: id,
-      [HEADERS.attempt]: id,
-      [HEADERS.auth]: getAuth(SECRET, method, path, id, Date.now()),
-      [HEADERS.repeat]: 'once',
-      [HEADERS.account]: 'acme',
-      [HEADERS.window]: '9',
-      [HEADERS.entryEpoch]: 'e1',
-      ...headers,
+      [HEADERS.auth]: getAuth(SECRET, method, path, proof, Date.now()),
+      ...covered,
     },
   });
   outgoing.end(body);
--- a/packages/daemon/src/agentServer.ts
+++ b/packages/daemon/src/agentServer.ts
@@ -30,6 +30,7 @@
 import {AGENT_EPOCH_HEADER} from './attempt.js';
 import type {AskHistory} from './dedupHistory.js';
 import {createWeightPassage, getWeightSourceUrl} from './agentWeights.js';
+import {getRequestProof} from './requestProof.js';
 import type {Context, Part} from './types.js';
 
 /**
@@ -247,7 +248,7 @@
       context.clusterSecret,
       request.method ?? '',
       request.url ?? '',
-      getHeader(request, HEADERS.request),
+      getRequestProof(options.upstream.id, request.headers),
       getHeader(request, HEADERS.auth),
       clock.wallNow(),
     );
--- a/packages/daemon/src/attempt.ts
+++ b/packages/daemon/src/attempt.ts
@@ -7,11 +7,14 @@
 
 import type {AgentConnections} from './agentConnection.js';
 import type {AnswerEnd, DispatchRequest} from './types.js';
+import {getRequestProof} from './requestProof.js';
 
 /** What one attempt needs besides the request. */
 export interface AttemptInput {
   request: DispatchRequest;
   attemptId: string;
+  /** Upstream that is to run the request. */
+  upstream: string;
   /** Data listener of the agent, `ip:port`. */
   address: string;
   entryEpoch: string;
@@ -91,13 +94,6 @@
   const left = Math.max(1, Math.floor(request.deadline - clock.now()));
   const headers: Record<string, string> = {
     ...request.headers,
-    [HEADERS.auth]: getAuth(
-      input.clusterSecret,
-      request.method,
-      request.path,
-      request.requestId,
-      clock.wallNow(),
-    ),
     [HEADERS.request]: request.requestId,
     [HEADERS.attempt]: input.attemptId,
     [HEADERS.account]: request.account,
@@ -112,6 +108,13 @@
   if (request.idempotencyKey !== undefined) {
     headers[HEADERS.idempotencyKey] = request.idempotencyKey;
   }
+  headers[HEADERS.auth] = getAuth(
+    input.clusterSecret,
+    request.method,
+    request.path,
+    getRequestProof(input.upstream, headers),
+    clock.wallNow(),
+  );
   return headers;
 }
 
--- a/packages/daemon/src/dispatcher.test.ts
+++ b/packages/daemon/src/dispatcher.test.ts
@@ -33,6 +33,7 @@
   DispatchRequest,
   Refusal,
 } from './types.js';
+import {getRequestProof} from './requestProof.js';
 
 interface Rig {
   agents: FakeAgent[];
@@ -150,10 +151,18 @@
     });
     const {headers} = rig.agents[0].seen[0];
     const auth = headers['vc-auth'] as string;
-    const id = request.requestId;
-    assert.ok(
-      isAuthValid(SECRET, 'POST', '/holds/7', id, auth, systemClock.wallNow()),
-    );
+    const now = systemClock.wallNow();
+    const isValidFor = (upstream: string, changed = {}) => {
+      const proof = getRequestProof(upstream, {...headers, ...changed});
+      return isAuthValid(SECRET, 'POST', '/holds/7', proof, auth, now);
+    };
+    const upstream = 'u0';
+    assert.ok(isValidFor(upstream));
+    // Guards against a recorded request that runs again (R13) or elsewhere.
+    assert.ok(!isValidFor('another'));
+    assert.ok(!isValidFor(upstream, {'vc-attempt': 'fresh'}));
+    assert.ok(!isValidFor(upstream, {'vc-account': 'other'}));
+    assert.equal(headers['vc-request'], request.requestId);
     assert.equal(headers['vc-idempotency-key'], 'hash');
     assert.equal(headers['vc-entry-epoch'], 'entry-epoch');
   });
--- a/packages/daemon/src/requestRun.ts
+++ b/packages/daemon/src/requestRun.ts
@@ -201,6 +201,7 @@
     const outcome = await sendAttempt({
       request,
       attemptId: randomUUID(),
+      upstream,
       address: target.instance.address,
       entryEpoch: context.epoch,
       window: input.window,
--- a/packages/integration/src/deployment.ts
+++ b/packages/integration/src/deployment.ts
@@ -71,6 +71,8 @@
   records?: RecordInput[];
   /** Values of `[limits]` in all settings files. */
   limits?: Record<string, string | number>;
+  /** Values of `[controller]` in the settings files of entries. */
+  controller?: Record<string, string | number | boolean>;
   log?: LogOptions;
   instances?: InstanceListOptions;
   weights?: WeightStoreOptions;
@@ -386,6 +388,7 @@
       {
         listen: {caller: LOOPBACK},
         operator: {tokenHash: getSha256(OPERATOR_TOKEN)},
+        controller: spec.controller ?? {},
       },
     );
     const address = String(member.process.ready.caller);
--- /dev/null
+++ b/packages/integration/src/leasePause.test.ts
@@ -0,0 +1,176 @@
+import {requestJson} from '@vanillacross/common';
+import type {OrderArrival} from '@vanillacross/standins';
+import assert from 'node:assert/strict';
+import {afterEach, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import {callEntry} from './callers.js';
+import type {Deployment, EntryMember} from './deployment.js';
+import {
+  createAccountRecords,
+  createRecord,
+  startDeployment,
+  waitUntil,
+} from './deployment.js';
+
+const KEY = 'caller-key';
+const WINDOW_MS = 2_000;
+/** Time in which a resumed holder would send what it had in hand, ms. */
+const RESUMED_MS = 6_000;
+const WIDE_MS = 90_000;
+
+interface Lease {
+  holder: string;
+  fencing: number;
+}
+
+async function getLease(
+  deployment: Deployment,
+  entry: EntryMember,
+): Promise<Lease> {
+  const answer = await requestJson({
+    method: 'GET',
+    url: `${entry.url}/operator/v1/status`,
+    headers: {authorization: `Bearer ${deployment.operatorToken}`},
+    timeoutMs: 10_000,
+  });
+  assert.ok(answer.ok, JSON.stringify(answer));
+  return (answer.value.body as {lease: Lease}).lease;
+}
+
+/** Orders of all failure domains in the order of their arrival. */
+function getOrders({platform}: Deployment): OrderArrival[] {
+  return Object.values(platform.ordering)
+    .flatMap(ordering => ordering.getAudit())
+    .sort((a, b) => a.atMs - b.atMs);
+}
+
+function checkOrders(orders: readonly OrderArrival[]): void {
+  let highest = -1;
+  for (const order of orders) {
+    assert.ok(
+      order.fencing >= highest,
+      `order ${order.orderId} of holder ${order.fencing} after ${highest}`,
+    );
+    highest = order.fencing;
+  }
+  const started = new Map<string, number>();
+  for (const {orderId, result} of orders) {
+    if (result !== 'executed') continue;
+    started.set(orderId, (started.get(orderId) ?? 0) + 1);
+  }
+  assert.ok([...started.values()].every(count => count === 1));
+}
+
+function checkReports({platform}: Deployment): void {
+  const figures = new Map<number, string>();
+  for (const arrival of platform.reports.getAudit()) {
+    assert.notEqual(arrival.result, 'conflict', 'figures differ');
+    const text = JSON.stringify(arrival.figures);
+    assert.equal(figures.get(arrival.window) ?? text, text);
+    figures.set(arrival.window, text);
+  }
+}
+
+describe('a paused lease holder', {timeout: 240_000}, () => {
+  let deployment: Deployment | null = null;
+  afterEach(async () => {
+    await deployment?.stop();
+    deployment = null;
+  });
+
+  const start = async (orderingChecksFencing: boolean) => {
+    deployment = await startDeployment({
+      domains: ['domain-a', 'domain-b', 'domain-c'],
+      entries: 3,
+      orderingChecksFencing,
+      controller: {scaling: true},
+      pools: [
+        {
+          id: 'desk',
+          body: {kind: 'plain', minUpstreams: 1, maxUpstreams: 8},
+          upstreams: 1,
+        },
+      ],
+      records: [
+        ...createAccountRecords('club', KEY),
+        createRecord('route', 'seats', {
+          pathPrefix: '/seats',
+          pool: 'desk',
+          access: ['club'],
+          repeat: 'idempotent',
+        }),
+        createRecord('reporting', 'default', {windowMs: WINDOW_MS}),
+      ],
+    });
+    return deployment;
+  };
+
+  const setMinUpstreams = (
+    running: Deployment,
+    entry: EntryMember,
+    minUpstreams: number,
+    baseRevision: number,
+  ) =>
+    running.publish(
+      [
+        {
+          key: 'pool/desk',
+          body: {kind: 'plain', minUpstreams, maxUpstreams: 8},
+          baseRevision,
+        },
+      ],
+      entry,
+    );
+
+  for (const isChecking of [false, true]) {
+    const platform = isChecking ? 'checks' : 'ignores';
+    it(`gives no order and no other figures after its successor acted, on a platform that ${platform} fencing numbers (guards: R7, R8)`, async () => {
+      const running = await start(isChecking);
+      const {entries} = running;
+      await waitUntil(
+        'a holder reports',
+        () => running.platform.reports.getReports().size > 0,
+        WIDE_MS,
+      );
+      const before = await getLease(running, entries[0]);
+      const holder = entries.find(({id}) => id === before.holder);
+      const others = entries.filter(({id}) => id !== before.holder);
+      assert.ok(holder);
+
+      let isRunning = true;
+      const callers = (async () => {
+        for (let i = 0; isRunning; i++) {
+          const id = `seat-${i}`;
+          const path = `/seats/${id}`;
+          await callEntry({base: others[0].url, id, path, key: KEY});
+          await sleep(20);
+        }
+      })();
+      // The holder has orders to give when it stops.
+      await setMinUpstreams(running, others[0], 3, 1);
+      await waitUntil(
+        'the holder orders',
+        () => getOrders(running).length > 0,
+        WIDE_MS,
+      );
+      holder.process.pause();
+      await setMinUpstreams(running, others[0], 6, 2);
+      await waitUntil(
+        'a successor orders',
+        () => getOrders(running).some(o => o.fencing > before.fencing),
+        WIDE_MS,
+      );
+      holder.process.resume();
+      await sleep(RESUMED_MS);
+      isRunning = false;
+      await callers;
+
+      checkOrders(getOrders(running));
+      checkReports(running);
+      const after = await getLease(running, holder);
+      assert.ok(after.fencing > before.fencing);
+      assert.notEqual(after.holder, holder.id);
+    });
+  }
+});
