--- a/packages/bench/src/slopeRuns.ts
+++ b/packages/bench/src/slopeRuns.ts
@@ -25,6 +25,8 @@
 const DOMAINS = ['domain-a', 'domain-b', 'domain-c', 'domain-d'];
 /** Longer than the time for which an entry holds a poll, 10 s. */
 const IDLE_MS = 12_000;
+/** Time for the first compilation of a started process, ms. */
+const WARM_MS = 20_000;
 const CHANGES = 10;
 const KEY = 'slope-key';
 const MAX_PUTS = 250;
@@ -76,7 +78,7 @@
       const haveView = () =>
         agents.links.every(link => link.getView()?.pool != null);
       await waitUntil('all agents have a view', haveView);
-      await sleep(2_000);
+      await sleep(WARM_MS);
       const getBytes = () => {
         const {forwardBytes, backwardBytes} = proxy.getCounts();
         return forwardBytes + backwardBytes;
@@ -239,7 +241,7 @@
         );
         return total / entries.length;
       };
-      await sleep(3_000);
+      await sleep(WARM_MS);
       const entryFrom = await readUsage(entries[size - 1].admin);
       const agentFrom = await readUsage(agents[0].admin);
       const logFrom = getLinkBytes('log');
--- a/packages/bench/src/slopes.ts
+++ b/packages/bench/src/slopes.ts
@@ -61,6 +61,6 @@
 
 export const slopesBench: Bench = {
   name: 'slopes',
-  summary: 'cost by size, at three sizes each; takes about two minutes',
+  summary: 'cost by size, at three sizes each; takes about four minutes',
   run,
 };
--- a/packages/daemon/src/agentLink.test.ts
+++ b/packages/daemon/src/agentLink.test.ts
@@ -23,7 +23,7 @@
   createAgentInstance,
   createEntryInstance,
   createTestContext,
-} from './testFakes.js';
+} from './controlFakes.test.js';
 
 /** Wide enough for a busy machine; a pass takes far less. */
 const DEADLINE_MS = 20_000;
--- a/packages/daemon/src/agentLoads.test.ts
+++ b/packages/daemon/src/agentLoads.test.ts
@@ -21,7 +21,7 @@
 import type {AgentLoads} from './agentLoads.js';
 import {createAgentLoads} from './agentLoads.js';
 import type {LeaseTask} from './leaseTask.js';
-import {settle} from './testFakes.js';
+import {settle} from './controlFakes.test.js';
 import type {AgentPresence, ControlFollower, Membership} from './types.js';
 
 const AGENTS = 200;
--- a/packages/daemon/src/controlFollower.test.ts
+++ b/packages/daemon/src/controlFollower.test.ts
@@ -12,7 +12,7 @@
   createTestContext,
   runUntilSettled,
   settle,
-} from './testFakes.js';
+} from './controlFakes.test.js';
 import type {ControlFollower} from './types.js';
 
 describe('control follower', () => {
--- a/packages/daemon/src/membership.test.ts
+++ b/packages/daemon/src/membership.test.ts
@@ -17,7 +17,7 @@
   createEntryInstance,
   createTestContext,
   settle,
-} from './testFakes.js';
+} from './controlFakes.test.js';
 import type {Part} from './types.js';
 
 const load: Load = {
--- a/packages/daemon/src/operatorActions.test.ts
+++ b/packages/daemon/src/operatorActions.test.ts
@@ -23,7 +23,7 @@
   createTestContext,
   runUntilSettled,
   settle,
-} from './testFakes.js';
+} from './controlFakes.test.js';
 import type {Part} from './types.js';
 
 const TOKEN = 'operator token';
