--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,4 +1,5 @@
 import {coldStart} from './coldStart.js';
+import {configSpread} from './configSpread.js';
 import {domainDeparture} from './domainDeparture.js';
 import {fairness} from './fairness.js';
 import {logOutage} from './logOutage.js';
@@ -12,6 +13,7 @@
 /** All benches by name. */
 export const benches: readonly Bench[] = [
   coldStart,
+  configSpread,
   domainDeparture,
   fairness,
   logOutage,
--- a/packages/bench/src/fakeAgents.ts
+++ b/packages/bench/src/fakeAgents.ts
@@ -3,6 +3,7 @@
 import type {AgentLink} from '@vanillacross/daemon';
 import {createAgentLink} from '@vanillacross/daemon';
 import type {AgentInstance, Instance, Load} from '@vanillacross/domain';
+import type {Deployment} from '@vanillacross/integration';
 import {randomUUID} from 'node:crypto';
 
 const IDLE_LOAD: Load = {
@@ -66,3 +67,15 @@
     },
   };
 }
+
+/** The entries of a deployment as the instance list shows them. */
+export function getEntryInstances(deployment: Deployment): Instance[] {
+  return deployment.entries.map(({id, domain, url, peer}) => ({
+    id,
+    role: 'entry',
+    domain,
+    address: url.slice('http://'.length),
+    peerAddress: peer,
+    state: 'live',
+  }));
+}
--- a/packages/bench/src/slopeRuns.ts
+++ b/packages/bench/src/slopeRuns.ts
@@ -1,5 +1,3 @@
-import type {Instance} from '@vanillacross/domain';
-import type {Deployment} from '@vanillacross/integration';
 import {
   createAccountRecords,
   createRecord,
@@ -9,7 +7,7 @@
 import {createFaultProxy} from '@vanillacross/standins';
 import {setTimeout as sleep} from 'node:timers/promises';
 
-import {startFakeAgents} from './fakeAgents.js';
+import {getEntryInstances, startFakeAgents} from './fakeAgents.js';
 import {createLoadAgent, isGood, runClosedLoop, send} from './load.js';
 import {getCpuRate, readUsage} from './processMetrics.js';
 
@@ -23,8 +21,8 @@
 }
 
 const DOMAINS = ['domain-a', 'domain-b', 'domain-c', 'domain-d'];
-/** Longer than the time for which an entry holds a poll, 10 s. */
-const IDLE_MS = 12_000;
+/** Two of the times for which an entry holds a poll, so that each polls twice. */
+const IDLE_MS = 20_000;
 /** Time for the first compilation of a started process, ms. */
 const WARM_MS = 20_000;
 const CHANGES = 10;
@@ -33,23 +31,6 @@
 /** Bounds garbage that was not collected yet, which would count as memory. */
 const SMALL_HEAP = ['--max-semi-space-size=2', '--max-old-space-size=96'];
 
-function getEntryInstance(
-  deployment: Deployment,
-  index: number,
-  peerAddress?: string,
-): Instance {
-  const entry = deployment.entries[index];
-  const address = entry.url.slice('http://'.length);
-  return {
-    id: entry.id,
-    role: 'entry',
-    domain: entry.domain,
-    address,
-    peerAddress: peerAddress ?? entry.peer,
-    state: 'live',
-  };
-}
-
 /** Polls, changes and memory of an entry by the number of polling agents. */
 export async function runAgentSlopes(sizes: number[]): Promise<Slope[]> {
   const idleCpu: Slope['points'] = [];
@@ -71,7 +52,7 @@
       size,
       'engines',
       DOMAINS,
-      [getEntryInstance(deployment, 0, proxy.address)],
+      [{...getEntryInstances(deployment)[0], peerAddress: proxy.address}],
       deployment.clusterSecret,
     );
     try {
--- a/packages/daemon/src/agentRollout.test.ts
+++ b/packages/daemon/src/agentRollout.test.ts
@@ -24,7 +24,11 @@
   createWeightPassage,
   getWeightSourceUrl,
 } from './agentWeights.js';
-import {advance, createAgentInstance, createTestContext} from './controlFakes.test.js';
+import {
+  advance,
+  createAgentInstance,
+  createTestContext,
+} from './controlFakes.test.js';
 import {WeightSourceChoice} from './weightSources.js';
 
 const closers: Array<() => Promise<void> | void> = [];
--- a/packages/daemon/src/agentServer.ts
+++ b/packages/daemon/src/agentServer.ts
@@ -439,6 +439,8 @@
       usage.markReported(report, receiver),
     isLeaving: () => isLeaving,
     noteView: view => {
+      // The first offset tells whether the pool is younger than this agent.
+      dedup.noteView();
       rollout.noteView(view);
       announceLoad();
     },
--- a/packages/integration/src/deployment.ts
+++ b/packages/integration/src/deployment.ts
@@ -158,8 +158,6 @@
 /** Wide, because start-up time depends on the load of the machine. */
 const SERVING_TIMEOUT_MS = 30_000;
 const POLL_MS = 50;
-/** Agents look at their view for idempotency keys every 250 ms. */
-const VIEW_NOTED_MS = 500;
 
 /** A record with its body checked by the compiler. */
 export function createRecord<Kind extends RecordKind>(
@@ -546,7 +544,6 @@
     for (const agent of agents) {
       await waitUntil(`${agent.id} has a view`, () => hasView(agent));
     }
-    await sleep(VIEW_NOTED_MS);
     const records = getDeploymentRecords(spec, agents);
     if (records.length > 0) await publish(records);
     for (const member of agents) await waitReady(member);
