Wait for uncounted agents in each wave of a rollout

Cause: after the lease holder was killed, agents whose first entry it was are counted by no entry for a while. Change: a wave with uncounted agents always lasts until its deadline. Also: isWhole is called isComplete in the code.

--- a/packages/bench/src/load.ts
+++ b/packages/bench/src/load.ts
@@ -15,7 +15,7 @@
   status: number;
   /** Time until the whole answer was there, ms. */
   latencyMs: number;
-  isWhole: boolean;
+  isComplete: boolean;
   body: string;
 }
 
@@ -37,8 +37,8 @@
 ): Promise<LoadAnswer> {
   const start = performance.now();
   return new Promise(resolve => {
-    const finish = (status: number, isWhole: boolean, body: string) =>
-      resolve({status, latencyMs: performance.now() - start, isWhole, body});
+    const finish = (status: number, isComplete: boolean, body: string) =>
+      resolve({status, latencyMs: performance.now() - start, isComplete, body});
     const outgoing = http.request(
       request.url,
       {method: request.method, headers: request.headers, agent},
@@ -119,7 +119,7 @@
 }
 
 export function isGood(answer: LoadAnswer): boolean {
-  return answer.isWhole && answer.status >= 200 && answer.status < 300;
+  return answer.isComplete && answer.status >= 200 && answer.status < 300;
 }
 
 /** A latency quantile over all answers, ms. */
--- a/packages/cli/src/operatorClient.ts
+++ b/packages/cli/src/operatorClient.ts
@@ -107,7 +107,7 @@
   instance: instanceSchema,
   control: z.looseObject({
     highest: z.number(),
-    isWhole: z.boolean(),
+    isComplete: z.boolean(),
     newerSchemas: z.number(),
     lastSealed: z.number(),
     logContactAgoMs: z.number().nullable(),
--- a/packages/cli/src/statusCommands.ts
+++ b/packages/cli/src/statusCommands.ts
@@ -127,7 +127,7 @@
       advice: 'traffic goes on; no change is accepted until it answers',
     });
   }
-  if (!control.isWhole) {
+  if (!control.isComplete) {
     findings.push({
       what: 'the entry does not have the complete configuration yet',
       advice: 'it waits for the log or for a peer; check both',
--- a/packages/daemon/src/agentExchange.ts
+++ b/packages/daemon/src/agentExchange.ts
@@ -267,7 +267,7 @@
   if (pool.kind === 'plain') gate.noteFirstToken(clock.now() - startedAt);
   let isFirst = true;
   const {signal} = exchange.cancel;
-  const isComplete = await passBody(answer, response, signal, chunk => {
+  const isBodyComplete = await passBody(answer, response, signal, chunk => {
     if (isFirst && isStream && pool.kind === 'engine') {
       gate.noteFirstToken(clock.now() - startedAt);
     }
@@ -276,18 +276,18 @@
     if (exchange.isKeyed) keeper.write(chunk);
   });
   const observed = observer.end();
-  const isWhole = isDelimited(answer) && isComplete && observed.isEnded;
+  const isComplete = isDelimited(answer) && isBodyComplete && observed.isEnded;
   if (observed.mismatches > 0) {
     metrics.count('vc_agent_label_mismatches_total');
   }
   const isCallerGone = getCancelReason(exchange) === 'caller_gone';
-  if (isWhole || (isCallerGone && observed.usage.generated > 0)) {
+  if (isComplete || (isCallerGone && observed.usage.generated > 0)) {
     countUsage(exchange, observed);
   }
-  if (isWhole && status < 500) gate.noteAnswered();
-  if (!isWhole) metrics.count('vc_agent_cut_answers_total');
-  sendEnd(response, isWhole, observed);
-  if (!isWhole) return {tag: 'lost'};
+  if (isComplete && status < 500) gate.noteAnswered();
+  if (!isComplete) metrics.count('vc_agent_cut_answers_total');
+  sendEnd(response, isComplete, observed);
+  if (!isComplete) return {tag: 'lost'};
   return {tag: 'whole', stored: keeper.getStored(status, head)};
 }
 
@@ -309,12 +309,12 @@
 
 function sendEnd(
   response: ServerResponse,
-  isWhole: boolean,
+  isComplete: boolean,
   observed: Pick<Observation, 'spans' | 'usage'>,
 ): void {
   if (response.destroyed) return;
   response.addTrailers({
-    [HEADERS.outcome]: isWhole ? 'whole' : 'cut',
+    [HEADERS.outcome]: isComplete ? 'whole' : 'cut',
     [HEADERS.spans]: JSON.stringify(observed.spans),
     [HEADERS.usage]: JSON.stringify(observed.usage),
   });
--- a/packages/daemon/src/checkpointTask.ts
+++ b/packages/daemon/src/checkpointTask.ts
@@ -55,7 +55,7 @@
     const state = control.getState();
     tombstones = reconcileTombstones(tombstones, state, now, retentionMs);
     const tenure = lease.getTenure();
-    if (!tenure || !state.isWhole) {
+    if (!tenure || !state.isComplete) {
       return getDeadline(now, IDLE_INTERVAL_MS);
     }
     if (tenure.fencing !== tenureFencing) {
--- a/packages/daemon/src/controlFollower.test.ts
+++ b/packages/daemon/src/controlFollower.test.ts
@@ -119,7 +119,7 @@
       [...late.follower.getState().records],
       [...peer.follower.getState().records],
     );
-    assert.ok(late.follower.getState().isWhole);
+    assert.ok(late.follower.getState().isComplete);
   });
 
   it('prevents a start without the log from failing', async () => {
@@ -130,7 +130,7 @@
     log.isDown = true;
     const late = await start('e2', log, ['gone', 'e1']);
     await advance(clock, 2_000);
-    assert.ok(late.follower.getState().isWhole);
+    assert.ok(late.follower.getState().isComplete);
     assert.equal(late.follower.getState().highest, 0);
     assert.equal(late.follower.getLogContact(), null);
     const refused = await runUntilSettled(
@@ -156,12 +156,12 @@
     // An agent has already seen configuration that no peer has.
     const late = await start('e2', log, ['e1'], 1);
     await advance(clock, 3_000);
-    assert.equal(late.follower.getState().isWhole, false);
+    assert.equal(late.follower.getState().isComplete, false);
     assert.equal(late.follower.getState().highest, -1);
     log.isDown = false;
     log.add(createPut('a', 1, 4));
     await advance(clock, 3_000);
-    assert.equal(late.follower.getState().isWhole, true);
+    assert.equal(late.follower.getState().isComplete, true);
     assert.equal(late.follower.getState().highest, 1);
   });
 
@@ -171,7 +171,7 @@
     log.earliest = 3;
     const {follower} = await start('e1', log);
     await advance(clock, 1_000);
-    assert.equal(follower.getState().isWhole, false);
+    assert.equal(follower.getState().isComplete, false);
     const refused = await follower.append(createPut('b', 0));
     assert.equal(!refused.ok && refused.error.tag, 'log_unavailable');
     log.add({
@@ -194,7 +194,7 @@
       lease: {holder: 'e1', fencing: 0, lastOffset: 2, isReleased: false},
     });
     await advance(clock, 1_000);
-    assert.equal(follower.getState().isWhole, true);
+    assert.equal(follower.getState().isComplete, true);
     assert.equal(follower.getState().highest, 4);
     assert.equal(follower.getState().lease.lastOffset, 2);
   });
--- a/packages/daemon/src/controlFollower.ts
+++ b/packages/daemon/src/controlFollower.ts
@@ -126,7 +126,7 @@
   let loops: Array<Promise<void>> = [];
 
   metrics.gauge('vc_control_highest', () => published.highest);
-  metrics.gauge('vc_control_whole', () => Number(published.isWhole));
+  metrics.gauge('vc_control_whole', () => Number(published.isComplete));
   metrics.gauge(
     'vc_control_newer_schema_records',
     () => published.newerSchemas,
@@ -172,7 +172,7 @@
 
   /** Publishes a complete state unless a newer one is known to exist. */
   const adopt = (state: ControlState): boolean => {
-    if (!state.isWhole) return false;
+    if (!state.isComplete) return false;
     if (state.highest < Math.max(heard, published.highest)) return false;
     rebuild = null;
     publish(mergeOwnState(published, state));
@@ -243,7 +243,7 @@
     );
     const snapshots = answers.flatMap(answer => {
       const state = answer.ok ? readSnapshot(answer.value) : null;
-      return state?.isWhole ? [state] : [];
+      return state?.isComplete ? [state] : [];
     });
     const best = snapshots.sort((a, b) => b.highest - a.highest).at(0);
     if (!best) return;
@@ -272,7 +272,7 @@
     }
     rebuild = {tag: 'log', start: earliest, records: []};
     hasCaughtUp = false;
-    if (published.isWhole) publish({...published, isWhole: false});
+    if (published.isComplete) publish({...published, isComplete: false});
   };
 
   const noteLog = (isUp: boolean, detail = '') => {
@@ -374,7 +374,7 @@
   const append = async (
     payload: ControlPayload,
   ): Promise<Result<AppendOutcome, AppendFailure>> => {
-    if (!published.isWhole) {
+    if (!published.isComplete) {
       const detail = 'the control state is not complete yet';
       return fail({tag: 'log_unavailable', detail});
     }
--- a/packages/daemon/src/controller.test.ts
+++ b/packages/daemon/src/controller.test.ts
@@ -82,7 +82,7 @@
   readonly name = 'control';
   readonly rpcMethods = {};
   isPaused = false;
-  private state: ControlState = {...emptyControlState, isWhole: true};
+  private state: ControlState = {...emptyControlState, isComplete: true};
   private readonly listeners = new Set<
     (state: ControlState, previous: ControlState) => void
   >();
--- a/packages/daemon/src/dedupHistory.ts
+++ b/packages/daemon/src/dedupHistory.ts
@@ -70,7 +70,7 @@
 
   function noteCreations(state: ControlState, previous: ControlState): void {
     // Without a whole state an old pool would look like a new one.
-    if (!previous.isWhole || state.records === previous.records) return;
+    if (!previous.isComplete || state.records === previous.records) return;
     for (const [key, record] of state.records) {
       if (!key.startsWith('pool/') || previous.records.has(key)) continue;
       if (record.revision !== 1) continue;
@@ -110,7 +110,7 @@
   async function getHistory(pool: string) {
     const listVersion = list.getVersion();
     const incomplete = {isComplete: false, upstreams: [], listVersion};
-    if (!control.getState().isWhole) return incomplete;
+    if (!control.getState().isComplete) return incomplete;
     const since = getKnownSince(pool);
     if (since === null || hasDepartures(since)) return incomplete;
     const sent = forwards.getSince(pool, since);
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -160,7 +160,7 @@
   const admin = createAdminServer(
     context,
     settings.listen.admin,
-    () => !isDraining && control.getState().isWhole,
+    () => !isDraining && control.getState().isComplete,
   );
   await startParts([
     admin,
--- a/packages/daemon/src/entryFakes.test.ts
+++ b/packages/daemon/src/entryFakes.test.ts
@@ -74,7 +74,7 @@
 export function createFakeControl(
   records: Record<string, unknown>,
 ): FakeControl {
-  let state: ControlState = {...emptyControlState, isWhole: true};
+  let state: ControlState = {...emptyControlState, isComplete: true};
   const listeners = new Set<
     (state: ControlState, previous: ControlState) => void
   >();
--- a/packages/daemon/src/inForce.ts
+++ b/packages/daemon/src/inForce.ts
@@ -194,7 +194,7 @@
     const behindEntries = answers
       .map(({id, status}) => ({
         id: status?.id ?? id,
-        offset: status?.isWhole ? status.highest : null,
+        offset: status?.isComplete ? status.highest : null,
       }))
       .filter(entry => entry.offset === null || entry.offset < offset);
     const sum = statuses.reduce((total, {agents}) => total + agents, 0);
--- a/packages/daemon/src/leaseTask.ts
+++ b/packages/daemon/src/leaseTask.ts
@@ -192,7 +192,7 @@
     const waitUntil = Math.max(claimAt, nextSendAt) as MonotonicMs;
     if (clock.now() < waitUntil) return waitUntil;
     // A process with gaps would write incomplete checkpoints.
-    if (!state.isWhole) return getDeadline(clock.now(), LEASE_RETRY_MS);
+    if (!state.isComplete) return getDeadline(clock.now(), LEASE_RETRY_MS);
     await claim(lease.lastOffset);
     return nextSendAt;
   }
--- a/packages/daemon/src/membership.ts
+++ b/packages/daemon/src/membership.ts
@@ -56,7 +56,7 @@
   instance: instanceSchema,
   epoch: z.string(),
   highest: z.number().int(),
-  isWhole: z.boolean(),
+  isComplete: z.boolean(),
   agents: z.array(
     z.object({
       id: z.string(),
@@ -342,10 +342,10 @@
   };
 
   const createAnswer = (answer?: Partial<PullAnswer>): PullAnswer => {
-    const {isWhole, highest} = control.getState();
+    const {isComplete, highest} = control.getState();
     return {
       entryEpoch: context.epoch,
-      highest: isWhole ? highest : -1,
+      highest: isComplete ? highest : -1,
       view: null,
       ...answer,
     };
@@ -397,7 +397,7 @@
   const getNewAnswer = (pull: Pull, member: Member): PullAnswer | null => {
     const state = control.getState();
     const agent = member.instance;
-    if (!state.isWhole || state.highest < 0) return null;
+    if (!state.isComplete || state.highest < 0) return null;
     // An older view would be dropped by the agent.
     if (state.highest < pull.offset) return null;
     const list = getMemberList(state, agent.upstream.pool);
@@ -478,7 +478,7 @@
   const hasAuthority = (): boolean => {
     const state = control.getState();
     // After a gap, a withdrawal of a key may be among the missing records.
-    if (!state.isWhole) return false;
+    if (!state.isComplete) return false;
     if (isRecent(control.getLogContact(), AUTHORITY_MS)) return true;
     const known = getKnownDomains(state);
     return getHeardDomains().length * 2 > known.size;
@@ -666,11 +666,11 @@
       instance: createPing().instance,
       epoch: context.epoch,
       highest: state.highest,
-      isWhole: state.isWhole,
+      isComplete: state.isComplete,
       agents: heard.map(({instance, offset}) => {
         // An unchanged view is in force up to the offset of this entry.
         const isCurrent =
-          state.isWhole && offset >= getAgentViewChange(state, instance);
+          state.isComplete && offset >= getAgentViewChange(state, instance);
         return {
           id: instance.id,
           upstream: instance.upstream.id,
--- a/packages/daemon/src/offsetStatus.ts
+++ b/packages/daemon/src/offsetStatus.ts
@@ -35,7 +35,7 @@
   id: z.string(),
   epoch: z.string(),
   highest: z.number().int(),
-  isWhole: z.boolean(),
+  isComplete: z.boolean(),
   /** Agents for which this entry speaks. */
   agents: z.number().int(),
   agentsBehind: z.number().int(),
@@ -68,7 +68,7 @@
 
 /** Says whether an entry and its agents have an offset. */
 export function isSettledAt(status: OffsetStatus, offset: number): boolean {
-  if (!status.isWhole || status.highest < offset) return false;
+  if (!status.isComplete || status.highest < offset) return false;
   return status.agentsBehind === 0;
 }
 
@@ -89,7 +89,7 @@
     const state = control.getState();
     // An unchanged view is in force up to the offset of this entry.
     const isCurrent =
-      state.isWhole && offset >= getAgentViewChange(state, instance);
+      state.isComplete && offset >= getAgentViewChange(state, instance);
     return isCurrent ? Math.max(offset, state.highest) : offset;
   }
 
@@ -115,7 +115,7 @@
       id: self.id,
       epoch,
       highest: state.highest,
-      isWhole: state.isWhole,
+      isComplete: state.isComplete,
       agents: agents.length,
       agentsBehind: behind.length,
       behind: behind.slice(0, MAX_NAMED_BEHIND),
@@ -130,7 +130,8 @@
     for (;;) {
       const status = getStatus(question);
       // Agents that do not poll this entry may poll others; no wait for them.
-      const isEntryBehind = !status.isWhole || status.highest < question.offset;
+      const isEntryBehind =
+        !status.isComplete || status.highest < question.offset;
       const isWorthWaiting =
         isEntryBehind || status.behind.some(agent => agent.offset !== null);
       if (!isWorthWaiting) return status;
--- a/packages/daemon/src/operatorActions.ts
+++ b/packages/daemon/src/operatorActions.ts
@@ -295,7 +295,7 @@
       epoch: context.epoch,
       control: {
         highest: state.highest,
-        isWhole: state.isWhole,
+        isComplete: state.isComplete,
         newerSchemas: state.newerSchemas,
         lastSealed: state.lastSealed,
         logContactAgoMs: getAgeMs(control.getLogContact()),
--- a/packages/daemon/src/routePath.ts
+++ b/packages/daemon/src/routePath.ts
@@ -68,7 +68,7 @@
 /** True if the route's callers must be known but cannot be checked now. */
 function lacksAuthority(server: RouteContext): boolean {
   return (
-    !server.membership.hasAuthority() || !server.control.getState().isWhole
+    !server.membership.hasAuthority() || !server.control.getState().isComplete
   );
 }
 
--- a/packages/daemon/src/trainerActions.ts
+++ b/packages/daemon/src/trainerActions.ts
@@ -136,7 +136,7 @@
     const key = getCallerKey(request);
     const account = getKeyAccount(getTable(), key?.hash ?? null);
     const state = control.getState();
-    const isJudged = (options.hasAuthority?.() ?? true) && state.isWhole;
+    const isJudged = (options.hasAuthority?.() ?? true) && state.isComplete;
     if (!isJudged && key) {
       const message = 'this entry cannot check keys at the moment';
       return fail(createNotRun('authority_lost', message, 1));
--- a/packages/daemon/src/weightRollout.ts
+++ b/packages/daemon/src/weightRollout.ts
@@ -39,12 +39,6 @@
   deadline: MonotonicMs;
 }
 
-/** Agents that no entry heard at a deadline; they delay no further wave. */
-interface Excused {
-  version: number;
-  count: number;
-}
-
 /** Declares the highest published weights, wave by wave. */
 export function createWeightRollout(
   context: Context,
@@ -61,7 +55,6 @@
   /** Highest published version by model. */
   const targets = new Map<string, number>();
   let steps = new Map<string, Step>();
-  let excused = new Map<string, Excused>();
 
   function getPools(): Array<{id: string; model: string}> {
     return getBodies(control.getState(), 'pool').flatMap(({id, body}) =>
@@ -180,12 +173,12 @@
     });
     const members = getMembers(model);
     const {missing, late} = countUnfinished(rollout, members, counts);
-    const known = excused.get(model);
-    const allowed = known?.version === version ? known.count : 0;
-    if (late > 0 || missing > allowed) {
+    // Agents that no entry counts may be swapping, for example those whose
+    // first entry has just died, so each wave waits for them until its
+    // deadline. Otherwise two waves would overlap.
+    if (late > 0 || missing > 0) {
       if (clock.now() < deadline) return;
       if (phase === 'stage' && !areMostStaged(counts)) return;
-      excused.set(model, {version, count: missing});
       metrics.count('vc_rollout_deadlines', {phase});
       logger.warn('a rollout step goes on without some agents', {
         model,
@@ -212,7 +205,6 @@
     if (tenure.fencing !== tenureFencing) {
       tenureFencing = tenure.fencing;
       steps = new Map();
-      excused = new Map();
       nextPollAt = clock.now();
     }
     const models = new Set(getPools().map(pool => pool.model));
--- a/packages/domain/src/abuse.test.ts
+++ b/packages/domain/src/abuse.test.ts
@@ -86,7 +86,7 @@
       payload: {type: 'claim', holder: 'e1', expects: -1},
     },
   ];
-  return applyControlRecords({...emptyControlState, isWhole: true}, records);
+  return applyControlRecords({...emptyControlState, isComplete: true}, records);
 }
 
 describe('malformed input', () => {
--- a/packages/domain/src/controlReplay.test.ts
+++ b/packages/domain/src/controlReplay.test.ts
@@ -9,7 +9,7 @@
 /** A log that folds what is appended, as a process that read all of it. */
 function createHistory() {
   const records: LogRecord[] = [];
-  let state: ControlState = {...emptyControlState, isWhole: true};
+  let state: ControlState = {...emptyControlState, isComplete: true};
   const add = (payload: ControlPayload) => {
     const offset = records.length;
     records.push({offset, appendId: `a${offset}`, payload});
@@ -70,7 +70,7 @@
 
   it('prevents a reader of retained records from differing', () => {
     const rebuilt = rebuildControlState(start, log.records.slice(start));
-    assert.ok(rebuilt?.isWhole);
+    assert.ok(rebuilt?.isComplete);
     assert.equal(rebuilt.highest, whole.highest);
     assert.deepEqual(rebuilt.lease, whole.lease);
     assert.equal(rebuilt.lease.holder, 'e3');
@@ -91,6 +91,6 @@
   it('prevents a log that was read from offset 0 from being incomplete', () => {
     const rebuilt = rebuildControlState(0, log.records);
     assert.deepEqual(rebuilt, whole);
-    assert.equal(rebuildControlState(0, [])?.isWhole, true);
+    assert.equal(rebuildControlState(0, [])?.isComplete, true);
   });
 });
--- a/packages/domain/src/controlReplay.ts
+++ b/packages/domain/src/controlReplay.ts
@@ -121,7 +121,7 @@
     rollouts: new Map(basis.rollouts.map(item => [item.model, item])),
   };
   const rest = records.map(record => getUndecided(basis, record));
-  return {...applyControlRecords(start, rest), isWhole: true};
+  return {...applyControlRecords(start, rest), isComplete: true};
 }
 
 /**
@@ -134,5 +134,5 @@
   records: readonly LogRecord[],
 ): ControlState | null {
   if (start > 0) return replayTruncatedLog(records);
-  return {...applyControlRecords(emptyControlState, records), isWhole: true};
+  return {...applyControlRecords(emptyControlState, records), isComplete: true};
 }
--- a/packages/domain/src/controlState.ts
+++ b/packages/domain/src/controlState.ts
@@ -64,7 +64,7 @@
   /** Records whose schema is newer than this process understands. */
   newerSchemas: number;
   /** True if every live record is known to be in this state. */
-  isWhole: boolean;
+  isComplete: boolean;
   /** Offset of the last checkpoint that dropped tombstones. */
   droppedAt?: number;
 }
@@ -79,7 +79,7 @@
   rollouts: new Map(),
   outcomes: new Map(),
   newerSchemas: 0,
-  isWhole: false,
+  isComplete: false,
 };
 
 const snapshotSchema = z.object({
@@ -103,7 +103,7 @@
   quarantine: z.array(z.tuple([z.string(), z.string()])),
   rollouts: z.array(rolloutStateSchema).default([]),
   newerSchemas: z.number().int(),
-  isWhole: z.boolean(),
+  isComplete: z.boolean(),
   droppedAt: z.number().int().optional(),
 });
 
@@ -118,7 +118,7 @@
   rollouts: Map<string, RolloutState>;
   outcomes: Map<string, AppendOutcome>;
   newerSchemas: number;
-  isWhole: boolean;
+  isComplete: boolean;
   droppedAt?: number;
 }
 
@@ -322,8 +322,8 @@
   own: ControlState,
   peer: ControlState,
 ): ControlState {
-  if (!peer.isWhole) return own;
-  if (!own.isWhole) return peer.highest >= own.highest ? peer : own;
+  if (!peer.isComplete) return own;
+  if (!own.isComplete) return peer.highest >= own.highest ? peer : own;
   return peer.highest > own.highest ? peer : own;
 }
 
--- a/packages/domain/src/rollout.test.ts
+++ b/packages/domain/src/rollout.test.ts
@@ -30,7 +30,7 @@
 }
 
 function fold(payloads: ControlPayload[]) {
-  const start = {...emptyControlState, isWhole: true};
+  const start = {...emptyControlState, isComplete: true};
   return applyControlRecords(start, toRecords(payloads));
 }
 
--- a/packages/integration/src/callers.ts
+++ b/packages/integration/src/callers.ts
@@ -25,7 +25,7 @@
   /** 0 if the connection failed before an answer began. */
   status: number;
   /** False if the connection ended inside the answer. */
-  isWhole: boolean;
+  isComplete: boolean;
   text: string;
   /** The parsed body, null if it is not JSON. */
   body: Record<string, unknown> | null;
@@ -40,12 +40,12 @@
   const startedAtMs = Date.now();
   return new Promise(resolve => {
     let text = '';
-    const finish = (status: number, isWhole: boolean) => {
+    const finish = (status: number, isComplete: boolean) => {
       const parsed = parseJson(text);
       const body = parsed.ok ? (parsed.value as CallerAnswer['body']) : null;
       const error = (body?.error ?? null) as CallerAnswer['error'];
       const {id} = request;
-      resolve({id, status, isWhole, text, body, error, startedAtMs});
+      resolve({id, status, isComplete, text, body, error, startedAtMs});
     };
     const outgoing = http.request(
       `${request.base}${request.path}`,
--- a/packages/integration/src/demoTrainer.ts
+++ b/packages/integration/src/demoTrainer.ts
@@ -47,12 +47,12 @@
   throw new Error(`${url}: ${answer.status} ${await answer.text()}`);
 }
 
-/** Reads one delivery; `isWhole` is false without the line that ends it. */
+/** Reads one delivery; `isComplete` is false without the line that ends it. */
 async function receive(
   url: string,
   key: string,
   received: string[],
-): Promise<{samples: Sample[]; isWhole: boolean}> {
+): Promise<{samples: Sample[]; isComplete: boolean}> {
   const answer = await post(`${url}/deliveries`, key, {received});
   const lines = (await answer.text()).split('\n').filter(line => line !== '');
   const values = lines.map(line => {
@@ -61,7 +61,7 @@
   });
   return {
     samples: values.filter(value => value.sampleId !== undefined) as Sample[],
-    isWhole: values.at(-1)?.end === true,
+    isComplete: values.at(-1)?.end === true,
   };
 }
 
@@ -87,9 +87,9 @@
   const {sampleCount} = (await submitted.json()) as {sampleCount: number};
   const wanted = GROUPS * SAMPLES_PER_GROUP;
   check(`a step of ${sampleCount} samples is accepted`, sampleCount === wanted);
-  const {samples, isWhole} = await receive(url, key, []);
+  const {samples, isComplete} = await receive(url, key, []);
   const ids = samples.map(({sampleId}) => sampleId);
-  check('the delivery is complete', isWhole);
+  check('the delivery is complete', isComplete);
   check(
     `${ids.length} samples arrived, each once`,
     ids.length === wanted && new Set(ids).size === wanted,
@@ -105,6 +105,6 @@
   const again = await receive(url, key, ids);
   check(
     `after the acknowledgement ${again.samples.length} samples arrive again`,
-    again.isWhole && again.samples.length === 0,
+    again.isComplete && again.samples.length === 0,
   );
 }
--- a/packages/integration/src/requestFaults.test.ts
+++ b/packages/integration/src/requestFaults.test.ts
@@ -130,7 +130,7 @@
 function checkOwn(answers: readonly CallerAnswer[]): void {
   for (const answer of answers) {
     if (answer.status !== 200) continue;
-    assert.ok(answer.isWhole, `${answer.id} is whole`);
+    assert.ok(answer.isComplete, `${answer.id} is whole`);
     assert.ok(answer.body, `${answer.id} is JSON: ${answer.text.slice(0, 80)}`);
     assert.ok(
       answer.text.includes(answer.id),
@@ -142,7 +142,7 @@
 /** Any other answer is a whole error body or a broken connection (R11). */
 function checkErrors(answers: readonly CallerAnswer[]): void {
   for (const answer of answers) {
-    if (answer.status === 200 || !answer.isWhole) continue;
+    if (answer.status === 200 || !answer.isComplete) continue;
     assert.ok(answer.error, `${answer.id} has an error body: ${answer.text}`);
   }
 }
@@ -374,8 +374,8 @@
     proxies.upstream!.clear();
     proxies.upstream!.resetConnections();
   }
-  for (const {id, text, isWhole} of answers) {
-    const isError = !isWhole || text.includes('"error"');
+  for (const {id, text, isComplete} of answers) {
+    const isError = !isComplete || text.includes('"error"');
     assert.ok(isError, `${id} ended as an error`);
     assert.ok(!text.includes('[DONE]'), `${id} has no normal end`);
   }
