Make one piece of code serve listeners and header copies

Cause: the admin and peer listeners repeated their start and stop, the agent copied headers twice by the same loop, its stop order listed a part that was cut off again, and reconcileControlState had no caller. Change: boundServer.ts, copyHeaders, a stop order without the server, the unused function removed. Behaviour is unchanged.

--- a/packages/daemon/src/adminServer.ts
+++ b/packages/daemon/src/adminServer.ts
@@ -1,15 +1,10 @@
 import * as http from 'node:http';
 
 import type {ListenAddress} from '@vanillacross/common';
-import {closeServer, listen} from '@vanillacross/common';
 
-import type {Context, Part} from './types.js';
-
-/** Serves `/healthz`, `/readyz` and `/metrics`. */
-export interface AdminServer extends Part {
-  /** Bound address as `ip:port`, known after the start. */
-  getAddress(): string;
-}
+import type {BoundServer} from './boundServer.js';
+import {createBoundServer} from './boundServer.js';
+import type {Context} from './types.js';
 
 interface Page {
   status: number;
@@ -17,14 +12,14 @@
 }
 
 /**
- * Creates the admin listener.
+ * Creates the admin listener with `/healthz`, `/readyz` and `/metrics`.
  * @param isReady says whether the process takes new work.
  */
 export function createAdminServer(
   context: Context,
   address: ListenAddress,
   isReady: () => boolean,
-): AdminServer {
+): BoundServer {
   const pages: Record<string, () => Page> = {
     '/healthz': () => ({status: 200, text: 'ok\n'}),
     '/readyz': () =>
@@ -41,16 +36,5 @@
     });
     response.end(page?.text ?? 'not found\n');
   });
-  let bound = '';
-  return {
-    name: 'admin',
-    start: async () => {
-      bound = await listen(server, address);
-    },
-    stop: () => {
-      server.closeAllConnections();
-      return closeServer(server);
-    },
-    getAddress: () => bound,
-  };
+  return createBoundServer('admin', server, address);
 }
--- a/packages/daemon/src/agent.ts
+++ b/packages/daemon/src/agent.ts
@@ -102,7 +102,7 @@
   await startParts([directory, link]);
 
   // The link stays up while answers end, so that entries hear of the leave.
-  const stopOrder: Part[] = [server, link, directory, peerServer, admin];
+  const stopOrder: Part[] = [link, directory, peerServer, admin];
   return {
     addresses: {
       data: server.getAddress(),
@@ -113,7 +113,7 @@
       const announced = link.announceLeaving();
       await stopParts(context, [server], signal);
       await announced;
-      await stopParts(context, stopOrder.slice(1), signal);
+      await stopParts(context, stopOrder, signal);
     },
   };
 }
--- a/packages/daemon/src/agentHeaders.ts
+++ b/packages/daemon/src/agentHeaders.ts
@@ -89,33 +89,36 @@
   );
 }
 
-/** Headers that may pass to the upstream: no key, account or own header. */
-export function getUpstreamHeaders(
+/** Copies headers without those of the connection and the dropped ones. */
+function copyHeaders(
   headers: IncomingHttpHeaders,
+  isDropped: (name: string) => boolean,
 ): Record<string, string | string[]> {
   const listed = getConnectionTokens(headers);
   const kept: Record<string, string | string[]> = {};
   for (const [name, value] of Object.entries(headers)) {
     if (value === undefined || HOP_BY_HOP.has(name)) continue;
-    if (listed.has(name) || isPrivate(name)) continue;
-    kept[name] = value;
+    if (!listed.has(name) && !isDropped(name)) kept[name] = value;
   }
   return kept;
 }
 
+/** Headers that may pass to the upstream: no key, account or own header. */
+export function getUpstreamHeaders(
+  headers: IncomingHttpHeaders,
+): Record<string, string | string[]> {
+  return copyHeaders(headers, isPrivate);
+}
+
 /** Headers of the upstream's answer that may pass to the entry. */
 export function getAnswerHeaders(
   headers: IncomingHttpHeaders,
 ): Record<string, string | string[]> {
-  const listed = getConnectionTokens(headers);
-  const kept: Record<string, string | string[]> = {};
-  for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined || HOP_BY_HOP.has(name)) continue;
-    // Trailers need chunked encoding, which excludes a content length.
-    if (name === 'content-length' || name.startsWith('vc-')) continue;
-    if (!listed.has(name)) kept[name] = value;
-  }
-  return kept;
+  // Trailers need chunked encoding, which excludes a content length.
+  return copyHeaders(
+    headers,
+    name => name === 'content-length' || name.startsWith('vc-'),
+  );
 }
 
 /** Removes query parameters that carry keys. */
--- a/packages/daemon/src/peerServer.ts
+++ b/packages/daemon/src/peerServer.ts
@@ -2,14 +2,14 @@
 import type {Socket} from 'node:net';
 
 import type {ListenAddress, RpcMethods} from '@vanillacross/common';
-import {closeServer, createRpcHandler, listen} from '@vanillacross/common';
+import {createRpcHandler} from '@vanillacross/common';
 
-import type {Context, Part} from './types.js';
+import type {BoundServer} from './boundServer.js';
+import {createBoundServer} from './boundServer.js';
+import type {Context} from './types.js';
 
 /** Listener for control RPC from other processes of the system. */
-export interface PeerServer extends Part {
-  /** Bound address as `ip:port`, known after the start. */
-  getAddress(): string;
+export interface PeerServer extends BoundServer {
   /** Adds methods; parts are created after the listener is bound. */
   addMethods(methods: RpcMethods): void;
 }
@@ -45,17 +45,8 @@
       closedBytes,
     ),
   );
-  let bound = '';
   return {
-    name: 'peer',
-    start: async () => {
-      bound = await listen(server, address);
-    },
-    stop: () => {
-      server.closeAllConnections();
-      return closeServer(server);
-    },
-    getAddress: () => bound,
+    ...createBoundServer('peer', server, address),
     addMethods: added => {
       methods = {...methods, ...added};
       handle = createRpcHandler(context.clusterSecret, methods);
--- a/packages/domain/src/controlState.ts
+++ b/packages/domain/src/controlState.ts
@@ -314,19 +314,6 @@
   return records;
 }
 
-/**
- * Chooses between the own state and a peer's snapshot. A state with a lower
- * highest offset never replaces a higher one, unless the own one has gaps.
- */
-export function reconcileControlState(
-  own: ControlState,
-  peer: ControlState,
-): ControlState {
-  if (!peer.isComplete) return own;
-  if (!own.isComplete) return peer.highest >= own.highest ? peer : own;
-  return peer.highest > own.highest ? peer : own;
-}
-
 /** The understood body of a record, null if absent or deleted. */
 export function getBody<Kind extends RecordKind>(
   state: ControlState,
