--- a/packages/rollout/src/control/membershipTask.ts
+++ b/packages/rollout/src/control/membershipTask.ts
@@ -43,8 +43,9 @@
     this.isStopped = true;
     this.take([]);
     const outcome = await log.leave(group, member);
-    if (!outcome.ok)
+    if (!outcome.ok) {
       logger.warn('group was not left', {failure: outcome.error});
+    }
   }
 
   private take(partitions: readonly number[]): void {
--- a/packages/rollout/src/forwarding/forward.ts
+++ b/packages/rollout/src/forwarding/forward.ts
@@ -335,8 +335,9 @@
     for (const cancel of this.timers) cancel();
     for (const attempt of this.attempts) {
       attempt.exchange.abort();
-      if (outcome.tag === 'answered')
+      if (outcome.tag === 'answered') {
         this.context.onBegun(this.request.account);
+      }
     }
     this.resolve(outcome);
   }
--- a/packages/rollout/src/steps/records.ts
+++ b/packages/rollout/src/steps/records.ts
@@ -99,8 +99,9 @@
     const {type: _type, schema: _schema, ...step} = data;
     return ok({tag: 'step', step: step as unknown as Step});
   }
-  if (data.type === 'end')
+  if (data.type === 'end') {
     return ok({tag: 'end', step: data.step as RequestId});
+  }
   // Copied, so that the buffer of a whole read is not kept alive.
   const output = Buffer.from(entry.subarray(end + 1));
   const result: SampleResult = {
