--- a/packages/common/src/http.ts
+++ b/packages/common/src/http.ts
@@ -140,6 +140,17 @@
   response.end(text);
 }
 
+/** Reads a JSON body; an empty one, as of an acknowledgement, is null. */
+async function readAnswer(
+  answer: http.IncomingMessage,
+  limitBytes: number,
+): Promise<Result<unknown, BodyFailure>> {
+  const body = await readBody(answer, limitBytes);
+  if (!body.ok) return body;
+  if (body.value.length === 0) return ok(null);
+  return parseJson(body.value.toString('utf8'));
+}
+
 /** Sends a JSON request and reads the JSON answer. */
 export function requestJson(
   request: JsonRequest,
@@ -173,7 +184,7 @@
       finish(fail({tag, detail: error.message}));
     });
     outgoing.on('response', answer => {
-      void readJson(answer, request.maxBytes ?? DEFAULT_MAX_BYTES).then(
+      void readAnswer(answer, request.maxBytes ?? DEFAULT_MAX_BYTES).then(
         body => {
           if (body.ok) {
             const status = answer.statusCode ?? 0;
--- a/packages/rollout/src/control/lease.ts
+++ b/packages/rollout/src/control/lease.ts
@@ -6,6 +6,8 @@
   type: z.enum(['claim', 'renewal', 'release']),
   /** Process that wrote it: its instance and incarnation. */
   holder: z.string(),
+  /** Instance of the holder; it runs one process at a time. */
+  instance: z.string(),
 });
 
 /** A record of the lease stream. */
@@ -16,6 +18,7 @@
   /** Offset at which the stream ends. */
   end: number;
   holder: string | null;
+  instance: string | null;
   /** Offset of the holder's claim; grows with each holder. */
   fencingToken: number;
   /** When this process read the newest claim or renewal, ms. */
@@ -25,6 +28,7 @@
 export const noLease: LeaseView = {
   end: 0,
   holder: null,
+  instance: null,
   fencingToken: -1,
   seenAt: 0,
 };
@@ -50,7 +54,13 @@
   const end = offset + 1;
   switch (record.type) {
     case 'claim':
-      return {end, holder: record.holder, fencingToken: offset, seenAt: now};
+      return {
+        end,
+        holder: record.holder,
+        instance: record.instance,
+        fencingToken: offset,
+        seenAt: now,
+      };
     case 'renewal':
       // Conditions on the end make renewals of others impossible.
       return record.holder === view.holder
@@ -63,13 +73,18 @@
   }
 }
 
-/** Whether a process may claim the lease at `now`. */
+/**
+ * Whether a process may claim the lease at `now`. The next process of the
+ * holder's own instance need not wait, as the former one has ended.
+ */
 export function mayClaim(
   view: LeaseView,
   self: string,
+  instance: string,
   now: number,
   successorWaitMs: number,
 ): boolean {
   if (view.holder === self) return false;
+  if (view.instance === instance) return true;
   return view.holder === null || now - view.seenAt >= successorWaitMs;
 }
--- a/packages/rollout/src/control/leaseTask.ts
+++ b/packages/rollout/src/control/leaseTask.ts
@@ -36,6 +36,8 @@
   stream: string;
   /** Unique for each start of a process. */
   self: string;
+  /** Instance that the process runs on. */
+  instance: string;
   leaseMs: number;
   clock: Clock;
   logger: Logger;
@@ -142,14 +144,16 @@
       await this.extend('renewal');
       return RENEWAL_MS;
     }
-    const {clock, self, leaseMs, random} = this.options;
+    const {clock, self, instance, leaseMs, random} = this.options;
     const waitMs = leaseMs + SUCCESSOR_MARGIN_MS;
     // A former holder that acted a moment ago must not take turns.
     if (clock.now() - this.lastHeldAt < waitMs) return WATCH_MS;
-    if (!mayClaim(this.view, self, clock.now(), waitMs)) return WATCH_MS;
+    if (!mayClaim(this.view, self, instance, clock.now(), waitMs))
+      return WATCH_MS;
     const spreadMs = random() * CLAIM_SPREAD_MS;
     await clock.waitUntil(getDeadline(clock.now(), spreadMs));
-    if (!mayClaim(this.view, self, clock.now(), waitMs)) return WATCH_MS;
+    if (!mayClaim(this.view, self, instance, clock.now(), waitMs))
+      return WATCH_MS;
     await this.extend('claim');
     return this.view.holder === self ? RENEWAL_MS : WATCH_MS;
   }
@@ -189,8 +193,8 @@
     type: LeaseRecord['type'],
     end: number,
   ): Promise<Result<null, LogFailure>> {
-    const {log, stream, self} = this.options;
-    const entry = encodeLeaseRecord({type, holder: self});
+    const {log, stream, self, instance} = this.options;
+    const entry = encodeLeaseRecord({type, holder: self, instance});
     const outcome = await log.append({
       stream,
       partition: PARTITION,
--- a/packages/rollout/src/control/weightMover.ts
+++ b/packages/rollout/src/control/weightMover.ts
@@ -83,9 +83,7 @@
     const {configuration, clock} = this.options;
     const named = configuration.getWeights();
     if (named.size === 0) return;
-    const engines = this.getEngines().filter(
-      engine => (this.waitUntil.get(engine) ?? 0) <= clock.now(),
-    );
+    const engines = this.getEngines();
     const byId = new Map(engines.map(engine => [String(engine.id), engine]));
     const moves = planMoves({
       named,
@@ -97,6 +95,7 @@
           [...named.keys()].map(model => [model, engine.getVersion(model)]),
         ),
         isMoving: this.moving.has(engine),
+        isPostponed: (this.waitUntil.get(engine) ?? 0) > clock.now(),
       })),
     });
     for (const {upstream, model, version} of moves) {
--- a/packages/rollout/src/control/weightPlan.ts
+++ b/packages/rollout/src/control/weightPlan.ts
@@ -6,6 +6,8 @@
   versions: ReadonlyMap<string, number>;
   /** An order to it is under way. */
   isMoving: boolean;
+  /** It refused an order or did not answer a moment ago. */
+  isPostponed: boolean;
 }
 
 /** A change of version that should start now. */
@@ -76,7 +78,8 @@
     const version = input.named.get(model)!;
     if (upstreams.some(upstream => upstream.isMoving)) continue;
     const stale = upstreams
-      .filter(upstream => (upstream.versions.get(model) ?? 0) < version)
+      .filter(upstream => !upstream.isPostponed)
+      .filter(upstream => getVersion(upstream, model) < version)
       .sort((a, b) => getVersion(a, model) - getVersion(b, model));
     if (stale.length === 0 || room <= 0) continue;
     room--;
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -40,8 +40,8 @@
 /** Time for which the store holds reads without records, ms. */
 const CONFIGURATION_WAIT_MS = 800;
 const UPSTREAM_WAIT_MS = 800;
-const STEP_WAIT_MS = 5_000;
-const CONTROL_WAIT_MS = 5_000;
+const STEP_WAIT_MS = 2_000;
+const CONTROL_WAIT_MS = 2_000;
 /** Shortest time between reads of the instance list, ms. */
 const UPSTREAM_PAUSE_MS = 120;
 const SWEEP_MS = 250;
@@ -168,6 +168,7 @@
       log,
       stream: STREAMS.lease,
       self: process,
+      instance: self.id,
       leaseMs: bounds.leaseMs,
       clock,
       logger: logger.part('lease'),
@@ -225,7 +226,7 @@
     this.membership = new MembershipTask({
       log,
       group: STEP_GROUP,
-      member: process,
+      member: self.id,
       stream: STREAMS.steps,
       minTtlMs: options.minTtlMs,
       clock,
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -29,6 +29,8 @@
 const PUMP_MS = 25;
 /** Wait before a failed scoring request is sent again, ms. */
 const SCORING_RETRY_MS = 40;
+/** Time for which an engine that refused a sample gets none, ms. */
+const REFUSAL_WAIT_MS = 80;
 /** Texts of ended steps that may go on in a later step. */
 const MAX_KEPT_TEXTS = 512;
 /** Most time that one generation may take, ms. */
@@ -265,12 +267,13 @@
       minVersion: step.minVersion,
       isSingleVersion: route.isSingleVersion,
       onFirstEvent: () => undefined,
-      onDone: outcome => this.handleGeneration(task, route, outcome),
+      onDone: outcome => this.handleGeneration(task, upstream, route, outcome),
     });
   }
 
   private handleGeneration(
     task: SampleTask,
+    upstream: Upstream,
     route: Route,
     outcome: GenerationOutcome,
   ): void {
@@ -292,10 +295,19 @@
       }
     }
     if (outcome.tag === 'wrong_version') task.text.clear();
+    if (outcome.tag === 'not_run') this.holdBack(task, upstream);
     task.stage = 'queued';
     this.planPump();
   }
 
+  /** An engine that refuses is full or loads; it is asked again later. */
+  private holdBack(task: SampleTask, upstream: Upstream): void {
+    const {clock} = this.options;
+    const {model} = task.open.step;
+    const until = getDeadline(clock.now(), REFUSAL_WAIT_MS);
+    if (model !== null) upstream.holdModel(model, until);
+  }
+
   private score(task: SampleTask): void {
     task.stage = 'scoring';
     const {scoring} = task.sample;
--- a/packages/rollout/src/steps/stepService.ts
+++ b/packages/rollout/src/steps/stepService.ts
@@ -26,6 +26,11 @@
 const END_BUDGET_MS = 3_000;
 /** Most text in one answer, bytes. */
 const MAX_ANSWER_TEXT_BYTES = 900_000;
+/**
+ * Age at which what this process knows of a partition may lack results that
+ * another process has listed, ms.
+ */
+const MAX_AGE_MS = 500;
 /** Attempts to read a partition to its end for an unknown step. */
 const CATCH_UP_ATTEMPTS = 4;
 
@@ -104,8 +109,12 @@
 
   /** Finds a step of an account; reads on if it is unknown here. */
   async find(id: RequestId, account: AccountId | null): Promise<StepLookup> {
-    const {book} = this.options;
+    const {book, clock} = this.options;
     const {tail} = this.getPartition(id);
+    const ageMs = clock.now() - (tail.confirmedAt ?? -Infinity);
+    if (ageMs > MAX_AGE_MS && !(await tail.catchUp())) {
+      return {tag: 'unsure'};
+    }
     for (let attempt = 0; !book.get(id); attempt++) {
       if (attempt === CATCH_UP_ATTEMPTS) return {tag: 'unsure'};
       if ((await tail.catchUp()) && !book.get(id)) return {tag: 'absent'};
--- a/packages/rollout/src/upstreams/upstream.ts
+++ b/packages/rollout/src/upstreams/upstream.ts
@@ -117,6 +117,12 @@
     return isUpstreamEjected(this.health, this.clock.now(), this.inFlight);
   }
 
+  /** Keeps a model's work away until a deadline, unless it is kept longer. */
+  holdModel(model: string, until: MonotonicMs): void {
+    const before = this.loadingUntil.get(model) ?? 0;
+    if (until > before) this.loadingUntil.set(model, until);
+  }
+
   isLoading(model: string): boolean {
     const until = this.loadingUntil.get(model);
     return until !== undefined && this.clock.now() < until;
