Keep the text of unfinished samples and leave slow engines

Ruled out: a load does not pause running samples (trial with logged gaps). Change: progress records in the step stream, joined only along one chain; runs move to a faster engine; loads wait 1.5 s while the engine can still serve; completed samples of earlier steps are listed again.

--- a/packages/rollout/src/configuration/configurationState.ts
+++ b/packages/rollout/src/configuration/configurationState.ts
@@ -9,6 +9,13 @@
 /** Wall and steady clock may drift apart this much between two reads, ms. */
 const CLOCK_TOLERANCE_MS = 250;
 
+/** A version of a model that its trainer has named. */
+export interface NamedVersion {
+  version: number;
+  /** When this process learned of it. */
+  namedAt: MonotonicMs;
+}
+
 /**
  * The configuration in force at this process, and since when it is known to
  * be the newest.
@@ -17,7 +24,7 @@
   private current: RouteTable | null = null;
   private confirmedAt: MonotonicMs | null = null;
   private confirmedOffsetMs = 0;
-  private readonly weights = new Map<string, number>();
+  private readonly weights = new Map<string, NamedVersion>();
   private readonly listeners: Array<() => void> = [];
 
   constructor(
@@ -40,7 +47,7 @@
   }
 
   /** The newest named version by model. */
-  getWeights(): ReadonlyMap<string, number> {
+  getWeights(): ReadonlyMap<string, NamedVersion> {
     return this.weights;
   }
 
@@ -60,9 +67,9 @@
 
   /** Takes the version of a model that its trainer has named. */
   applyWeights(model: string, version: number): void {
-    const before = this.weights.get(model) ?? 0;
+    const before = this.weights.get(model)?.version ?? 0;
     if (version <= before) return;
-    this.weights.set(model, version);
+    this.weights.set(model, {version, namedAt: this.clock.now()});
     this.logger.info('weights named', {model, version, before});
     this.notify();
   }
--- a/packages/rollout/src/control/membershipTask.ts
+++ b/packages/rollout/src/control/membershipTask.ts
@@ -4,9 +4,9 @@
 import type {SharedLog} from '../model/index.js';
 
 /** Interval between two joins, ms. */
-const JOIN_MS = 500;
+const JOIN_MS = 250;
 /** A member that is silent this long loses its partitions, ms. */
-const TTL_MS = 2_500;
+const TTL_MS = 1_800;
 /**
  * Without an answer for this long the partitions may be another's, ms. Longer
  * than the store's limit, as work goes on through an outage of the store.
--- a/packages/rollout/src/control/weightMover.ts
+++ b/packages/rollout/src/control/weightMover.ts
@@ -41,6 +41,8 @@
   configuration: ConfigurationState;
   directory: Directory;
   dialect: UpstreamDialect;
+  /** Oldest version that an open step of a model can use. */
+  getNeededVersion: (model: string) => number;
   clock: Clock;
   logger: Logger;
   metrics: Metrics;
@@ -86,7 +88,16 @@
     const engines = this.getEngines();
     const byId = new Map(engines.map(engine => [String(engine.id), engine]));
     const moves = planMoves({
-      named,
+      named: new Map(
+        [...named].map(([model, {version, namedAt}]) => [
+          model,
+          {
+            version,
+            ageMs: clock.now() - namedAt,
+            neededVersion: this.options.getNeededVersion(model),
+          },
+        ]),
+      ),
       maxMoves: MAX_MOVES,
       upstreams: engines.map(engine => ({
         id: engine.id,
--- a/packages/rollout/src/control/weightPlan.ts
+++ b/packages/rollout/src/control/weightPlan.ts
@@ -17,9 +17,24 @@
   version: number;
 }
 
+/** A model whose version its trainer has named. */
+export interface NamedModel {
+  version: number;
+  /** Time since it was named, ms. */
+  ageMs: number;
+  /** Oldest version that an open step can use. */
+  neededVersion: number;
+}
+
+/**
+ * Time after the naming of a version in which engines that can still serve
+ * take the new step's samples instead of loading, ms.
+ */
+const LOAD_DELAY_MS = 1_500;
+
 export interface WeightPlanInput {
   /** The newest named version by model. */
-  named: ReadonlyMap<string, number>;
+  named: ReadonlyMap<string, NamedModel>;
   upstreams: readonly PlannedUpstream[];
   /** Orders that may be under way at the same time. */
   maxMoves: number;
@@ -75,11 +90,14 @@
   const moves: WeightMove[] = [];
   let room = input.maxMoves - input.upstreams.filter(u => u.isMoving).length;
   for (const [model, upstreams] of assignModels(input)) {
-    const version = input.named.get(model)!;
+    const {version, ageMs, neededVersion} = input.named.get(model)!;
+    const isDue = (upstream: PlannedUpstream) =>
+      ageMs >= LOAD_DELAY_MS || getVersion(upstream, model) < neededVersion;
     if (upstreams.some(upstream => upstream.isMoving)) continue;
     const stale = upstreams
       .filter(upstream => !upstream.isPostponed)
       .filter(upstream => getVersion(upstream, model) < version)
+      .filter(isDue)
       .sort((a, b) => getVersion(a, model) - getVersion(b, model));
     if (stale.length === 0 || room <= 0) continue;
     room--;
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -17,6 +17,7 @@
 import type {
   Bounds,
   CallerDialect,
+  Deadline,
   DutyPort,
   KeyedRecord,
   Pool,
@@ -53,6 +54,9 @@
 /** Time after a signal until the listener closes, ms. */
 const DRAIN_ACCEPT_MS = 2_500;
 const DRAIN_POLL_MS = 50;
+/** Time that the store has to take unfinished samples at the end, ms. */
+const HANDOVER_MS = 600;
+const HANDOVER_POLL_MS = 10;
 /** What is left of the grace for the exit itself, ms. */
 const EXIT_MARGIN_MS = 700;
 /** A process that starts with others does not take upstreams for cold, ms. */
@@ -210,10 +214,14 @@
       metrics,
       domain: self.domain,
       getColdShare,
+      process,
+      storeProgress: (partition, part) => steps.storeProgress(partition, part),
+      getWaiting: partition => this.partitions[partition].queue.size,
       storeResult: (open, result) => steps.storeResult(open, result),
     });
     feed.onVersion(() => this.runner.pump());
     this.mover = new WeightMover({
+      getNeededVersion: model => this.book.getNeededVersion(model),
       lease: this.lease,
       feed,
       configuration: this.configuration,
@@ -296,8 +304,10 @@
     this.server.drain();
     this.mover.stop();
     this.usage.stop();
-    await Promise.all([this.membership.stop(), this.lease.stop()]);
+    this.runner.storeAll();
+    await this.drainQueues(getDeadline(clock.now(), HANDOVER_MS));
     this.runner.stop();
+    await Promise.all([this.membership.stop(), this.lease.stop()]);
     await clock.waitUntil(getDeadline(startedAt, DRAIN_ACCEPT_MS));
     this.server.server.close();
     this.server.server.closeIdleConnections();
@@ -311,9 +321,19 @@
     });
   }
 
+  private hasUnstored(): boolean {
+    return this.partitions.some(({queue}) => queue.size > 0);
+  }
+
   private isIdle(): boolean {
-    const unstored = this.partitions.some(({queue}) => queue.size > 0);
-    return this.server.openCount === 0 && !unstored;
+    return this.server.openCount === 0 && !this.hasUnstored();
+  }
+
+  private async drainQueues(deadline: Deadline): Promise<void> {
+    const {clock} = this.options;
+    while (this.hasUnstored() && clock.now() < deadline) {
+      await clock.waitUntil(getDeadline(clock.now(), HANDOVER_POLL_MS));
+    }
   }
 
   private isStarting(): boolean {
--- a/packages/rollout/src/steps/generation.ts
+++ b/packages/rollout/src/steps/generation.ts
@@ -11,8 +11,14 @@
 import {startExchange} from '../upstreams/index.js';
 import type {SampleText} from './sampleText.js';
 
-/** Time in which an engine must answer or send the next event, ms. */
-const SILENCE_MS = 1_500;
+/** Time in which an engine must send the first event, ms. */
+const FIRST_EVENT_MS = 1_500;
+/** Time in which an engine must send the next event, ms. */
+const NEXT_EVENT_MS = 800;
+/** A timer that fires this late tells that this process stood still, ms. */
+const LATE_TIMER_MS = 100;
+/** Time in which bytes that wait after a standstill are read, ms. */
+const STANDSTILL_GRACE_MS = 200;
 
 /** How a generation ended. */
 export type GenerationOutcome =
@@ -38,7 +44,6 @@
   model: string | null;
   minVersion: number;
   isSingleVersion: boolean;
-  onFirstEvent: () => void;
   onDone: (outcome: GenerationOutcome) => void;
 }
 
@@ -50,7 +55,7 @@
   private version = 0;
   private nextVersion: number | null = null;
   private isDone = false;
-  private hasEvent = false;
+  private lastEventAt: MonotonicMs | null = null;
   private cancelSilence: () => void = () => undefined;
   private readonly parser;
 
@@ -64,7 +69,7 @@
         }
       },
     });
-    this.watchSilence();
+    this.watchSilence(FIRST_EVENT_MS);
     this.exchange = startExchange(
       options.upstream,
       options.dialect,
@@ -100,16 +105,17 @@
     this.options.onDone(outcome);
   }
 
-  private watchSilence(): void {
+  private watchSilence(spanMs: number): void {
     this.cancelSilence();
     const {clock} = this.options;
-    this.cancelSilence = clock.callAt(
-      getDeadline(clock.now(), SILENCE_MS),
-      () => {
-        this.upstream.noteFailure();
-        this.settle({tag: 'broken', reason: 'silent'});
-      },
-    );
+    const deadline = getDeadline(clock.now(), spanMs);
+    this.cancelSilence = clock.callAt(deadline, () => {
+      if (clock.now() - deadline > LATE_TIMER_MS) {
+        return this.watchSilence(STANDSTILL_GRACE_MS);
+      }
+      this.upstream.noteFailure();
+      this.settle({tag: 'broken', reason: 'silent'});
+    });
   }
 
   private takeHead(head: AnswerHead): void {
@@ -127,7 +133,7 @@
 
   private takeChunk(chunk: Buffer): void {
     if (this.head?.status !== 200 || this.isDone) return;
-    this.watchSilence();
+    this.watchSilence(NEXT_EVENT_MS);
     this.parser.feed(chunk.toString('utf8'));
   }
 
@@ -146,8 +152,14 @@
     if (!text.isUsable(minVersion, isSingleVersion)) {
       return this.settle({tag: 'wrong_version', version: this.version});
     }
-    if (!this.hasEvent) this.options.onFirstEvent();
-    this.hasEvent = true;
+    this.notePace();
+  }
+
+  private notePace(): void {
+    const now = this.options.clock.now();
+    if (this.lastEventAt !== null)
+      this.upstream.notePace(now - this.lastEventAt);
+    this.lastEventAt = now;
   }
 
   private finish(): void {
--- a/packages/rollout/src/steps/index.ts
+++ b/packages/rollout/src/steps/index.ts
@@ -1,5 +1,6 @@
 /** Trainers' steps: their records, the book of all steps, and their runs. */
 export * from './generation.js';
+export * from './progress.js';
 export * from './records.js';
 export * from './sampleTask.js';
 export * from './sampleText.js';
--- a/packages/rollout/src/steps/records.ts
+++ b/packages/rollout/src/steps/records.ts
@@ -3,6 +3,7 @@
 import {z} from 'zod';
 
 import type {SampleResult, Step} from '../model/index.js';
+import type {ProgressPart} from './progress.js';
 
 /** Version of the record layout that this process writes. */
 const SCHEMA_VERSION = 1;
@@ -56,9 +57,22 @@
   step: z.string(),
 });
 
+/** The data of the events follows as a JSON array. */
+const progressSchema = z.object({
+  type: z.literal('progress'),
+  schema: z.literal(SCHEMA_VERSION),
+  sample: z.string(),
+  chain: z.string(),
+  parent: z.string(),
+  after: z.number(),
+  versions: z.array(z.number()),
+});
+const eventsSchema = z.array(z.string());
+
 const headerSchema = z.discriminatedUnion('type', [
   stepSchema,
   resultSchema,
+  progressSchema,
   endSchema,
 ]);
 
@@ -66,6 +80,7 @@
 export type StepRecord =
   | {tag: 'step'; step: Step}
   | {tag: 'result'; step: RequestId; result: SampleResult}
+  | {tag: 'progress'; part: ProgressPart}
   | {tag: 'end'; step: RequestId};
 
 function encode(header: object, payload?: Buffer): Buffer {
@@ -82,10 +97,56 @@
   if (record.tag === 'end') {
     return encode({type: 'end', schema, step: record.step});
   }
+  if (record.tag === 'progress') {
+    const {events, ...part} = record.part;
+    const payload = Buffer.from(JSON.stringify(events));
+    return encode({type: 'progress', schema, ...part}, payload);
+  }
   const {output, ...result} = record.result;
   return encode({type: 'result', schema, step: record.step, ...result}, output);
 }
 
+type Header = z.infer<typeof headerSchema>;
+
+type RecordReaders = {
+  [Type in Header['type']]: (
+    header: Header & {type: Type},
+    payload: Buffer,
+  ) => Result<StepRecord, string>;
+};
+
+/** How each type of record is read from its header and payload. */
+const readers: RecordReaders = {
+  step: header => {
+    const {type: _type, schema: _schema, ...step} = header;
+    return ok({tag: 'step', step: step as unknown as Step});
+  },
+  end: header => ok({tag: 'end', step: as<RequestId>(header.step)}),
+  progress: (header, payload) => {
+    const parsed = parseJson(payload.toString('utf8'));
+    if (!parsed.ok) return fail(parsed.error.detail);
+    const events = eventsSchema.safeParse(parsed.value);
+    if (!events.success) return fail(events.error.issues[0].message);
+    const {chain, parent, after, versions} = header;
+    const sample = as<SampleId>(header.sample);
+    return ok({
+      tag: 'progress',
+      part: {sample, chain, parent, after, versions, events: events.data},
+    });
+  },
+  result: (header, payload) => {
+    const result: SampleResult = {
+      sample: as<SampleId>(header.sample),
+      state: header.state,
+      versions: header.versions,
+      score: header.score,
+      // Copied, so that the buffer of a whole read is not kept alive.
+      output: Buffer.from(payload),
+    };
+    return ok({tag: 'result', step: as<RequestId>(header.step), result});
+  },
+};
+
 /** Reads a record; unknown layouts of newer processes are an error. */
 export function decodeStepRecord(entry: Buffer): Result<StepRecord, string> {
   const end = entry.indexOf(LINE_FEED);
@@ -94,22 +155,6 @@
   if (!parsed.ok) return fail(parsed.error.detail);
   const header = headerSchema.safeParse(parsed.value);
   if (!header.success) return fail(header.error.issues[0].message);
-  const data = header.data;
-  if (data.type === 'step') {
-    const {type: _type, schema: _schema, ...step} = data;
-    return ok({tag: 'step', step: step as unknown as Step});
-  }
-  if (data.type === 'end') {
-    return ok({tag: 'end', step: data.step as RequestId});
-  }
-  // Copied, so that the buffer of a whole read is not kept alive.
-  const output = Buffer.from(entry.subarray(end + 1));
-  const result: SampleResult = {
-    sample: as<SampleId>(data.sample),
-    state: data.state,
-    versions: data.versions,
-    score: data.score,
-    output,
-  };
-  return ok({tag: 'result', step: data.step as RequestId, result});
+  const payload = entry.subarray(end + 1);
+  return readers[header.data.type](header.data as never, payload);
 }
--- a/packages/rollout/src/steps/sampleTask.ts
+++ b/packages/rollout/src/steps/sampleTask.ts
@@ -1,7 +1,9 @@
-import type {SampleId} from '@vanillacross/common';
+import type {MonotonicMs, SampleId} from '@vanillacross/common';
 
 import type {Sample} from '../model/index.js';
+import type {Upstream} from '../upstreams/index.js';
 import type {Generation} from './generation.js';
+import type {Progress, ProgressPart} from './progress.js';
 import {SampleText} from './sampleText.js';
 import type {OpenStep} from './stepBook.js';
 
@@ -20,14 +22,38 @@
   cancelScoring: (() => void) | null = null;
   isCancelled = false;
 
+  /** Engine that was too slow and should not be chosen again. */
+  avoided: Upstream | null = null;
+  migrations = 0;
+  /** Events of the text that are stored. */
+  storedEvents: number;
+  /** Chain that the stored text was taken from. */
+  readonly parent: string;
+
   constructor(
     readonly open: OpenStep,
     readonly sample: Sample,
     /** Position in the step. */
     readonly position: number,
-    text: SampleText | null,
+    /** Names the text that this task makes. */
+    readonly chain: string,
+    readonly createdAt: MonotonicMs,
+    progress: Progress | null,
   ) {
-    this.text = text ?? new SampleText();
+    this.text = progress?.text.copy() ?? new SampleText();
+    this.storedEvents = this.text.lastEventId;
+    this.parent = progress?.chain ?? '';
+  }
+
+  /** The events that are not stored yet, or null if there are none. */
+  takeUnstored(): ProgressPart | null {
+    const after = this.storedEvents;
+    const {lastEventId, versions} = this.text;
+    if (lastEventId <= after) return null;
+    this.storedEvents = lastEventId;
+    const events = this.text.getEventsAfter(after);
+    const {chain, parent} = this;
+    return {sample: this.id, chain, parent, after, events, versions};
   }
 
   get id(): SampleId {
--- a/packages/rollout/src/steps/sampleText.ts
+++ b/packages/rollout/src/steps/sampleText.ts
@@ -21,6 +21,23 @@
     return true;
   }
 
+  /** Takes several events with all versions that generated one of them. */
+  extend(events: readonly string[], versions: readonly number[]): void {
+    this.events.push(...events);
+    for (const version of versions) this.versionSet.add(version);
+  }
+
+  /** Data of the events after one. */
+  getEventsAfter(id: number): string[] {
+    return this.events.slice(id);
+  }
+
+  copy(): SampleText {
+    const text = new SampleText();
+    text.extend(this.events, this.versions);
+    return text;
+  }
+
   /** Whether it may become part of a sample with these bounds. */
   isUsable(minVersion: number, isSingleVersion: boolean): boolean {
     if (isSingleVersion && this.versionSet.size > 1) return false;
--- a/packages/rollout/src/steps/stepBook.ts
+++ b/packages/rollout/src/steps/stepBook.ts
@@ -1,6 +1,7 @@
 import type {Clock, Logger, RequestId, SampleId} from '@vanillacross/common';
 
 import type {Sample, SampleResult, Step} from '../model/index.js';
+import {ProgressBook} from './progress.js';
 import type {StepRecord} from './records.js';
 
 /** A step with what is listed of it. */
@@ -31,6 +32,9 @@
  */
 export class StepBook {
   private readonly steps = new Map<RequestId, OpenStep>();
+  /** Completed samples, as their group may come again in a later step. */
+  private readonly completed = new Map<SampleId, SampleResult>();
+  readonly progress = new ProgressBook();
   private readonly earlyEnds = new Set<RequestId>();
   private readonly listeners: Array<(change: StepChange) => void> = [];
 
@@ -48,14 +52,30 @@
     return this.steps.get(id);
   }
 
+  /** The newest result of a sample in any step. */
+  getCompleted(sample: SampleId): SampleResult | undefined {
+    return this.completed.get(sample);
+  }
+
   getAll(): Iterable<OpenStep> {
     return this.steps.values();
   }
 
+  /** The highest version that an open step of a model asks for at least. */
+  getNeededVersion(model: string): number {
+    let needed = 0;
+    for (const {step, isEnded} of this.steps.values()) {
+      if (isEnded || step.model !== model) continue;
+      needed = Math.max(needed, step.minVersion);
+    }
+    return needed;
+  }
+
   /** Applies the next record of a partition. */
   apply(record: StepRecord, partition: number): void {
     if (record.tag === 'step') return this.applyStep(record.step, partition);
     if (record.tag === 'end') return this.applyEnd(record.step);
+    if (record.tag === 'progress') return this.progress.apply(record.part);
     this.applyResult(record.step, record.result);
   }
 
@@ -63,7 +83,9 @@
   sweep(): void {
     const oldest = this.clock.wallNow() - this.statusMs - STATUS_MARGIN_MS;
     for (const [id, open] of this.steps) {
-      if (open.step.acceptedAt < oldest && open.isEnded) this.steps.delete(id);
+      if (open.step.acceptedAt >= oldest || !open.isEnded) continue;
+      this.steps.delete(id);
+      for (const sample of open.listed) this.completed.delete(sample);
     }
   }
 
@@ -91,6 +113,10 @@
     if (open.listed.has(result.sample)) return;
     open.listed.add(result.sample);
     open.results.push(result);
+    this.progress.delete(result.sample);
+    if (result.state === 'completed') {
+      this.completed.set(result.sample, result);
+    }
     this.notify({tag: 'listed', open, sample: result.sample});
   }
 
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -14,6 +14,7 @@
 import type {
   Pool,
   Route,
+  Sample,
   SampleResult,
   UpstreamDialect,
 } from '../model/index.js';
@@ -22,7 +23,8 @@
 import type {GenerationOutcome} from './generation.js';
 import {Generation} from './generation.js';
 import {SampleTask, compareTasks} from './sampleTask.js';
-import type {SampleText} from './sampleText.js';
+import type {ProgressPart} from './progress.js';
+import {SampleText} from './sampleText.js';
 import type {OpenStep, StepBook, StepChange} from './stepBook.js';
 
 /** Interval at which waiting samples look for room, ms. */
@@ -31,8 +33,18 @@
 const SCORING_RETRY_MS = 40;
 /** Time for which an engine that refused a sample gets none, ms. */
 const REFUSAL_WAIT_MS = 80;
-/** Texts of ended steps that may go on in a later step. */
-const MAX_KEPT_TEXTS = 512;
+/** Interval at which running samples are stored and compared, ms. */
+const REVIEW_MS = 400;
+/** Samples that end sooner than this are not stored on their way, ms. */
+const STORE_AFTER_MS = 500;
+/** Parts that may wait for the store; more are left for the next review. */
+const MAX_WAITING_PARTS = 200;
+/** A run moves if its engine is slower than another by this factor. */
+const SLOW_FACTOR = 1.7;
+/** Time for which a run is watched before it may move, ms. */
+const MOVE_AFTER_MS = 500;
+/** Moves of one sample away from slow engines. */
+const MAX_MOVES = 3;
 /** Most time that one generation may take, ms. */
 const GENERATION_BUDGET_MS = 30_000;
 /** A sample is given up this much after its retention, ms. */
@@ -49,6 +61,12 @@
   metrics: Metrics;
   domain: DomainId;
   getColdShare: (pool: Pool) => number;
+  /** Unique for each start of a process. */
+  process: string;
+  /** Stores the text of an unfinished sample. */
+  storeProgress: (partition: number, part: ProgressPart) => void;
+  /** Entries that wait for the store in a partition. */
+  getWaiting: (partition: number) => number;
   /** Stores a result; resolves when the store has acknowledged it. */
   storeResult: (open: OpenStep, result: SampleResult) => Promise<void>;
 }
@@ -57,7 +75,7 @@
 export class StepRunner {
   private readonly owned = new Set<number>();
   private readonly tasks = new Map<string, SampleTask>();
-  private readonly keptTexts = new Map<SampleId, SampleText>();
+  private chains = 0;
   private isPumpPlanned = false;
   private isStopped = false;
 
@@ -65,6 +83,7 @@
     options.book.onChange(change => this.handleChange(change));
     options.directory.onChange(() => this.pump());
     options.configuration.onChange(() => this.pump());
+    this.review();
   }
 
   /** Number of samples that are not stored yet. */
@@ -99,6 +118,7 @@
     this.options.logger.info('partition handed over', {partition});
     for (const [key, task] of this.tasks) {
       if (task.open.partition !== partition) continue;
+      if (task.stage !== 'storing') this.storeProgress(task);
       task.cancel();
       this.tasks.delete(key);
     }
@@ -122,18 +142,50 @@
     open.step.samples.forEach((sample, position) => {
       const key = this.getKey(open, sample.id);
       if (open.listed.has(sample.id) || this.tasks.has(key)) return;
-      const text = this.takeKeptText(open, sample.id);
-      this.tasks.set(key, new SampleTask(open, sample, position, text));
+      const task = this.createTask(open, sample, position);
+      this.tasks.set(key, task);
+      this.reuseResult(task);
     });
   }
 
-  private takeKeptText(open: OpenStep, sample: SampleId): SampleText | null {
-    const text = this.keptTexts.get(sample);
-    if (!text) return null;
-    this.keptTexts.delete(sample);
-    const route = this.getRoute(open);
-    const isSingle = route?.isSingleVersion ?? false;
-    return text.isUsable(open.step.minVersion, isSingle) ? text : null;
+  private createTask(
+    open: OpenStep,
+    sample: Sample,
+    position: number,
+  ): SampleTask {
+    const {book, clock, process} = this.options;
+    const isSingle = this.getRoute(open)?.isSingleVersion ?? false;
+    const progress = book.progress.get(sample.id);
+    const isUsable = progress?.text.isUsable(open.step.minVersion, isSingle);
+    return new SampleTask(
+      open,
+      sample,
+      position,
+      `${process}/${++this.chains}`,
+      clock.now(),
+      progress && isUsable ? progress : null,
+    );
+  }
+
+  /** Lists a sample again that an earlier step had completed. */
+  private reuseResult(task: SampleTask): boolean {
+    const {minVersion} = task.open.step;
+    const before = this.options.book.getCompleted(task.id);
+    if (!before?.versions.every(version => version >= minVersion)) return false;
+    const isSingle = this.getRoute(task.open)?.isSingleVersion ?? false;
+    if (isSingle && before.versions.length > 1) return false;
+    task.text = new SampleText();
+    task.text.extend(
+      before.output.toString('utf8').split('\n'),
+      before.versions,
+    );
+    this.options.logger.info('result of an earlier step is used', {
+      step: task.open.step.id,
+      sample: task.id,
+      versions: before.versions,
+    });
+    this.score(task);
+    return true;
   }
 
   private drop(open: OpenStep, sample: SampleId): void {
@@ -146,18 +198,65 @@
     for (const sample of open.step.samples) {
       const task = this.tasks.get(this.getKey(open, sample.id));
       if (!task) continue;
-      if (task.text.lastEventId > 0) this.keepText(task);
+      if (task.stage !== 'storing') this.storeProgress(task);
       this.drop(open, sample.id);
     }
   }
 
-  /** Keeps the text of an unfinished sample, as its group may come again. */
-  private keepText(task: SampleTask): void {
-    this.keptTexts.set(task.id, task.text);
-    for (const id of this.keptTexts.keys()) {
-      if (this.keptTexts.size <= MAX_KEPT_TEXTS) break;
-      this.keptTexts.delete(id);
+  private storeProgress(task: SampleTask): void {
+    const part = task.takeUnstored();
+    if (part) this.options.storeProgress(task.open.partition, part);
+  }
+
+  /** Stores the text of all unfinished samples. */
+  storeAll(): void {
+    for (const task of this.tasks.values()) {
+      if (task.stage !== 'storing') this.storeProgress(task);
+    }
+  }
+
+  private review(): void {
+    const {clock, getWaiting} = this.options;
+    for (const task of [...this.tasks.values()]) {
+      if (task.stage !== 'generating') continue;
+      this.moveIfSlow(task);
+      if (clock.now() - task.createdAt < STORE_AFTER_MS) continue;
+      if (getWaiting(task.open.partition) > MAX_WAITING_PARTS) continue;
+      this.storeProgress(task);
     }
+    if (this.isStopped) return;
+    clock.callAt(getDeadline(clock.now(), REVIEW_MS), () => this.review());
+  }
+
+  /** Goes on at a faster engine; the text so far is kept. */
+  private moveIfSlow(task: SampleTask): void {
+    const {generation} = task;
+    const {clock, logger, configuration} = this.options;
+    if (!generation || task.migrations >= MAX_MOVES) return;
+    if (clock.now() - generation.startedAt < MOVE_AFTER_MS) return;
+    const paceMs = generation.upstream.getPace();
+    const pool = configuration.getPool(generation.upstream.entry.pool);
+    if (paceMs === null || !pool) return;
+    const other = this.choose(task, pool, generation.upstream);
+    const otherPaceMs = other?.getPace() ?? null;
+    if (!other || otherPaceMs === null) return;
+    if (paceMs < otherPaceMs * SLOW_FACTOR) return;
+    logger.info('sample moves to a faster engine', {
+      step: task.open.step.id,
+      sample: task.id,
+      events: task.text.lastEventId,
+      from: generation.upstream.id,
+      paceMs: Math.round(paceMs),
+      to: other.id,
+      otherPaceMs: Math.round(otherPaceMs),
+    });
+    task.migrations++;
+    task.avoided = generation.upstream;
+    generation.abort();
+    task.generation = null;
+    task.stage = 'queued';
+    const route = this.getRoute(task.open);
+    if (route) this.generate(task, route, other);
   }
 
   private getRoute(open: OpenStep): Route | null {
@@ -201,7 +300,8 @@
       ? this.options.configuration.getPool(poolId as Pool['id'])
       : undefined;
     if (!route || !pool) return false;
-    const upstream = this.choose(task, pool);
+    const upstream =
+      this.choose(task, pool, task.avoided) ?? this.choose(task, pool, null);
     if (!upstream) return false;
     this.generate(task, route, upstream);
     this.options.metrics.count('vc_samples_started', {
@@ -217,7 +317,11 @@
     return ageMs > route.sampleRetentionMs + RETENTION_MARGIN_MS;
   }
 
-  private choose(task: SampleTask, pool: Pool): Upstream | null {
+  private choose(
+    task: SampleTask,
+    pool: Pool,
+    except: Upstream | null,
+  ): Upstream | null {
     const {directory, domain, getColdShare} = this.options;
     const usable = directory.getUsable(pool.id);
     const {model, minVersion} = task.open.step;
@@ -226,7 +330,7 @@
       pool,
       coldShare: getColdShare(pool),
       domain,
-      tried: new Set(),
+      tried: new Set(except ? [except] : []),
       weights: model === null ? null : {model, minVersion},
       maxInFlight: pool.maxConnections,
     });
@@ -266,7 +370,6 @@
       model: step.model,
       minVersion: step.minVersion,
       isSingleVersion: route.isSingleVersion,
-      onFirstEvent: () => undefined,
       onDone: outcome => this.handleGeneration(task, upstream, route, outcome),
     });
   }
--- a/packages/rollout/src/steps/stepService.ts
+++ b/packages/rollout/src/steps/stepService.ts
@@ -16,6 +16,7 @@
   Step,
   StepSubmission,
 } from '../model/index.js';
+import type {ProgressPart} from './progress.js';
 import type {StepRecord} from './records.js';
 import {encodeStepRecord} from './records.js';
 import type {OpenStep, StepBook} from './stepBook.js';
@@ -24,6 +25,8 @@
 const ACCEPT_BUDGET_MS = 2_500;
 /** Time that the store has to acknowledge the end of a step, ms. */
 const END_BUDGET_MS = 3_000;
+/** Time after which stored progress is old news, ms. */
+const PROGRESS_BUDGET_MS = 4_000;
 /** Most text in one answer, bytes. */
 const MAX_ANSWER_TEXT_BYTES = 900_000;
 /**
@@ -107,6 +110,14 @@
     await queue.append(encodeStepRecord(record), null);
   }
 
+  /** Stores the text of an unfinished sample, if the store answers soon. */
+  storeProgress(partition: number, part: ProgressPart): void {
+    const {clock, partitions} = this.options;
+    const deadline = getDeadline(clock.now(), PROGRESS_BUDGET_MS);
+    const entry = encodeStepRecord({tag: 'progress', part});
+    void partitions[partition].queue.append(entry, deadline);
+  }
+
   /** Finds a step of an account; reads on if it is unknown here. */
   async find(id: RequestId, account: AccountId | null): Promise<StepLookup> {
     const {book, clock} = this.options;
--- a/packages/rollout/src/upstreams/choice.ts
+++ b/packages/rollout/src/upstreams/choice.ts
@@ -25,10 +25,22 @@
   return upstream.getVersion(model) >= minVersion;
 }
 
-function getScore(upstream: Upstream, demand: Demand): number {
+function getScore(
+  upstream: Upstream,
+  demand: Demand,
+  bestPaceMs: number,
+): number {
   const slots = Math.max(1, upstream.entry.slots);
   const isNear = upstream.entry.domain === demand.domain;
-  return (upstream.getOccupancy() + (isNear ? 0 : 0.5)) / slots;
+  const slowness = (upstream.getPace() ?? bestPaceMs) / bestPaceMs;
+  const occupancy = upstream.getOccupancy() + 1 + (isNear ? 0 : 0.5);
+  return (occupancy * Math.max(1, slowness)) / slots;
+}
+
+/** The shortest usual pause between events, ms; 1 if none is known. */
+export function getBestPace(upstreams: readonly Upstream[]): number {
+  const paces = upstreams.map(u => u.getPace()).filter(pace => pace !== null);
+  return Math.max(1, paces.length === 0 ? 1 : Math.min(...paces));
 }
 
 /** The least loaded upstream that fits, or null. */
@@ -46,10 +58,11 @@
   const healthy = fitting.filter(upstream => !upstream.isEjected());
   // Where all look unhealthy, refusing everything helps nobody.
   const candidates = healthy.length > 0 ? healthy : fitting;
+  const bestPaceMs = getBestPace(candidates);
   let best: Upstream | null = null;
   let bestScore = Infinity;
   for (const upstream of candidates) {
-    const score = getScore(upstream, demand) + Math.random() * 1e-3;
+    const score = getScore(upstream, demand, bestPaceMs) + Math.random() * 1e-3;
     if (score >= bestScore) continue;
     best = upstream;
     bestScore = score;
--- a/packages/rollout/src/upstreams/upstream.ts
+++ b/packages/rollout/src/upstreams/upstream.ts
@@ -18,6 +18,11 @@
 /** Time for which an upstream counts as cold beyond what it states, ms. */
 const COLD_MARGIN_MS = 500;
 
+/** Weight of the newest pause between events in the pace. */
+const PACE_WEIGHT = 0.1;
+/** Age at which a pace says nothing any more, ms. */
+const PACE_AGE_MS = 3_000;
+
 /** One upstream as this process knows it; lives as long as its incarnation. */
 export class Upstream {
   readonly id: UpstreamId;
@@ -33,6 +38,7 @@
   private coldUntil: MonotonicMs;
   private load: {value: ReportedLoad; at: MonotonicMs} | null = null;
   private readonly seenVersions = new Map<string, number>();
+  private pace: {ms: number; at: MonotonicMs} | null = null;
   private recentStarts: MonotonicMs[] = [];
   /** When the entry was removed; null while it is listed. */
   removedAt: MonotonicMs | null = null;
@@ -66,6 +72,20 @@
     this.load = {value, at: this.clock.now()};
   }
 
+  /** Records the pause between two events of a stream. */
+  notePace(pauseMs: number): void {
+    const before = this.getPace();
+    const ms =
+      before === null ? pauseMs : before + (pauseMs - before) * PACE_WEIGHT;
+    this.pace = {ms, at: this.clock.now()};
+  }
+
+  /** Usual pause between events, ms; null if unknown. */
+  getPace(): number | null {
+    if (!this.pace) return null;
+    return this.clock.now() - this.pace.at > PACE_AGE_MS ? null : this.pace.ms;
+  }
+
   /** Requests that it works on or queues, as far as known. */
   getOccupancy(): number {
     if (!this.load || this.clock.now() - this.load.at > LOAD_AGE_MS) {
