--- a/packages/rollout/src/control/leaseTask.ts
+++ b/packages/rollout/src/control/leaseTask.ts
@@ -148,12 +148,14 @@
     const waitMs = leaseMs + SUCCESSOR_MARGIN_MS;
     // A former holder that acted a moment ago must not take turns.
     if (clock.now() - this.lastHeldAt < waitMs) return WATCH_MS;
-    if (!mayClaim(this.view, self, instance, clock.now(), waitMs))
+    if (!mayClaim(this.view, self, instance, clock.now(), waitMs)) {
       return WATCH_MS;
+    }
     const spreadMs = random() * CLAIM_SPREAD_MS;
     await clock.waitUntil(getDeadline(clock.now(), spreadMs));
-    if (!mayClaim(this.view, self, instance, clock.now(), waitMs))
+    if (!mayClaim(this.view, self, instance, clock.now(), waitMs)) {
       return WATCH_MS;
+    }
     await this.extend('claim');
     return this.view.holder === self ? RENEWAL_MS : WATCH_MS;
   }
--- a/packages/rollout/src/steps/generation.ts
+++ b/packages/rollout/src/steps/generation.ts
@@ -157,8 +157,9 @@
 
   private notePace(): void {
     const now = this.options.clock.now();
-    if (this.lastEventAt !== null)
+    if (this.lastEventAt !== null) {
       this.upstream.notePace(now - this.lastEventAt);
+    }
     this.lastEventAt = now;
   }
 
