--- a/packages/rollout/src/control/leaseTask.ts
+++ b/packages/rollout/src/control/leaseTask.ts
@@ -83,9 +83,14 @@
   /** Gives the lease back, if it is held. */
   async stop(): Promise<void> {
     const isHeld = this.mayAct();
+    this.halt();
+    if (isHeld) await this.append('release', this.view.end);
+  }
+
+  /** Stops without giving the lease back. */
+  halt(): void {
     this.isStopped = true;
     this.actUntil = -Infinity;
-    if (isHeld) await this.append('release', this.view.end);
     this.tail.stop();
   }
 
--- a/packages/rollout/src/control/membershipTask.ts
+++ b/packages/rollout/src/control/membershipTask.ts
@@ -48,6 +48,11 @@
     }
   }
 
+  /** Stops without handing the partitions back. */
+  halt(): void {
+    this.isStopped = true;
+  }
+
   private take(partitions: readonly number[]): void {
     this.partitions = partitions;
     this.options.onPartitions(partitions);
--- a/packages/rollout/src/control/usageTask.ts
+++ b/packages/rollout/src/control/usageTask.ts
@@ -65,6 +65,11 @@
     this.tell();
   }
 
+  /** Stops without telling the last counts. */
+  halt(): void {
+    this.isStopped = true;
+  }
+
   /** Counts a request that an upstream began to run. */
   note(account: AccountId | null): void {
     if (account === null) return;
--- a/packages/rollout/src/log/appendQueue.ts
+++ b/packages/rollout/src/log/appendQueue.ts
@@ -51,6 +51,7 @@
   private waiting: QueuedEntry[] = [];
   private sequence = 0;
   private isRunning = false;
+  private isClosed = false;
 
   constructor(private readonly options: AppendQueueOptions) {}
 
@@ -74,6 +75,12 @@
     });
   }
 
+  /** Withdraws what waits; nothing more is appended. */
+  close(): void {
+    this.isClosed = true;
+    for (const queued of this.waiting.splice(0)) queued.resolve('unknown');
+  }
+
   private expire(queued: QueuedEntry): void {
     if (queued.wasSent) return queued.resolve('unknown');
     this.waiting = this.waiting.filter(other => other !== queued);
@@ -119,6 +126,7 @@
         },
         timeoutMs: APPEND_TIMEOUT_MS,
       });
+      if (this.isClosed) return;
       if (outcome.ok) return this.settle(batch, 'stored');
       metrics.count('vc_append_retries', {stream, reason: outcome.error.tag});
       if (this.isRepeatStored(outcome.error, hasUnknown)) {
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -99,6 +99,7 @@
   private readonly mover: WeightMover;
   private readonly membership: MembershipTask;
   private readonly controlTail: StreamTail;
+  private readonly controlQueue: AppendQueue;
   private readonly keyedTails: KeyedTail[];
   private readonly readyServer: http.Server;
   private readonly metricsServer: http.Server | null;
@@ -150,7 +151,8 @@
       logger: logger.part('steps'),
     });
     const ledger = new UsageLedger();
-    const controlQueue = this.createQueue(STREAMS.control, 0, process);
+    this.controlQueue = this.createQueue(STREAMS.control, 0, process);
+    const {controlQueue} = this;
     const feed = new ControlFeed({
       queue: controlQueue,
       directory: this.directory,
@@ -321,6 +323,29 @@
     });
   }
 
+  /** Ends at once, without handing anything over. */
+  kill(): void {
+    this.isStopping = true;
+    this.isReady = false;
+    this.mover.stop();
+    this.usage.halt();
+    this.membership.halt();
+    this.lease.halt();
+    this.runner.stop();
+    for (const tail of this.keyedTails) tail.stop();
+    this.controlTail.stop();
+    for (const {tail, queue} of this.partitions) {
+      tail.stop();
+      queue.close();
+    }
+    this.controlQueue.close();
+    const servers = [this.server.server, this.readyServer, this.metricsServer];
+    for (const server of servers) {
+      server?.close();
+      server?.closeAllConnections();
+    }
+  }
+
   private hasUnstored(): boolean {
     return this.partitions.some(({queue}) => queue.size > 0);
   }
@@ -418,7 +443,7 @@
 
   private async sweep(): Promise<void> {
     const {clock} = this.options;
-    for (;;) {
+    while (!this.isStopping) {
       await clock.waitUntil(getDeadline(clock.now(), SWEEP_MS));
       this.directory.sweep();
       this.book.sweep();
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -9,6 +9,8 @@
 export * from './reports.js';
 export * from './scoring.js';
 export type {Service, ServiceOptions} from './service.js';
+export * from './sharedEngine.js';
+export * from './sharedStore.js';
 export * from './tokenText.js';
 export type {AuditEntry, ColdStartOptions} from './upstreamState.js';
 export * from './weightStore.js';
