--- /dev/null
+++ b/packages/rollout/src/steps/stepBook.test.ts
@@ -0,0 +1,125 @@
+import type {RequestId, SampleId} from '@vanillacross/common';
+import {ManualClock, as, createLogger} from '@vanillacross/common';
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import type {Sample, SampleResult, Step} from '../model/index.js';
+import type {StepRecord} from './records.js';
+import {decodeStepRecord, encodeStepRecord} from './records.js';
+import {StepBook} from './stepBook.js';
+
+const STEP = as<RequestId>('step');
+
+function getSample(id: string): Sample {
+  return {
+    id: as<SampleId>(id),
+    path: '/steps/1',
+    headers: {},
+    body: '',
+    tokens: 1,
+    expectedTokens: null,
+    group: 'g',
+    scoring: null,
+  };
+}
+
+function getStep(minVersion = 1): Step {
+  return {
+    id: STEP,
+    account: null,
+    route: 'steps',
+    host: 'desk.example',
+    model: 'm',
+    minVersion,
+    targetGroups: 1,
+    acceptedAt: 0,
+    samples: [getSample('a'), getSample('b')],
+  };
+}
+
+function getResult(sample: string, text: string): StepRecord {
+  const result: SampleResult = {
+    sample: as<SampleId>(sample),
+    state: 'completed',
+    versions: [1],
+    score: 's',
+    output: Buffer.from(text),
+  };
+  return {tag: 'result', step: STEP, result};
+}
+
+function createBook(records: StepRecord[]): StepBook {
+  const book = new StepBook(
+    new ManualClock(),
+    createLogger('test', 'silent'),
+    1_000,
+  );
+  for (const record of records) {
+    const decoded = decodeStepRecord(encodeStepRecord(record));
+    assert.ok(decoded.ok);
+    book.apply(decoded.value, 0);
+  }
+  return book;
+}
+
+describe('StepBook', () => {
+  describe('results', () => {
+    it('lists the first result of a sample only (guards doubled results)', () => {
+      const book = createBook([
+        {tag: 'step', step: getStep()},
+        getResult('b', 'first'),
+        getResult('b', 'second'),
+        getResult('a', 'third'),
+        getResult('x', 'of no sample'),
+      ]);
+      const texts = book.get(STEP)!.results.map(r => r.output.toString());
+      assert.deepEqual(texts, ['first', 'third']);
+    });
+
+    it('lists nothing after the end (guards a moving position)', () => {
+      const book = createBook([
+        {tag: 'step', step: getStep()},
+        getResult('b', 'first'),
+        {tag: 'end', step: STEP},
+        getResult('a', 'late'),
+      ]);
+      assert.equal(book.get(STEP)!.results.length, 1);
+    });
+  });
+
+  describe('a step', () => {
+    it('counts once when it is submitted again', () => {
+      const book = createBook([
+        {tag: 'step', step: getStep(1)},
+        {tag: 'step', step: getStep(7)},
+      ]);
+      assert.equal(book.get(STEP)!.step.minVersion, 1);
+    });
+
+    it('is ended by an end that was stored before it', () => {
+      const book = createBook([
+        {tag: 'end', step: STEP},
+        {tag: 'step', step: getStep()},
+      ]);
+      assert.ok(book.get(STEP)!.isEnded);
+    });
+
+    it('tells the version that its model needs while it is open', () => {
+      const open = createBook([{tag: 'step', step: getStep(3)}]);
+      assert.equal(open.getNeededVersion('m'), 3);
+      const ended = createBook([
+        {tag: 'step', step: getStep(3)},
+        {tag: 'end', step: STEP},
+      ]);
+      assert.equal(ended.getNeededVersion('m'), 0);
+    });
+  });
+
+  describe('records', () => {
+    it('are refused if their layout is unknown', () => {
+      const newer = Buffer.from('{"type":"step","schema":2}\n');
+      assert.equal(decodeStepRecord(newer).ok, false);
+      assert.equal(decodeStepRecord(Buffer.from('no line')).ok, false);
+    });
+  });
+});
