Count usage by the time of most processes; send callers elsewhere early

Cause: windows follow true time, but single clocks may be set by seconds; a process that lost the store stayed in rotation until it had to refuse keys. Change: TimeConsensus takes the median of the processes' clocks; a process is not ready while its configuration is older than half of the revocation time.

--- a/packages/rollout/src/control/controlFeed.ts
+++ b/packages/rollout/src/control/controlFeed.ts
@@ -5,6 +5,7 @@
 import type {Directory, Upstream} from '../upstreams/index.js';
 import type {ControlRecord} from './controlRecords.js';
 import {decodeControlRecord, encodeControlRecord} from './controlRecords.js';
+import type {TimeConsensus} from './timeConsensus.js';
 import type {UsageLedger} from './usageLedger.js';
 
 /** Time after which a version that could not be told is old news, ms. */
@@ -14,6 +15,9 @@
   queue: AppendQueue;
   directory: Directory;
   ledger: UsageLedger;
+  time: TimeConsensus;
+  /** Whether the stream was read to its end, so that entries are new. */
+  isLive: () => boolean;
   clock: Clock;
   logger: Logger;
 }
@@ -74,7 +78,11 @@
       engine.loadingUntil.set(record.model, until);
       for (const listener of this.listeners) listener();
     },
-    usage: record => this.options.ledger.applyCell(record),
+    usage: record => {
+      const {time, isLive} = this.options;
+      if (isLive()) time.note(record.process, record.wallMs);
+      this.options.ledger.applyCell(record);
+    },
     seal: record => this.options.ledger.applySeal(record),
     reported: record => this.options.ledger.applyReported(record.window),
   };
--- a/packages/rollout/src/control/controlRecords.ts
+++ b/packages/rollout/src/control/controlRecords.ts
@@ -17,6 +17,8 @@
   /** Process that counted; differs for each start. */
   process: z.string(),
   window: z.number(),
+  /** Time of day at the process, ms since 1970. */
+  wallMs: z.number(),
   /** Requests that began in the window so far, by account. */
   counts: z.record(z.string(), z.number()),
 });
--- a/packages/rollout/src/control/index.ts
+++ b/packages/rollout/src/control/index.ts
@@ -4,6 +4,7 @@
 export * from './lease.js';
 export * from './leaseTask.js';
 export * from './membershipTask.js';
+export * from './timeConsensus.js';
 export * from './usageLedger.js';
 export * from './usageTask.js';
 export * from './weightMover.js';
--- /dev/null
+++ b/packages/rollout/src/control/timeConsensus.test.ts
@@ -0,0 +1,56 @@
+import {ManualClock} from '@vanillacross/common';
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {TimeConsensus} from './timeConsensus.js';
+
+/** A manual clock whose time of day can be set. */
+class SteppedClock extends ManualClock {
+  stepMs = 0;
+
+  override wallNow(): number {
+    return super.wallNow() + this.stepMs;
+  }
+}
+
+describe('TimeConsensus', () => {
+  it('follows most clocks when the own one is set (guards windows)', () => {
+    const clock = new SteppedClock();
+    const time = new TimeConsensus(clock);
+    clock.advance(10_000);
+    for (const process of ['a', 'b', 'c']) time.note(process, 10_000);
+    clock.stepMs = 3_000;
+    assert.equal(time.now(), 10_000);
+    clock.advance(500);
+    assert.equal(time.now(), 10_500);
+  });
+
+  it('ignores readings that were under way for long', () => {
+    const clock = new SteppedClock();
+    const time = new TimeConsensus(clock);
+    clock.advance(10_000);
+    for (const process of ['a', 'b', 'c']) {
+      time.note(process, 10_000);
+      time.note(process, 6_000);
+    }
+    assert.equal(time.now(), 10_000);
+  });
+
+  it('uses the own clock while hardly any other is known', () => {
+    const clock = new SteppedClock();
+    const time = new TimeConsensus(clock);
+    clock.advance(1_000);
+    time.note('a', 50_000);
+    assert.equal(time.now(), 1_000);
+  });
+
+  it('forgets readings that were taken long ago (guards suspensions)', () => {
+    const clock = new SteppedClock();
+    const time = new TimeConsensus(clock);
+    clock.advance(1_000);
+    for (const process of ['a', 'b', 'c']) time.note(process, 1_000);
+    clock.stepMs = 60_000;
+    clock.advance(5_000);
+    assert.equal(time.now(), 66_000);
+  });
+});
--- a/packages/rollout/src/control/usageTask.ts
+++ b/packages/rollout/src/control/usageTask.ts
@@ -12,6 +12,7 @@
 import type {ControlRecord} from './controlRecords.js';
 import {encodeControlRecord} from './controlRecords.js';
 import type {LeaseTask} from './leaseTask.js';
+import type {TimeConsensus} from './timeConsensus.js';
 import type {UsageLedger} from './usageLedger.js';
 
 /** Interval at which counts are told and windows are looked at, ms. */
@@ -35,6 +36,7 @@
   ledger: UsageLedger;
   lease: LeaseTask;
   duty: DutyPort;
+  time: TimeConsensus;
   clock: Clock;
   logger: Logger;
   metrics: Metrics;
@@ -52,7 +54,7 @@
   private isStopped = false;
 
   constructor(private readonly options: UsageTaskOptions) {
-    this.startedWindow = this.getWindow(options.clock.wallNow());
+    this.startedWindow = this.getWindow(options.time.now());
   }
 
   start(): void {
@@ -73,7 +75,7 @@
   /** Counts a request that an upstream began to run. */
   note(account: AccountId | null): void {
     if (account === null) return;
-    const window = this.getWindow(this.options.clock.wallNow());
+    const window = this.getWindow(this.options.time.now());
     const counts = this.counts.get(window) ?? new Map<string, number>();
     counts.set(account, (counts.get(account) ?? 0) + 1);
     this.counts.set(window, counts);
@@ -104,7 +106,8 @@
     for (const window of this.untold) {
       const counts = Object.fromEntries(this.counts.get(window) ?? []);
       const {process} = this.options;
-      void this.append({type: 'usage', process, window, counts}, null);
+      const wallMs = this.options.clock.wallNow();
+      void this.append({type: 'usage', process, wallMs, window, counts}, null);
     }
     this.untold.clear();
     for (const window of this.counts.keys()) {
@@ -114,8 +117,8 @@
   }
 
   private reportDue(): void {
-    const {clock, windowMs, ledger} = this.options;
-    const now = clock.wallNow();
+    const {time, windowMs, ledger} = this.options;
+    const now = time.now();
     const current = this.getWindow(now);
     const first = Math.max(this.startedWindow, current - REPORTED_WINDOWS);
     for (let window = first; window < current; window++) {
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -8,6 +8,7 @@
   ControlFeed,
   LeaseTask,
   MembershipTask,
+  TimeConsensus,
   UsageLedger,
   UsageTask,
   WeightMover,
@@ -46,6 +47,8 @@
 /** Shortest time between reads of the instance list, ms. */
 const UPSTREAM_PAUSE_MS = 120;
 const SWEEP_MS = 250;
+/** Part of the revocation time after which callers should go elsewhere. */
+const STALE_SHARE = 0.5;
 /**
  * Processes that may send to one cold upstream at the same time. Only the
  * lease holder's view would be exact, so each takes a fixed share.
@@ -151,12 +154,15 @@
       logger: logger.part('steps'),
     });
     const ledger = new UsageLedger();
+    const time = new TimeConsensus(clock);
     this.controlQueue = this.createQueue(STREAMS.control, 0, process);
     const {controlQueue} = this;
     const feed = new ControlFeed({
       queue: controlQueue,
       directory: this.directory,
       ledger,
+      time,
+      isLive: () => this.controlTail.confirmedAt !== null,
       clock,
       logger: logger.part('control'),
     });
@@ -190,6 +196,7 @@
       ledger,
       lease: this.lease,
       duty: options.duty,
+      time,
       clock,
       logger: logger.part('usage'),
       metrics,
@@ -457,10 +464,20 @@
   ): void {
     request.resume();
     const isKnown = request.url === this.options.callers.readyPath;
-    response.writeHead(isKnown ? (this.isReady ? 200 : 503) : 404);
+    response.writeHead(isKnown ? (this.mayTakeCallers() ? 200 : 503) : 404);
     response.end();
   }
 
+  /**
+   * Whether callers should come here. A process that has lost the store for
+   * long will soon have to refuse keys, while others may still reach it.
+   */
+  private mayTakeCallers(): boolean {
+    const {revocationMs} = this.options.bounds;
+    const ageMs = this.configuration.getAgeMs();
+    return this.isReady && ageMs < revocationMs * STALE_SHARE;
+  }
+
   private registerGauges(): void {
     const {metrics} = this.options;
     metrics.gauge('vc_configuration_age_ms', () =>
