Join progress of samples only where a chain branched off

Ruled out: order of appends (one queue a partition). Change: a part names the event at which its chain branched off; a text that is thrown away starts another chain. Test first, it failed.

--- a/packages/rollout/src/steps/progress.test.ts
+++ b/packages/rollout/src/steps/progress.test.ts
@@ -13,8 +13,10 @@
   parent: string,
   after: number,
   events: string[],
+  branch = after,
 ): ProgressPart {
-  return {sample: SAMPLE, chain, parent, after, events, versions: [1]};
+  const sample = SAMPLE;
+  return {sample, chain, parent, branch, after, events, versions: [1]};
 }
 
 interface Case {
@@ -50,11 +52,32 @@
       getPart('a', '', 0, ['1', '2']),
       getPart('b', 'a', 2, ['3b']),
       getPart('a', '', 2, ['3a']),
-      getPart('a', '', 3, ['4a']),
-      getPart('b', 'a', 3, ['4b']),
+      getPart('a', '', 3, ['4a'], 0),
+      getPart('b', 'a', 3, ['4b'], 2),
     ],
     text: '1\n2\n3b\n4b',
   },
+  {
+    name: 'ignores a chain whose beginning was ignored',
+    parts: [
+      getPart('a', '', 0, ['1', '2']),
+      getPart('a', '', 2, ['3a']),
+      getPart('b', 'a', 2, ['3b', '4b']),
+      getPart('a', '', 3, ['4a']),
+      getPart('b', 'a', 4, ['5b'], 2),
+    ],
+    text: '1\n2\n3a\n4a',
+  },
+  {
+    name: 'starts again with a chain from the beginning',
+    parts: [
+      getPart('a', '', 0, ['1', '2']),
+      getPart('b', '', 0, ['1b']),
+      getPart('a', '', 2, ['3'], 0),
+      getPart('b', '', 1, ['2b'], 0),
+    ],
+    text: '1b\n2b',
+  },
   {
     name: 'does not join a run that fits by its length only',
     parts: [
--- a/packages/rollout/src/steps/progress.ts
+++ b/packages/rollout/src/steps/progress.ts
@@ -9,6 +9,8 @@
   chain: string;
   /** Chain whose text this one goes on from; '' for the beginning. */
   parent: string;
+  /** Events of the parent that the chain goes on from. */
+  branch: number;
   /** Events before the part. */
   after: number;
   events: readonly string[];
@@ -22,6 +24,21 @@
   text: SampleText;
 }
 
+/**
+ * The text that the first part of another chain goes on from; null if it
+ * can't be joined. A chain from the beginning replaces what is known, as its
+ * process could not use that.
+ */
+function getBase(
+  part: ProgressPart,
+  head: Progress | undefined,
+): SampleText | null {
+  if (part.after !== part.branch) return null;
+  if (part.branch === 0 && part.parent === '') return new SampleText();
+  if (!head || part.parent !== head.chain) return null;
+  return part.branch === head.text.lastEventId ? head.text : null;
+}
+
 /** Unfinished samples whose text is kept. */
 const MAX_SAMPLES = 4_096;
 
@@ -39,13 +56,16 @@
 
   /** Applies the next part of the stream. */
   apply(part: ProgressPart): void {
-    const known = this.samples.get(part.sample);
-    const head = known ?? {chain: '', text: new SampleText()};
-    const isNext = part.after === head.text.lastEventId;
-    const isSameChain = part.chain === head.chain || part.parent === head.chain;
-    if (!isNext || !isSameChain) return;
-    head.text.extend(part.events, part.versions);
-    this.samples.set(part.sample, {chain: part.chain, text: head.text});
+    const head = this.samples.get(part.sample);
+    if (head && part.chain === head.chain) {
+      if (part.after !== head.text.lastEventId) return;
+      head.text.extend(part.events, part.versions);
+      return;
+    }
+    const base = getBase(part, head);
+    if (!base) return;
+    base.extend(part.events, part.versions);
+    this.samples.set(part.sample, {chain: part.chain, text: base});
     for (const sample of this.samples.keys()) {
       if (this.samples.size <= MAX_SAMPLES) break;
       this.samples.delete(sample);
--- a/packages/rollout/src/steps/records.ts
+++ b/packages/rollout/src/steps/records.ts
@@ -64,6 +64,7 @@
   sample: z.string(),
   chain: z.string(),
   parent: z.string(),
+  branch: z.number(),
   after: z.number(),
   versions: z.array(z.number()),
 });
@@ -127,11 +128,11 @@
     if (!parsed.ok) return fail(parsed.error.detail);
     const events = eventsSchema.safeParse(parsed.value);
     if (!events.success) return fail(events.error.issues[0].message);
-    const {chain, parent, after, versions} = header;
+    const {type: _type, schema: _schema, ...part} = header;
     const sample = as<SampleId>(header.sample);
     return ok({
       tag: 'progress',
-      part: {sample, chain, parent, after, versions, events: events.data},
+      part: {...part, sample, events: events.data},
     });
   },
   result: (header, payload) => {
--- a/packages/rollout/src/steps/sampleTask.ts
+++ b/packages/rollout/src/steps/sampleTask.ts
@@ -28,7 +28,9 @@
   /** Events of the text that are stored. */
   storedEvents: number;
   /** Chain that the stored text was taken from. */
-  readonly parent: string;
+  parent: string;
+  /** Events of the parent that the text goes on from. */
+  branch: number;
 
   constructor(
     readonly open: OpenStep,
@@ -36,12 +38,13 @@
     /** Position in the step. */
     readonly position: number,
     /** Names the text that this task makes. */
-    readonly chain: string,
+    public chain: string,
     readonly createdAt: MonotonicMs,
     progress: Progress | null,
   ) {
     this.text = progress?.text.copy() ?? new SampleText();
     this.storedEvents = this.text.lastEventId;
+    this.branch = this.storedEvents;
     this.parent = progress?.chain ?? '';
   }
 
@@ -53,13 +56,30 @@
     this.storedEvents = lastEventId;
     const events = this.text.getEventsAfter(after);
     const {chain, parent} = this;
-    return {sample: this.id, chain, parent, after, events, versions};
+    return {
+      sample: this.id,
+      chain,
+      parent,
+      branch: this.branch,
+      after,
+      events,
+      versions,
+    };
   }
 
   get id(): SampleId {
     return this.sample.id;
   }
 
+  /** Forgets the text; what follows is another run of events. */
+  restart(chain: string): void {
+    this.text.clear();
+    this.chain = chain;
+    this.parent = '';
+    this.branch = 0;
+    this.storedEvents = 0;
+  }
+
   /** Ends what is under way for it. */
   cancel(): void {
     this.isCancelled = true;
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -24,7 +24,6 @@
 import {Generation} from './generation.js';
 import {SampleTask, compareTasks} from './sampleTask.js';
 import type {ProgressPart} from './progress.js';
-import {SampleText} from './sampleText.js';
 import type {OpenStep, StepBook, StepChange} from './stepBook.js';
 
 /** Interval at which waiting samples look for room, ms. */
@@ -153,7 +152,7 @@
     sample: Sample,
     position: number,
   ): SampleTask {
-    const {book, clock, process} = this.options;
+    const {book, clock} = this.options;
     const isSingle = this.getRoute(open)?.isSingleVersion ?? false;
     const progress = book.progress.get(sample.id);
     const isUsable = progress?.text.isUsable(open.step.minVersion, isSingle);
@@ -161,12 +160,16 @@
       open,
       sample,
       position,
-      `${process}/${++this.chains}`,
+      this.getNextChain(),
       clock.now(),
       progress && isUsable ? progress : null,
     );
   }
 
+  private getNextChain(): string {
+    return `${this.options.process}/${++this.chains}`;
+  }
+
   /** Lists a sample again that an earlier step had completed. */
   private reuseResult(task: SampleTask): boolean {
     const {minVersion} = task.open.step;
@@ -174,11 +177,10 @@
     if (!before?.versions.every(version => version >= minVersion)) return false;
     const isSingle = this.getRoute(task.open)?.isSingleVersion ?? false;
     if (isSingle && before.versions.length > 1) return false;
-    task.text = new SampleText();
-    task.text.extend(
-      before.output.toString('utf8').split('\n'),
-      before.versions,
-    );
+    task.restart(this.getNextChain());
+    const events = before.output.toString('utf8').split('\n');
+    task.text.extend(events, before.versions);
+    task.storedEvents = task.text.lastEventId;
     this.options.logger.info('result of an earlier step is used', {
       step: task.open.step.id,
       sample: task.id,
@@ -397,7 +399,7 @@
         return this.finish(task, 'dead', null);
       }
     }
-    if (outcome.tag === 'wrong_version') task.text.clear();
+    if (outcome.tag === 'wrong_version') task.restart(this.getNextChain());
     if (outcome.tag === 'not_run') this.holdBack(task, upstream);
     task.stage = 'queued';
     this.planPump();
