--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -3,6 +3,7 @@
 import {Command, Option} from 'commander';
 
 import {getExitStatus} from './errors.js';
+import {explain} from './explain.js';
 import {createOperatorClient} from './operatorClient.js';
 import {
   applyRecords,
@@ -160,6 +161,17 @@
     .description('says what needs a look; exit status 1 if anything does')
     .addHelpText('after', '\nExample: vanillacross doctor')
     .action(() => run(runDoctor));
+  program
+    .command('explain <id> [logs...]')
+    .description('shows the way of a request, step or sample through all logs')
+    .addHelpText(
+      'after',
+      '\nExample: vanillacross explain 7c41e09b52d6a3f8 node-*.log',
+    )
+    .action((id: string, logs: string[]) => {
+      const {output} = program.opts<RawOptions>();
+      printResult(terminal, output, explain(id, logs));
+    });
   program
     .command('settings')
     .description('works on settings files of the daemon')
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -4,6 +4,7 @@
 export * from './clock.js';
 export * from './hash.js';
 export * from './http.js';
+export * from './logLimit.js';
 export * from './logger.js';
 export * from './metrics.js';
 export * from './result.js';
--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -1,5 +1,7 @@
 import {pino} from 'pino';
 
+import {LogLimit} from './logLimit.js';
+
 /** Writes short sentences with the fixed prefix of one part. */
 export interface Logger {
   info(message: string, fields?: Record<string, unknown>): void;
@@ -64,5 +66,6 @@
     {level, base: fields, redact: REDACTED_FIELDS},
     destination,
   );
-  return wrapPino(base, prefix);
+  const limit = new LogLimit(() => performance.now());
+  return limit.wrap(wrapPino(base, prefix), prefix);
 }
--- a/packages/integration/src/docs.test.ts
+++ b/packages/integration/src/docs.test.ts
@@ -7,7 +7,7 @@
 import {fileURLToPath} from 'node:url';
 
 const ROOT = fileURLToPath(new URL('../../../', import.meta.url));
-const PACKAGES = ['common', 'daemon', 'platform'];
+const PACKAGES = ['common', 'daemon', 'platform', 'rollout'];
 
 function readPage(name: string): string {
   return readFileSync(join(ROOT, 'docs', name), 'utf8');
@@ -18,7 +18,10 @@
   const names = new Set<string>();
   for (const name of PACKAGES) {
     const folder = join(ROOT, 'packages', name, 'src');
-    for (const file of readdirSync(folder)) {
+    for (const file of readdirSync(folder, {
+      recursive: true,
+      encoding: 'utf8',
+    })) {
       if (!file.endsWith('.ts') || file.endsWith('.test.ts')) continue;
       const text = readFileSync(join(folder, file), 'utf8');
       for (const [, found] of text.matchAll(/['"`](vc_[a-z0-9_]+)/g)) {
@@ -42,10 +45,10 @@
   // Guards against example settings that the daemon refuses.
   it('show settings that the daemon takes, for both roles', () => {
     const blocks = [
-      ...readPage('operators.md').matchAll(/```ini\n([\s\S]*?)```/g),
+      ...readPage('OPERATIONS.md').matchAll(/```ini\n([\s\S]*?)```/g),
     ];
     const roles = blocks.map(([, text]) => {
-      const parsed = parseSettings('operators.md', text, settingsSchema);
+      const parsed = parseSettings('OPERATIONS.md', text, settingsSchema);
       assert.ok(
         parsed.ok,
         parsed.ok ? '' : describeSettingsFailure(parsed.error),
