--- a/packages/integration/src/docs.test.ts
+++ b/packages/integration/src/docs.test.ts
@@ -1,6 +1,7 @@
 import {describeSettingsFailure, parseSettings} from '@vanillacross/common';
 import {settingsSchema} from '@vanillacross/domain';
 import * as assert from 'node:assert/strict';
+import {spawnSync} from 'node:child_process';
 import {readFileSync, readdirSync} from 'node:fs';
 import {join} from 'node:path';
 import {describe, it} from 'node:test';
@@ -57,4 +58,23 @@
     });
     assert.deepEqual(roles.sort(), ['agent', 'entry']);
   });
+
+  // Guards the way from a request's id to its cause against changed lines.
+  it('explain three failed requests by kept log lines', () => {
+    const log = join(ROOT, 'docs', 'incidents', 'explained-requests.log');
+    const page = readPage('OPERATIONS.md');
+    const ids = [...page.matchAll(/\$ vanillacross explain (\w+)/g)].map(
+      ([, id]) => id,
+    );
+    assert.equal(ids.length, 3);
+    for (const id of ids) {
+      const main = join(ROOT, 'packages', 'cli', 'dist', 'main.js');
+      const command = spawnSync(process.execPath, [main, 'explain', id, log]);
+      assert.equal(command.status, 0, String(command.stderr));
+      const words = (text: string) => text.replace(/ +/g, ' ');
+      const [, ...lines] = words(String(command.stdout)).trim().split('\n');
+      assert.ok(lines.length > 0);
+      for (const line of lines) assert.ok(words(page).includes(line), line);
+    }
+  });
 });
--- a/packages/rollout/src/callers/callerServer.ts
+++ b/packages/rollout/src/callers/callerServer.ts
@@ -63,6 +63,8 @@
   status: number;
   reason: string;
   retryAfterMs?: number;
+  /** The step that was asked about. */
+  step?: RequestId;
 }
 
 /** Meets callers and trainers. */
@@ -244,6 +246,7 @@
     metrics.count('vc_refusals', {status: String(status), reason});
     logger.info('request was refused', {
       request: head.id,
+      step: refusal.step,
       path: head.path,
       status,
       reason,
@@ -411,11 +414,12 @@
       account?.id ?? null,
     );
     if (lookup.tag === 'absent') {
-      return this.refuse(head, response, {status: 404, reason: 'no such step'});
+      const refusal = {status: 404, reason: 'no such step', step: call.step};
+      return this.refuse(head, response, refusal);
     }
     if (lookup.tag === 'unsure') {
       const refusal = this.getStaleRefusal('the steps could not be read');
-      return this.refuse(head, response, refusal);
+      return this.refuse(head, response, {...refusal, step: call.step});
     }
     await this.stepHandlers[call.tag](
       head,
