Move half of a model's engines at a time in large pools

Change: half of a model's engines, 0.3 of all; connections to upstreams stay idle for 10 s before they are closed.

--- a/packages/rollout/src/control/weightMover.ts
+++ b/packages/rollout/src/control/weightMover.ts
@@ -28,8 +28,6 @@
 const POLL_MS = 200;
 /** Looks at an engine before the move is given up. */
 const MAX_POLLS = 25;
-/** Moves that may be under way without slowing each other. */
-const MAX_MOVES = 2;
 /** Wait before an engine that refused an order is asked again, ms. */
 const REFUSED_WAIT_MS = 500;
 /** Other processes keep work away from an engine this long, ms. */
@@ -98,7 +96,6 @@
           },
         ]),
       ),
-      maxMoves: MAX_MOVES,
       upstreams: engines.map(engine => ({
         id: engine.id,
         domain: engine.entry.domain,
--- a/packages/rollout/src/control/weightPlan.ts
+++ b/packages/rollout/src/control/weightPlan.ts
@@ -36,8 +36,6 @@
   /** The newest named version by model. */
   named: ReadonlyMap<string, NamedModel>;
   upstreams: readonly PlannedUpstream[];
-  /** Orders that may be under way at the same time. */
-  maxMoves: number;
 }
 
 /** The upstreams that keep a model's versions up to date, by model. */
@@ -82,26 +80,38 @@
   return ranked[0] ?? null;
 }
 
+/** Part of all engines that may load at once without slowing each other. */
+const MOVING_SHARE = 0.3;
+/** Engines that may load at once in a small deployment. */
+const MIN_MOVES = 2;
+/** Part of a model's engines that may load at once; the rest serve. */
+const MODEL_MOVING_SHARE = 0.5;
+
 /**
- * The moves that should start now. Of a model's upstreams one at a time
- * moves, the rest serve meanwhile.
+ * The moves that should start now. Of a model's engines half move at a time,
+ * at least one, and the rest serve meanwhile.
  */
 export function planMoves(input: WeightPlanInput): WeightMove[] {
+  const {upstreams, named} = input;
   const moves: WeightMove[] = [];
-  let room = input.maxMoves - input.upstreams.filter(u => u.isMoving).length;
-  for (const [model, upstreams] of assignModels(input)) {
-    const {version, ageMs, neededVersion} = input.named.get(model)!;
+  const most = Math.max(MIN_MOVES, Math.floor(upstreams.length * MOVING_SHARE));
+  let room = most - upstreams.filter(upstream => upstream.isMoving).length;
+  for (const [model, assigned] of assignModels(input)) {
+    const {version, ageMs, neededVersion} = named.get(model)!;
     const isDue = (upstream: PlannedUpstream) =>
       ageMs >= LOAD_DELAY_MS || getVersion(upstream, model) < neededVersion;
-    if (upstreams.some(upstream => upstream.isMoving)) continue;
-    const stale = upstreams
-      .filter(upstream => !upstream.isPostponed)
+    const moving = assigned.filter(upstream => upstream.isMoving).length;
+    const share = Math.floor(assigned.length * MODEL_MOVING_SHARE);
+    const modelRoom = Math.max(0, Math.min(room, Math.max(1, share) - moving));
+    const stale = assigned
+      .filter(upstream => !upstream.isMoving && !upstream.isPostponed)
       .filter(upstream => getVersion(upstream, model) < version)
       .filter(isDue)
       .sort((a, b) => getVersion(a, model) - getVersion(b, model));
-    if (stale.length === 0 || room <= 0) continue;
-    room--;
-    moves.push({upstream: stale[0].id, model, version});
+    for (const upstream of stale.slice(0, modelRoom)) {
+      room--;
+      moves.push({upstream: upstream.id, model, version});
+    }
   }
   return moves;
 }
--- a/packages/rollout/src/upstreams/upstream.ts
+++ b/packages/rollout/src/upstreams/upstream.ts
@@ -10,7 +10,7 @@
 import {ConnectionPool} from './connectionPool.js';
 
 /** Idle connections are closed after this, before upstreams drop them, ms. */
-const IDLE_CONNECTION_MS = 4_000;
+const IDLE_CONNECTION_MS = 10_000;
 /** Age at which a reported load says nothing any more, ms. */
 const LOAD_AGE_MS = 500;
 /** Window over which requests to a cold upstream are counted, ms. */
