--- a/packages/rollout/src/callers/callerServer.ts
+++ b/packages/rollout/src/callers/callerServer.ts
@@ -22,13 +22,12 @@
   Route,
   StepCall,
 } from '../model/index.js';
-import type {OpenStep, StepService} from '../steps/index.js';
+import type {StepService} from '../steps/index.js';
+import type {Refusal} from './refusal.js';
+import {RETRY_AFTER_MS, getStaleRefusal} from './refusal.js';
+import {StepCalls} from './stepCalls.js';
 import {passStream} from './streamPass.js';
 
-/** When a refused caller should come again, ms. */
-const RETRY_AFTER_MS = 60;
-/** When a caller of a process without a fresh configuration should, ms. */
-const STALE_RETRY_AFTER_MS = 150;
 /** Bodies that this process holds at the same time, bytes. */
 const MAX_HELD_BYTES = 64 * 1024 * 1024;
 /** Limits before the first configuration, bytes and ms. */
@@ -58,15 +57,6 @@
   deadline: MonotonicMs;
 }
 
-/** Why this process answers a request itself. */
-interface Refusal {
-  status: number;
-  reason: string;
-  retryAfterMs?: number;
-  /** The step that was asked about. */
-  step?: RequestId;
-}
-
 /** Meets callers and trainers. */
 export class CallerServer {
   readonly server: http.Server;
@@ -74,7 +64,10 @@
   private openRequests = 0;
   private heldBytes = 0;
 
+  private readonly stepCalls: StepCalls;
+
   constructor(private readonly options: CallerServerOptions) {
+    this.stepCalls = new StepCalls(options.steps, options.dialect);
     this.server = http.createServer(
       {
         maxHeaderSize: DEFAULT_HEADER_BYTES,
@@ -208,7 +201,7 @@
     arrivedAt: MonotonicMs,
   ): AdmittedRequest | Refusal {
     const routes = this.options.configuration.getRoutes();
-    if (!routes) return this.getStaleRefusal('no configuration yet');
+    if (!routes) return getStaleRefusal('no configuration yet');
     const route = routes.findRoute(head.host, head.path);
     if (!route) return {status: 404, reason: 'no route'};
     const account = this.authenticate(head, routes, route);
@@ -226,16 +219,12 @@
   ): Account | Refusal | null {
     if (!routes.hasAccounts() || route?.isPublic) return null;
     if (!this.options.configuration.areKeysFresh()) {
-      return this.getStaleRefusal('the keys are not known to be current');
+      return getStaleRefusal('the keys are not known to be current');
     }
     const account = head.key === null ? null : routes.findAccount(head.key);
     return account ?? {status: 401, reason: 'unknown key'};
   }
 
-  private getStaleRefusal(reason: string): Refusal {
-    return {status: 503, reason, retryAfterMs: STALE_RETRY_AFTER_MS};
-  }
-
   private refuse(
     head: CallerHead,
     response: ServerResponse,
@@ -402,78 +391,25 @@
   ): Promise<void> {
     const routes = this.options.configuration.getRoutes();
     if (!routes) {
-      const refusal = this.getStaleRefusal('no configuration yet');
+      const refusal = getStaleRefusal('no configuration yet');
       return this.refuse(head, response, refusal);
     }
     const account = this.authenticate(head, routes, null);
     if (account && 'status' in account) {
       return this.refuse(head, response, account);
     }
-    const lookup = await this.options.steps.find(
-      call.step,
+    const leaving = new AbortController();
+    response.on('close', () => leaving.abort());
+    const answer = await this.stepCalls.answer(
+      call,
       account?.id ?? null,
-    );
-    if (lookup.tag === 'absent') {
-      const refusal = {status: 404, reason: 'no such step', step: call.step};
-      return this.refuse(head, response, refusal);
-    }
-    if (lookup.tag === 'unsure') {
-      const refusal = this.getStaleRefusal('the steps could not be read');
-      return this.refuse(head, response, {...refusal, step: call.step});
-    }
-    await this.stepHandlers[call.tag](
-      head,
-      call as never,
-      lookup.open,
       arrivedAt,
-      response,
+      leaving.signal,
     );
+    if (answer.ok) return this.sendPlain(head, response, 200, answer.value);
+    this.refuse(head, response, {...answer.error, step: call.step});
   }
 
-  private readonly stepHandlers: {
-    [Tag in StepCall['tag']]: (
-      head: CallerHead,
-      call: StepCall & {tag: Tag},
-      open: OpenStep,
-      arrivedAt: MonotonicMs,
-      response: ServerResponse,
-    ) => Promise<void>;
-  } = {
-    read: async (head, call, open, arrivedAt, response) => {
-      const {steps, dialect} = this.options;
-      const leaving = new AbortController();
-      response.on('close', () => leaving.abort());
-      const deadline = getDeadline(arrivedAt, call.waitMs);
-      await steps.waitForResult(open, call.after, deadline, leaving.signal);
-      const results = await steps.getResults(open, call.after);
-      if (!results) {
-        const refusal = this.getStaleRefusal('the texts could not be read');
-        return this.refuse(head, response, refusal);
-      }
-      const total = open.step.samples.length;
-      const body = dialect.writeResults(total, call.after, results);
-      this.sendPlain(head, response, 200, body);
-    },
-    sample_body: async (head, call, open, _arrivedAt, response) => {
-      const body = this.options.steps.getSampleBody(open, call.sample);
-      if (body) return this.sendPlain(head, response, 200, body);
-      this.refuse(head, response, {status: 404, reason: 'no such sample'});
-    },
-    end: async (head, call, _open, _arrivedAt, response) => {
-      const ended = await this.options.steps.end(call.step);
-      if (ended.tag === 'accepted') {
-        return this.sendPlain(head, response, 200, Buffer.from('{}'));
-      }
-      const status = ended.tag === 'unknown' ? 504 : 503;
-      const reason = 'the store has not acknowledged the end';
-      this.refuse(head, response, {
-        status,
-        reason,
-        retryAfterMs: RETRY_AFTER_MS,
-      });
-    },
-  };
-
   private sendPlain(
     head: CallerHead,
     response: ServerResponse,
--- /dev/null
+++ b/packages/rollout/src/callers/stepCalls.ts
@@ -0,0 +1,70 @@
+import type {AccountId, MonotonicMs, Result} from '@vanillacross/common';
+import {fail, getDeadline, ok} from '@vanillacross/common';
+
+import type {CallerDialect, StepCall} from '../model/index.js';
+import type {OpenStep, StepService} from '../steps/index.js';
+import type {Refusal} from './refusal.js';
+import {RETRY_AFTER_MS, getStaleRefusal} from './refusal.js';
+
+type StepAnswer = Result<Buffer, Refusal>;
+
+type StepHandlers = {
+  [Tag in StepCall['tag']]: (
+    call: StepCall & {tag: Tag},
+    open: OpenStep,
+    arrivedAt: MonotonicMs,
+    signal: AbortSignal,
+  ) => Promise<StepAnswer>;
+};
+
+/** Answers calls about steps that were accepted earlier. */
+export class StepCalls {
+  constructor(
+    private readonly steps: StepService,
+    private readonly dialect: CallerDialect,
+  ) {}
+
+  /** The body of the answer, or why there is none. */
+  async answer(
+    call: StepCall,
+    account: AccountId | null,
+    arrivedAt: MonotonicMs,
+    signal: AbortSignal,
+  ): Promise<StepAnswer> {
+    const lookup = await this.steps.find(call.step, account);
+    if (lookup.tag === 'absent') {
+      return fail({status: 404, reason: 'no such step'});
+    }
+    if (lookup.tag === 'unsure') {
+      return fail(getStaleRefusal('the steps could not be read'));
+    }
+    const handle = this.handlers[call.tag];
+    return handle(call as never, lookup.open, arrivedAt, signal);
+  }
+
+  private readonly handlers: StepHandlers = {
+    read: async (call, open, arrivedAt, signal) => {
+      const deadline = getDeadline(arrivedAt, call.waitMs);
+      await this.steps.waitForResult(open, call.after, deadline, signal);
+      const results = await this.steps.getResults(open, call.after);
+      if (!results) {
+        return fail(getStaleRefusal('the texts could not be read'));
+      }
+      const total = open.step.samples.length;
+      return ok(this.dialect.writeResults(total, call.after, results));
+    },
+    sample_body: async (call, open) => {
+      const body = this.steps.getSampleBody(open, call.sample);
+      return body ? ok(body) : fail({status: 404, reason: 'no such sample'});
+    },
+    end: async call => {
+      const ended = await this.steps.end(call.step);
+      if (ended.tag === 'accepted') return ok(Buffer.from('{}'));
+      return fail({
+        status: ended.tag === 'unknown' ? 504 : 503,
+        reason: 'the store has not acknowledged the end',
+        retryAfterMs: RETRY_AFTER_MS,
+      });
+    },
+  };
+}
--- a/packages/rollout/src/callers/streamPass.ts
+++ b/packages/rollout/src/callers/streamPass.ts
@@ -3,16 +3,8 @@
 import type {ForwardContext, PlainRequest} from '../forwarding/index.js';
 import type {Exchange, ExchangeEvents, Upstream} from '../upstreams/index.js';
 import {chooseUpstream, startExchange} from '../upstreams/index.js';
-
-/** Why a stream has no answer from an upstream. */
-export interface StreamRefusal {
-  status: number;
-  reason: string;
-  retryAfterMs?: number;
-}
-
-/** When a caller whose stream has not run should come again, ms. */
-const RETRY_AFTER_MS = 60;
+import type {Refusal} from './refusal.js';
+import {RETRY_AFTER_MS} from './refusal.js';
 
 /**
  * Passes a stream of events on as it arrives. Another upstream is asked only
@@ -23,13 +15,13 @@
   context: ForwardContext,
   request: PlainRequest,
   response: ServerResponse,
-  refuse: (refusal: StreamRefusal) => void,
+  refuse: (refusal: Refusal) => void,
 ): Promise<void> {
   return new Promise(resolve => {
     const tried = new Set<Upstream>();
     let exchange: Exchange | null = null;
     let isDone = false;
-    const finish = (refusal?: StreamRefusal) => {
+    const finish = (refusal?: Refusal) => {
       if (isDone) return;
       isDone = true;
       cancelDeadline();
--- /dev/null
+++ b/packages/rollout/src/steps/sampleScoring.ts
@@ -0,0 +1,92 @@
+import type {Clock, Logger, PoolId} from '@vanillacross/common';
+import {getDeadline} from '@vanillacross/common';
+
+import type {ConfigurationState} from '../configuration/index.js';
+import {drawPool} from '../configuration/index.js';
+import type {ForwardContext, ForwardOutcome} from '../forwarding/index.js';
+import {ForwardRun} from '../forwarding/index.js';
+import type {Pool, Route, ScoringCall} from '../model/index.js';
+import type {SampleTask} from './sampleTask.js';
+
+/** Wait before a failed scoring request is sent again, ms. */
+const RETRY_MS = 40;
+
+export interface SampleScoringOptions {
+  configuration: ConfigurationState;
+  forwarding: ForwardContext;
+  clock: Clock;
+  logger: Logger;
+  /** The score of a sample; null if its scoring fails for good. */
+  onScore: (task: SampleTask, score: string | null) => void;
+}
+
+/** Sends the scoring requests of finished samples until one is answered. */
+export class SampleScoring {
+  constructor(private readonly options: SampleScoringOptions) {}
+
+  /** Scores a sample; it may be cancelled through its task. */
+  score(task: SampleTask, call: ScoringCall): void {
+    const route = this.findRoute(call);
+    const pool = route && this.findPool(route);
+    if (!route || !pool) return this.retry(task, call);
+    const {clock} = this.options;
+    const run = new ForwardRun(this.options.forwarding, {
+      id: call.id,
+      // Scoring requests may be repeated, whatever their route allows.
+      route: {...route, kind: 'idempotent'},
+      pool,
+      method: 'POST',
+      target: call.path,
+      host: call.host,
+      headers: {},
+      body: Buffer.from(call.body, 'base64'),
+      account: null,
+      deadline: getDeadline(clock.now(), route.timeoutMs),
+      priority: null,
+    });
+    task.cancelScoring = () => run.cancel();
+    void run.run().then(outcome => this.handle(task, call, route, outcome));
+  }
+
+  private findRoute(call: ScoringCall): Route | null {
+    const routes = this.options.configuration.getRoutes();
+    return routes?.findRoute(call.host, call.path.split('?')[0]) ?? null;
+  }
+
+  private findPool(route: Route): Pool | null {
+    const id = drawPool(route, Math.random);
+    if (id === null) return null;
+    return this.options.configuration.getPool(id as PoolId) ?? null;
+  }
+
+  private handle(
+    task: SampleTask,
+    call: ScoringCall,
+    route: Route,
+    outcome: ForwardOutcome,
+  ): void {
+    const {logger, onScore} = this.options;
+    task.cancelScoring = null;
+    if (task.isCancelled) return;
+    if (outcome.tag === 'answered') {
+      const {status, signature} = outcome.head;
+      if (status < 300 && signature !== null) return onScore(task, signature);
+      task.scoringFailures += outcome.serverErrors;
+      if (task.scoringFailures >= route.maxAttempts) return onScore(task, null);
+    }
+    logger.info('scoring failed', {
+      step: task.open.step.id,
+      sample: task.id,
+      outcome: outcome.tag,
+      failures: task.scoringFailures,
+    });
+    this.retry(task, call);
+  }
+
+  private retry(task: SampleTask, call: ScoringCall): void {
+    const {clock} = this.options;
+    clock.callAt(getDeadline(clock.now(), RETRY_MS), () => {
+      if (!task.isCancelled) this.score(task, call);
+    });
+  }
+}
--- a/packages/rollout/src/steps/sampleText.ts
+++ b/packages/rollout/src/steps/sampleText.ts
@@ -1,3 +1,8 @@
+import {parseJson} from '@vanillacross/common';
+import {z} from 'zod';
+
+const eventsSchema = z.array(z.string());
+
 /** Whether text of these versions may become part of a sample. */
 export function areVersionsUsable(
   versions: readonly number[],
@@ -58,3 +63,17 @@
     return Buffer.from(this.events.join('\n'));
   }
 }
+
+/** The data of all events, or null if a piece is missing or unreadable. */
+export function readPieces(
+  pieces: ReadonlyArray<Buffer | null>,
+): string[] | null {
+  const data: string[] = [];
+  for (const piece of pieces) {
+    const parsed = piece && parseJson(piece.toString('utf8'));
+    const events = parsed?.ok ? eventsSchema.safeParse(parsed.value) : null;
+    if (!events?.success) return null;
+    data.push(...events.data);
+  }
+  return data;
+}
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -5,13 +5,11 @@
   Metrics,
   SampleId,
 } from '@vanillacross/common';
-import {getDeadline, parseJson} from '@vanillacross/common';
-import {z} from 'zod';
+import {getDeadline} from '@vanillacross/common';
 
 import type {ConfigurationState} from '../configuration/index.js';
 import {drawPool} from '../configuration/index.js';
-import type {ForwardContext, ForwardOutcome} from '../forwarding/index.js';
-import {ForwardRun} from '../forwarding/index.js';
+import type {ForwardContext} from '../forwarding/index.js';
 import type {
   Pool,
   Route,
@@ -24,17 +22,15 @@
 import {chooseUpstream} from '../upstreams/index.js';
 import type {GenerationOutcome} from './generation.js';
 import {Generation} from './generation.js';
+import {SampleScoring} from './sampleScoring.js';
 import type {UnstoredPart} from './sampleTask.js';
 import {SampleTask, compareTasks} from './sampleTask.js';
-import {areVersionsUsable} from './sampleText.js';
+import {areVersionsUsable, readPieces} from './sampleText.js';
 import type {Progress} from './progress.js';
 import type {OpenStep, StepBook, StepChange} from './stepBook.js';
 
-const eventsSchema = z.array(z.string());
 /** Interval at which waiting samples look for room, ms. */
 const PUMP_MS = 25;
-/** Wait before a failed scoring request is sent again, ms. */
-const SCORING_RETRY_MS = 40;
 /** Time for which an engine that refused a sample gets none, ms. */
 const REFUSAL_WAIT_MS = 80;
 /** Interval at which running samples are stored and compared, ms. */
@@ -87,6 +83,7 @@
 export class StepRunner {
   private readonly owned = new Set<number>();
   private readonly tasks = new Map<string, SampleTask>();
+  private readonly scoring: SampleScoring;
   private chains = 0;
   private isPumpPlanned = false;
   private isStopped = false;
@@ -95,6 +92,11 @@
     options.book.onChange(change => this.handleChange(change));
     options.directory.onChange(() => this.pump());
     options.configuration.onChange(() => this.pump());
+    this.scoring = new SampleScoring({
+      ...options,
+      onScore: (task, score) =>
+        this.finish(task, score === null ? 'dead' : 'completed', score),
+    });
     this.review();
   }
 
@@ -417,9 +419,9 @@
       outcome,
     });
     if (outcome.tag === 'impossible') return this.finish(task, 'dead', null);
-    if (outcome.tag === 'failed') {
+    if (outcome.tag === 'failed' && outcome.status === 500) {
       task.failures++;
-      if (outcome.status === 500 && task.failures >= route.maxAttempts) {
+      if (task.failures >= route.maxAttempts) {
         return this.finish(task, 'dead', null);
       }
     }
@@ -440,63 +442,8 @@
   private score(task: SampleTask): void {
     task.stage = 'scoring';
     const {scoring} = task.sample;
-    if (!scoring) return this.finish(task, 'completed', null);
-    const routes = this.options.configuration.getRoutes();
-    const path = scoring.path.split('?')[0];
-    const route = routes?.findRoute(scoring.host, path);
-    const poolId = route && drawPool(route, Math.random);
-    const pool = poolId
-      ? routes?.configuration.pools.get(poolId as Pool['id'])
-      : undefined;
-    if (!route || !pool) return this.retryScoring(task);
-    const {clock} = this.options;
-    const run = new ForwardRun(this.options.forwarding, {
-      id: scoring.id,
-      route: {...route, kind: 'idempotent'},
-      pool,
-      method: 'POST',
-      target: scoring.path,
-      host: scoring.host,
-      headers: {},
-      body: Buffer.from(scoring.body, 'base64'),
-      account: null,
-      deadline: getDeadline(clock.now(), route.timeoutMs),
-      priority: null,
-    });
-    task.cancelScoring = () => run.cancel();
-    void run.run().then(outcome => this.handleScore(task, route, outcome));
-  }
-
-  private handleScore(
-    task: SampleTask,
-    route: Route,
-    outcome: ForwardOutcome,
-  ): void {
-    task.cancelScoring = null;
-    if (task.isCancelled) return;
-    if (outcome.tag === 'answered') {
-      const {status, signature} = outcome.head;
-      if (status < 300 && signature !== null) {
-        return this.finish(task, 'completed', signature);
-      }
-      task.scoringFailures += outcome.serverErrors;
-      if (task.scoringFailures >= route.maxAttempts) {
-        return this.finish(task, 'dead', null);
-      }
-    }
-    this.options.logger.info('scoring failed', {
-      step: task.open.step.id,
-      sample: task.id,
-      outcome: outcome.tag,
-    });
-    this.retryScoring(task);
-  }
-
-  private retryScoring(task: SampleTask): void {
-    const {clock} = this.options;
-    clock.callAt(getDeadline(clock.now(), SCORING_RETRY_MS), () => {
-      if (!task.isCancelled) this.score(task);
-    });
+    if (scoring) this.scoring.score(task, scoring);
+    else this.finish(task, 'completed', null);
   }
 
   private finish(
@@ -525,15 +472,3 @@
     void storeResult(task.open, result, output);
   }
 }
-
-/** The data of all events, or null if a piece is missing or unreadable. */
-function readPieces(pieces: ReadonlyArray<Buffer | null>): string[] | null {
-  const data: string[] = [];
-  for (const piece of pieces) {
-    const parsed = piece && parseJson(piece.toString('utf8'));
-    const events = parsed?.ok ? eventsSchema.safeParse(parsed.value) : null;
-    if (!events?.success) return null;
-    data.push(...events.data);
-  }
-  return data;
-}
