--- a/packages/rollout/src/model/ports.ts
+++ b/packages/rollout/src/model/ports.ts
@@ -1,7 +1,6 @@
 import type {
   AccountId,
   DomainId,
-  MonotonicMs,
   PoolId,
   RequestId,
   Result,
@@ -262,9 +261,6 @@
   getWeightCall(order: WeightOrder): JsonCall;
 }
 
-export type OrderAnswer =
-  'accepted' | 'holds' | 'conflict' | 'fenced' | 'rejected';
-
 /** Duties towards the platform that one process holds at a time. */
 export type Duty =
   | {tag: 'usage'; window: number; counts: ReadonlyMap<AccountId, number>}
@@ -282,8 +278,3 @@
     mayWrite: () => boolean,
   ): Promise<Result<null, DutyFailure>>;
 }
-
-/** When something was last known to be true. */
-export interface Confirmation {
-  at: MonotonicMs;
-}
