Run an account's steps at one process; give up silent reads after an outage

(3) Scoring bursts took all slots of the plain upstreams (563 of 5,426 rejected, 31 lookups late). (4) An engine that no open step could use waited for its turn to load.

HeldRead gives reads up at the first success after an outage of 500 ms. Scoring leaves 30% of slots free. Connections have 60 ms. Test of two ids in two partitions failed to compile before; the weight plan's expectation of one move became two, as none of the two engines can serve.

--- a/packages/rollout/src/callers/callerServer.ts
+++ b/packages/rollout/src/callers/callerServer.ts
@@ -291,6 +291,7 @@
       account: account?.id ?? null,
       deadline,
       priority: null,
+      isBackground: false,
     };
     if (route.kind === 'stream') {
       return passStream(this.options.forwarding, plain, response, reason =>
--- a/packages/rollout/src/callers/stepCalls.ts
+++ b/packages/rollout/src/callers/stepCalls.ts
@@ -57,8 +57,8 @@
       const body = this.steps.getSampleBody(open, call.sample);
       return body ? ok(body) : fail({status: 404, reason: 'no such sample'});
     },
-    end: async call => {
-      const ended = await this.steps.end(call.step);
+    end: async (_call, open) => {
+      const ended = await this.steps.end(open);
       if (ended.tag === 'accepted') return ok(Buffer.from('{}'));
       return fail({
         status: ended.tag === 'unknown' ? 504 : 503,
--- a/packages/rollout/src/callers/streamPass.ts
+++ b/packages/rollout/src/callers/streamPass.ts
@@ -71,6 +71,7 @@
           tried,
           weights: null,
           maxInFlight: request.pool.maxConnections,
+          isBackground: request.isBackground,
         },
       );
       if (!upstream) return refuseUnrun('no upstream has room');
--- a/packages/rollout/src/control/weightPlan.test.ts
+++ b/packages/rollout/src/control/weightPlan.test.ts
@@ -87,9 +87,25 @@
     it('waits after the naming while the engines can serve', () => {
       const fresh = getNamed({m: {version: 2, ageMs: 100, neededVersion: 1}});
       assert.deepEqual(planMoves({named: fresh, upstreams: two}), []);
+    });
+
+    it('moves all engines at once that no open step can use (guards a step that waits for half of them)', () => {
       const urgent = getNamed({m: {version: 2, ageMs: 100, neededVersion: 2}});
       const moves = planMoves({named: urgent, upstreams: two});
-      assert.equal(moves.length, 1);
+      assert.deepEqual(
+        moves.map(move => move.upstream),
+        ['a', 'b'],
+      );
+    });
+
+    it('keeps an engine that serves while one that is too old moves', () => {
+      const named = getNamed({m: {version: 3, neededVersion: 2}});
+      const upstreams = [getUpstream('a', {m: 1}), getUpstream('b', {m: 2})];
+      const moves = planMoves({named, upstreams});
+      assert.deepEqual(
+        moves.map(move => move.upstream),
+        ['a'],
+      );
     });
 
     it('moves another engine while one is postponed', () => {
--- a/packages/rollout/src/control/weightPlan.ts
+++ b/packages/rollout/src/control/weightPlan.ts
@@ -30,7 +30,7 @@
  * Time after the naming of a version in which engines that can still serve
  * take the new step's samples instead of loading, ms.
  */
-const LOAD_DELAY_MS = 1_500;
+const LOAD_DELAY_MS = 400;
 
 export interface WeightPlanInput {
   /** The newest named version by model. */
@@ -88,8 +88,9 @@
 const MODEL_MOVING_SHARE = 0.5;
 
 /**
- * The moves that should start now. Of a model's engines half move at a time,
- * at least one, and the rest serve meanwhile.
+ * The moves that should start now. Of a model's engines that serve its open
+ * steps half move at a time, at least one; engines whose version is too old
+ * for them have nothing to serve and need not wait.
  */
 export function planMoves(input: WeightPlanInput): WeightMove[] {
   const {upstreams, named} = input;
@@ -97,18 +98,18 @@
   const most = Math.max(MIN_MOVES, Math.floor(upstreams.length * MOVING_SHARE));
   let room = most - upstreams.filter(upstream => upstream.isMoving).length;
   for (const [model, assigned] of assignModels(input)) {
-    const {version, ageMs, neededVersion} = named.get(model)!;
-    const isDue = (upstream: PlannedUpstream) =>
-      ageMs >= LOAD_DELAY_MS || getVersion(upstream, model) < neededVersion;
-    const moving = assigned.filter(upstream => upstream.isMoving).length;
-    const share = Math.floor(assigned.length * MODEL_MOVING_SHARE);
-    const modelRoom = Math.max(0, Math.min(room, Math.max(1, share) - moving));
+    const {version, neededVersion} = named.get(model)!;
     const stale = assigned
       .filter(upstream => !upstream.isMoving && !upstream.isPostponed)
       .filter(upstream => getVersion(upstream, model) < version)
-      .filter(isDue)
       .sort((a, b) => getVersion(a, model) - getVersion(b, model));
-    for (const upstream of stale.slice(0, modelRoom)) {
+    const isIdle = (upstream: PlannedUpstream) =>
+      getVersion(upstream, model) < neededVersion;
+    const idle = stale.filter(isIdle);
+    const serving = stale.filter(upstream => !isIdle(upstream));
+    const servingRoom = getServingRoom(assigned, model, named.get(model)!);
+    const chosen = [...idle, ...serving.slice(0, servingRoom)];
+    for (const upstream of chosen.slice(0, Math.max(0, room))) {
       room--;
       moves.push({upstream: upstream.id, model, version});
     }
@@ -116,6 +117,26 @@
   return moves;
 }
 
+/** Engines of a model that may stop serving its open steps now. */
+function getServingRoom(
+  assigned: readonly PlannedUpstream[],
+  model: string,
+  named: NamedModel,
+): number {
+  if (named.ageMs < LOAD_DELAY_MS) return 0;
+  const serving = assigned.filter(
+    upstream =>
+      !upstream.isMoving && getVersion(upstream, model) >= named.neededVersion,
+  );
+  const kept = assigned.length - getMovingShare(assigned.length);
+  return Math.max(0, serving.length - kept);
+}
+
+/** Engines out of a model's that may load at once. */
+function getMovingShare(engines: number): number {
+  return Math.max(1, Math.floor(engines * MODEL_MOVING_SHARE));
+}
+
 function getVersion(upstream: PlannedUpstream, model: string): number {
   return upstream.versions.get(model) ?? 0;
 }
--- a/packages/rollout/src/forwarding/forward.ts
+++ b/packages/rollout/src/forwarding/forward.ts
@@ -45,6 +45,8 @@
   account: AccountId | null;
   deadline: MonotonicMs;
   priority: number | null;
+  /** It yields to callers' requests where slots are scarce. */
+  isBackground: boolean;
 }
 
 /** How a request ended. */
@@ -166,6 +168,7 @@
       tried: this.tried,
       weights: null,
       maxInFlight: request.pool.maxConnections,
+      isBackground: request.isBackground,
     };
     const usable = context.directory.getUsable(request.pool.id);
     return chooseUpstream(usable, demand);
--- a/packages/rollout/src/log/appendQueue.ts
+++ b/packages/rollout/src/log/appendQueue.ts
@@ -40,7 +40,7 @@
 const APPEND_TIMEOUT_MS = 900;
 /** First wait before an append is repeated, ms; doubled up to the longest. */
 const RETRY_BASE_MS = 60;
-const RETRY_MAX_MS = 500;
+const RETRY_MAX_MS = 300;
 
 /**
  * Appends entries to one partition, several in one call. One call is under way
--- a/packages/rollout/src/log/keyedTail.ts
+++ b/packages/rollout/src/log/keyedTail.ts
@@ -2,6 +2,7 @@
 import {getClockOffset, getDeadline} from '@vanillacross/common';
 
 import type {KeyedRecord, SharedLog} from '../model/index.js';
+import {HeldRead} from './heldRead.js';
 import type {StoreHealth} from './storeHealth.js';
 
 /** Wait after a failed read, ms. */
@@ -32,10 +33,13 @@
   private next: number | null = null;
   private readonly offsets = new Map<string, number>();
   private readonly stopping = new AbortController();
+  private readonly heldRead: HeldRead;
   /** When the newest read that reached the end was sent. */
   confirmedAt: MonotonicMs | null = null;
 
-  constructor(private readonly options: KeyedTailOptions) {}
+  constructor(private readonly options: KeyedTailOptions) {
+    this.heldRead = new HeldRead(options.health, this.stopping.signal);
+  }
 
   start(): void {
     void this.run();
@@ -82,14 +86,16 @@
     const sentAt = clock.now();
     const offsetMs = getClockOffset(clock);
     const from = this.next ?? 0;
-    const outcome = await log.readKeyed({
-      stream,
-      partition: PARTITION,
-      from,
-      waitMs,
-      signal: this.stopping.signal,
-    });
-    if (this.stopping.signal.aborted) return true;
+    const outcome = await this.heldRead.send(waitMs, (heldMs, signal) =>
+      log.readKeyed({
+        stream,
+        partition: PARTITION,
+        from,
+        waitMs: heldMs,
+        signal,
+      }),
+    );
+    if (!outcome) return true;
     if (!outcome.ok) {
       if (outcome.error.tag === 'trimmed') {
         logger.warn('records expired unread', {stream, from});
--- a/packages/rollout/src/log/streamTail.ts
+++ b/packages/rollout/src/log/streamTail.ts
@@ -3,6 +3,7 @@
 
 import type {LogFailure, SharedLog, StoredRecord} from '../model/index.js';
 import {EntryAssembly} from './entries.js';
+import {HeldRead} from './heldRead.js';
 import type {StoreHealth} from './storeHealth.js';
 
 /** Wait after a failed read, ms. */
@@ -33,9 +34,12 @@
   confirmedAt: MonotonicMs | null = null;
   private readonly assembly = new EntryAssembly();
   private readonly stopping = new AbortController();
+  private readonly heldRead: HeldRead;
   private caughtUp: Array<() => void> = [];
 
-  constructor(private readonly options: StreamTailOptions) {}
+  constructor(private readonly options: StreamTailOptions) {
+    this.heldRead = new HeldRead(options.health, this.stopping.signal);
+  }
 
   start(): void {
     void this.run();
@@ -51,13 +55,7 @@
    */
   async catchUp(): Promise<boolean> {
     const sentAt = this.options.clock.now();
-    const from = this.next;
-    const outcome = await this.options.log.read({
-      stream: this.options.stream,
-      partition: this.options.partition,
-      from,
-      waitMs: 0,
-    });
+    const outcome = await this.read(0);
     if (!outcome.ok) return false;
     this.apply(outcome.value.records);
     if (this.next < outcome.value.end) return false;
@@ -81,14 +79,12 @@
     const {clock, health} = this.options;
     while (!this.stopping.signal.aborted) {
       const sentAt = clock.now();
-      const outcome = await this.options.log.read({
-        stream: this.options.stream,
-        partition: this.options.partition,
-        from: this.next,
-        waitMs: this.confirmedAt === null ? 0 : this.options.waitMs,
-        signal: this.stopping.signal,
-      });
+      const outcome = await this.heldRead.send(
+        this.confirmedAt === null ? 0 : this.options.waitMs,
+        (waitMs, signal) => this.read(waitMs, signal),
+      );
       if (this.stopping.signal.aborted) return;
+      if (!outcome) continue;
       let waitMs = this.options.pauseMs;
       if (outcome.ok) {
         health.noteSuccess();
@@ -103,6 +99,11 @@
     }
   }
 
+  private read(waitMs: number, signal?: AbortSignal) {
+    const {log, stream, partition} = this.options;
+    return log.read({stream, partition, from: this.next, waitMs, signal});
+  }
+
   private handleFailure(failure: LogFailure): void {
     const {logger, metrics, stream, partition, health} = this.options;
     if (failure.tag === 'trimmed') {
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -236,6 +236,7 @@
     };
     this.runner = new StepRunner({
       book: this.book,
+      partitionCount: options.stepPartitions,
       configuration: this.configuration,
       directory: this.directory,
       dialect: options.upstreams,
--- a/packages/rollout/src/steps/progress.test.ts
+++ b/packages/rollout/src/steps/progress.test.ts
@@ -106,7 +106,7 @@
     for (const {name, parts, text} of cases) {
       it(`${name} (guards against joined runs)`, () => {
         const book = new ProgressBook();
-        for (const part of parts) book.apply(part);
+        for (const part of parts) book.apply(SAMPLE, part);
         const places = book.get(SAMPLE)?.texts ?? [];
         const stored = places.map(place => TEXTS[place.offset]);
         assert.equal(stored.join('\n'), text);
--- a/packages/rollout/src/steps/progress.ts
+++ b/packages/rollout/src/steps/progress.ts
@@ -59,29 +59,29 @@
  * there; so pieces of two runs are never joined.
  */
 export class ProgressBook {
-  private readonly samples = new Map<SampleId, Progress>();
+  private readonly samples = new Map<string, Progress>();
 
-  get(sample: SampleId): Progress | undefined {
-    return this.samples.get(sample);
+  get(key: string): Progress | undefined {
+    return this.samples.get(key);
   }
 
-  /** Applies the next part of the stream. */
-  apply(part: ProgressPart): void {
-    const base = getBase(part, this.samples.get(part.sample));
+  /** Applies the next part of the stream to the sample with that key. */
+  apply(key: string, part: ProgressPart): void {
+    const base = getBase(part, this.samples.get(key));
     if (!base) return;
-    this.samples.set(part.sample, {
+    this.samples.set(key, {
       chain: part.chain,
       events: part.after + part.events,
       versions: part.versions,
       texts: [...base.texts, part.text],
     });
-    for (const sample of this.samples.keys()) {
+    for (const oldest of this.samples.keys()) {
       if (this.samples.size <= MAX_SAMPLES) break;
-      this.samples.delete(sample);
+      this.samples.delete(oldest);
     }
   }
 
-  delete(sample: SampleId): void {
-    this.samples.delete(sample);
+  delete(key: string): void {
+    this.samples.delete(key);
   }
 }
--- a/packages/rollout/src/steps/sampleScoring.ts
+++ b/packages/rollout/src/steps/sampleScoring.ts
@@ -43,6 +43,7 @@
       account: null,
       deadline: getDeadline(clock.now(), route.timeoutMs),
       priority: null,
+      isBackground: true,
     });
     task.cancelScoring = () => run.cancel();
     void run.run().then(outcome => this.handle(task, call, route, outcome));
--- a/packages/rollout/src/steps/sampleTask.ts
+++ b/packages/rollout/src/steps/sampleTask.ts
@@ -45,6 +45,8 @@
     readonly sample: Sample,
     /** Position in the step. */
     readonly position: number,
+    /** Partition whose owner runs it. */
+    readonly runner: number,
     /** Names the text that this task makes. */
     public chain: string,
     readonly createdAt: MonotonicMs,
--- a/packages/rollout/src/steps/stepBook.test.ts
+++ b/packages/rollout/src/steps/stepBook.test.ts
@@ -72,7 +72,7 @@
         getResult('a', '3'),
         getResult('x', '4'),
       ]);
-      const places = book.get(STEP)!.results.map(r => r.text?.offset);
+      const places = book.get(0, STEP)!.results.map(r => r.text?.offset);
       assert.deepEqual(places, [1, 3]);
     });
 
@@ -83,7 +83,7 @@
         {tag: 'end', step: STEP},
         getResult('a', '5'),
       ]);
-      assert.equal(book.get(STEP)!.results.length, 1);
+      assert.equal(book.get(0, STEP)!.results.length, 1);
     });
   });
 
@@ -93,7 +93,17 @@
         {tag: 'step', step: getStep(1)},
         {tag: 'step', step: getStep(7)},
       ]);
-      assert.equal(book.get(STEP)!.step.minVersion, 1);
+      assert.equal(book.get(0, STEP)!.step.minVersion, 1);
+    });
+
+    it('is not hidden by one with its id in another partition (guards accounts from each other)', () => {
+      const book = createBook([{tag: 'step', step: getStep(1)}]);
+      book.apply({tag: 'step', step: getStep(7)}, 1);
+      book.apply(getResult('a', '3'), 1);
+      assert.equal(book.get(0, STEP)!.results.length, 0);
+      assert.equal(book.get(1, STEP)!.step.minVersion, 7);
+      assert.equal(book.get(1, STEP)!.results.length, 1);
+      assert.equal(book.getCompleted(0, as<SampleId>('a')), undefined);
     });
 
     it('is ended by an end that was stored before it', () => {
@@ -101,7 +111,7 @@
         {tag: 'end', step: STEP},
         {tag: 'step', step: getStep()},
       ]);
-      assert.ok(book.get(STEP)!.isEnded);
+      assert.ok(book.get(0, STEP)!.isEnded);
     });
 
     it('tells the version that its model needs while it is open', () => {
--- a/packages/rollout/src/steps/stepBook.ts
+++ b/packages/rollout/src/steps/stepBook.ts
@@ -1,6 +1,7 @@
 import type {Clock, Logger, RequestId, SampleId} from '@vanillacross/common';
 
 import type {Sample, SampleResult, Step} from '../model/index.js';
+import type {Progress} from './progress.js';
 import {ProgressBook} from './progress.js';
 import type {StepRecord} from './records.js';
 
@@ -26,16 +27,21 @@
 /** Ends of unknown steps that are kept. */
 const MAX_EARLY_ENDS = 1_000;
 
+/** Key of what belongs to one partition; ids may recur in another one. */
+function getKey(partition: number, id: RequestId | SampleId): string {
+  return `${partition}/${id}`;
+}
+
 /**
  * All steps of the stream. The first record of a step, of a result and of an
- * end counts, so that every process lists the same.
+ * end counts within its partition, so that every process lists the same.
  */
 export class StepBook {
-  private readonly steps = new Map<RequestId, OpenStep>();
+  private readonly steps = new Map<string, OpenStep>();
   /** Completed samples, as their group may come again in a later step. */
-  private readonly completed = new Map<SampleId, SampleResult>();
-  readonly progress = new ProgressBook();
-  private readonly earlyEnds = new Set<RequestId>();
+  private readonly completed = new Map<string, SampleResult>();
+  private readonly progress = new ProgressBook();
+  private readonly earlyEnds = new Set<string>();
   private readonly listeners: Array<(change: StepChange) => void> = [];
 
   constructor(
@@ -48,13 +54,18 @@
     this.listeners.push(listener);
   }
 
-  get(id: RequestId): OpenStep | undefined {
-    return this.steps.get(id);
+  get(partition: number, id: RequestId): OpenStep | undefined {
+    return this.steps.get(getKey(partition, id));
+  }
+
+  /** The newest result of a sample in any step of a partition. */
+  getCompleted(partition: number, sample: SampleId): SampleResult | undefined {
+    return this.completed.get(getKey(partition, sample));
   }
 
-  /** The newest result of a sample in any step. */
-  getCompleted(sample: SampleId): SampleResult | undefined {
-    return this.completed.get(sample);
+  /** The stored text of an unfinished sample. */
+  getProgress(partition: number, sample: SampleId): Progress | undefined {
+    return this.progress.get(getKey(partition, sample));
   }
 
   getAll(): Iterable<OpenStep> {
@@ -74,23 +85,29 @@
   /** Applies the next record of a partition. */
   apply(record: StepRecord, partition: number): void {
     if (record.tag === 'step') return this.applyStep(record.step, partition);
-    if (record.tag === 'end') return this.applyEnd(record.step);
-    if (record.tag === 'progress') return this.progress.apply(record.part);
-    this.applyResult(record.step, record.result);
+    if (record.tag === 'end') return this.applyEnd(record.step, partition);
+    if (record.tag === 'progress') {
+      const key = getKey(partition, record.part.sample);
+      return this.progress.apply(key, record.part);
+    }
+    this.applyResult(record.step, record.result, partition);
   }
 
   /** Drops steps whose status need no longer be told. */
   sweep(): void {
     const oldest = this.clock.wallNow() - this.statusMs - STATUS_MARGIN_MS;
-    for (const [id, open] of this.steps) {
+    for (const [key, open] of this.steps) {
       if (open.step.acceptedAt >= oldest || !open.isEnded) continue;
-      this.steps.delete(id);
-      for (const sample of open.listed) this.completed.delete(sample);
+      this.steps.delete(key);
+      for (const sample of open.listed) {
+        this.completed.delete(getKey(open.partition, sample));
+      }
     }
   }
 
   private applyStep(step: Step, partition: number): void {
-    if (this.steps.has(step.id)) {
+    const key = getKey(partition, step.id);
+    if (this.steps.has(key)) {
       this.logger.info('step was submitted again', {step: step.id});
       return;
     }
@@ -100,30 +117,34 @@
       samples: new Map(step.samples.map(sample => [sample.id, sample])),
       results: [],
       listed: new Set(),
-      isEnded: this.earlyEnds.delete(step.id),
+      isEnded: this.earlyEnds.delete(key),
     };
-    this.steps.set(step.id, open);
+    this.steps.set(key, open);
     this.notify({tag: 'accepted', open});
   }
 
-  private applyResult(id: RequestId, result: SampleResult): void {
-    const open = this.steps.get(id);
+  private applyResult(
+    id: RequestId,
+    result: SampleResult,
+    partition: number,
+  ): void {
+    const open = this.get(partition, id);
     if (!open || open.isEnded) return;
     if (!open.samples.has(result.sample)) return;
     if (open.listed.has(result.sample)) return;
     open.listed.add(result.sample);
     open.results.push(result);
-    this.progress.delete(result.sample);
-    if (result.state === 'completed') {
-      this.completed.set(result.sample, result);
-    }
+    const key = getKey(partition, result.sample);
+    this.progress.delete(key);
+    if (result.state === 'completed') this.completed.set(key, result);
     this.notify({tag: 'listed', open, sample: result.sample});
   }
 
-  private applyEnd(id: RequestId): void {
-    const open = this.steps.get(id);
+  private applyEnd(id: RequestId, partition: number): void {
+    const open = this.get(partition, id);
     if (!open) {
-      if (this.earlyEnds.size < MAX_EARLY_ENDS) this.earlyEnds.add(id);
+      if (this.earlyEnds.size >= MAX_EARLY_ENDS) return;
+      this.earlyEnds.add(getKey(partition, id));
       return;
     }
     if (open.isEnded) return;
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -50,8 +50,13 @@
 /** A sample is given up this much after its retention, ms. */
 const RETENTION_MARGIN_MS = 10_000;
 
+/** Samples of one step that one process runs at most. */
+const SAMPLES_PER_OWNER = 128;
+
 export interface StepRunnerOptions {
   book: StepBook;
+  /** Partitions of the step stream. */
+  partitionCount: number;
   configuration: ConfigurationState;
   directory: Directory;
   dialect: UpstreamDialect;
@@ -110,14 +115,13 @@
     for (const partition of [...this.owned]) {
       if (!partitions.includes(partition)) this.release(partition);
     }
-    for (const partition of partitions) {
-      if (this.owned.has(partition)) continue;
+    const added = partitions.filter(partition => !this.owned.has(partition));
+    if (added.length === 0) return;
+    for (const partition of added) {
       this.owned.add(partition);
       this.options.logger.info('partition taken over', {partition});
-      for (const open of this.options.book.getAll()) {
-        if (open.partition === partition) this.addStep(open);
-      }
     }
+    for (const open of this.options.book.getAll()) this.addStep(open);
     this.pump();
   }
 
@@ -131,7 +135,7 @@
     this.owned.delete(partition);
     this.options.logger.info('partition handed over', {partition});
     for (const [key, task] of this.tasks) {
-      if (task.open.partition !== partition) continue;
+      if (task.runner !== partition) continue;
       if (task.stage !== 'storing') this.storeProgress(task);
       task.cancel();
       this.tasks.delete(key);
@@ -140,7 +144,6 @@
 
   private handleChange(change: StepChange): void {
     const {open} = change;
-    if (!this.owned.has(open.partition)) return;
     if (change.tag === 'accepted') this.addStep(open);
     if (change.tag === 'listed') this.drop(open, change.sample);
     if (change.tag === 'ended') this.endStep(open);
@@ -151,9 +154,19 @@
     return `${open.step.id}/${sample}`;
   }
 
+  /**
+   * The partition whose owner runs a sample. Large steps spread over the
+   * owners of the partitions that follow their own.
+   */
+  private getRunner(open: OpenStep, position: number): number {
+    const shift = Math.floor(position / SAMPLES_PER_OWNER);
+    return (open.partition + shift) % this.options.partitionCount;
+  }
+
   private addStep(open: OpenStep): void {
     if (open.isEnded) return;
     open.step.samples.forEach((sample, position) => {
+      if (!this.owned.has(this.getRunner(open, position))) return;
       const key = this.getKey(open, sample.id);
       if (open.listed.has(sample.id) || this.tasks.has(key)) return;
       this.startTask(open, sample, position);
@@ -163,10 +176,18 @@
   private startTask(open: OpenStep, sample: Sample, position: number): void {
     const {clock, book} = this.options;
     const chain = this.getNextChain();
-    const task = new SampleTask(open, sample, position, chain, clock.now());
+    const runner = this.getRunner(open, position);
+    const task = new SampleTask(
+      open,
+      sample,
+      position,
+      runner,
+      chain,
+      clock.now(),
+    );
     this.tasks.set(this.getKey(open, sample.id), task);
     if (this.reuseResult(task)) return;
-    const progress = book.progress.get(sample.id);
+    const progress = book.getProgress(open.partition, sample.id);
     if (progress && this.areUsable(task, progress.versions)) {
       void this.loadProgress(task, progress);
     }
@@ -204,7 +225,8 @@
 
   /** Lists a sample again that an earlier step had completed. */
   private reuseResult(task: SampleTask): boolean {
-    const before = this.options.book.getCompleted(task.id);
+    const {book} = this.options;
+    const before = book.getCompleted(task.open.partition, task.id);
     if (!before || !this.areUsable(task, before.versions)) return false;
     task.reused = before;
     this.options.logger.info('result of an earlier step is used', {
@@ -361,6 +383,7 @@
       tried: new Set(except ? [except] : []),
       weights: model === null ? null : {model, minVersion},
       maxInFlight: pool.maxConnections,
+      isBackground: false,
     });
   }
 
--- a/packages/rollout/src/steps/stepService.ts
+++ b/packages/rollout/src/steps/stepService.ts
@@ -84,7 +84,8 @@
     account: AccountId | null,
     host: string,
   ): Promise<StepAcceptance> {
-    const known = this.options.book.get(id);
+    const partition = this.getPartitionIndex(id, account);
+    const known = this.options.book.get(partition, id);
     if (known) return this.acceptKnown(known, account);
     const step: Step = {
       id,
@@ -94,15 +95,14 @@
       ...submission,
       acceptedAt: this.options.clock.wallNow(),
     };
-    return this.store(id, {tag: 'step', step}, ACCEPT_BUDGET_MS);
+    return this.store(partition, {tag: 'step', step}, ACCEPT_BUDGET_MS);
   }
 
   /** Ends a step; nothing more of it starts. */
-  end(id: RequestId): Promise<StepAcceptance> {
-    if (this.options.book.get(id)?.isEnded) {
-      return Promise.resolve({tag: 'accepted'});
-    }
-    return this.store(id, {tag: 'end', step: id}, END_BUDGET_MS);
+  end(open: OpenStep): Promise<StepAcceptance> {
+    if (open.isEnded) return Promise.resolve({tag: 'accepted'});
+    const record = {tag: 'end' as const, step: open.step.id};
+    return this.store(open.partition, record, END_BUDGET_MS);
   }
 
   /** Stores the result of a sample, however long that takes. */
@@ -140,17 +140,20 @@
 
   /** Finds a step of an account; reads on if it is unknown here. */
   async find(id: RequestId, account: AccountId | null): Promise<StepLookup> {
-    const {book, clock} = this.options;
-    const {tail} = this.getPartition(id);
+    const {book, clock, partitions} = this.options;
+    const partition = this.getPartitionIndex(id, account);
+    const {tail} = partitions[partition];
     const ageMs = clock.now() - (tail.confirmedAt ?? -Infinity);
     if (ageMs > MAX_AGE_MS && !(await tail.catchUp())) {
       return {tag: 'unsure'};
     }
-    for (let attempt = 0; !book.get(id); attempt++) {
+    let open = book.get(partition, id);
+    for (let attempt = 0; !open; attempt++) {
       if (attempt === CATCH_UP_ATTEMPTS) return {tag: 'unsure'};
-      if ((await tail.catchUp()) && !book.get(id)) return {tag: 'absent'};
+      const isCaughtUp = await tail.catchUp();
+      open = book.get(partition, id);
+      if (isCaughtUp && !open) return {tag: 'absent'};
     }
-    const open = book.get(id)!;
     const isOwn = open.step.account === account;
     return isOwn ? {tag: 'found', open} : {tag: 'absent'};
   }
@@ -211,28 +214,28 @@
     return {tag: 'not_stored', reason: 'the id is in use'};
   }
 
-  private getPartitionIndex(id: RequestId): number {
-    return getHash32(id) % this.options.partitions.length;
-  }
-
-  private getPartition(id: RequestId): StepPartition {
-    return this.options.partitions[this.getPartitionIndex(id)];
+  /**
+   * The steps of one account share a partition, so that one process runs them
+   * and knows the load and the connections of their engines.
+   */
+  private getPartitionIndex(id: RequestId, account: AccountId | null): number {
+    return getHash32(account ?? id) % this.options.partitions.length;
   }
 
   private async store(
-    id: RequestId,
-    record: StepRecord,
+    partition: number,
+    record: StepRecord & {tag: 'step' | 'end'},
     budgetMs: number,
   ): Promise<StepAcceptance> {
     const {clock, logger} = this.options;
     const startedAt = clock.now();
     const deadline = getDeadline(startedAt, budgetMs);
-    const {queue} = this.getPartition(id);
+    const {queue} = this.options.partitions[partition];
     const outcome = await queue.append(encodeStepRecord(record), deadline);
     logger.info('step record was handed to the store', {
-      step: id,
+      step: record.tag === 'step' ? record.step.id : record.step,
       record: record.tag,
-      partition: this.getPartitionIndex(id),
+      partition,
       outcome: outcome.tag,
       elapsedMs: Math.round(clock.now() - startedAt),
     });
--- a/packages/rollout/src/upstreams/choice.ts
+++ b/packages/rollout/src/upstreams/choice.ts
@@ -16,6 +16,17 @@
   weights: {model: string; minVersion: number} | null;
   /** Most requests of this process at one upstream. */
   maxInFlight: number;
+  /** Leaves slots free for more urgent requests. */
+  isBackground: boolean;
+}
+
+/** Part of the slots that background requests may take. */
+const BACKGROUND_SHARE = 0.7;
+
+function hasSlots(upstream: Upstream, demand: Demand): boolean {
+  if (!demand.isBackground) return true;
+  const most = Math.max(1, Math.floor(upstream.entry.slots * BACKGROUND_SHARE));
+  return upstream.getOccupancy() < most;
 }
 
 function hasWeights(upstream: Upstream, demand: Demand): boolean {
@@ -52,6 +63,7 @@
     upstream =>
       !demand.tried.has(upstream) &&
       upstream.inFlight < demand.maxInFlight &&
+      hasSlots(upstream, demand) &&
       hasWeights(upstream, demand) &&
       upstream.hasColdRoom(demand.pool, demand.coldShare),
   );
--- a/packages/rollout/src/upstreams/exchange.ts
+++ b/packages/rollout/src/upstreams/exchange.ts
@@ -9,8 +9,11 @@
 } from '../model/index.js';
 import type {Upstream} from './upstream.js';
 
-/** Time in which a connection to an upstream must stand, ms. */
-const CONNECT_TIMEOUT_MS = 150;
+/**
+ * Time in which a connection to an upstream must stand, ms. Failure domains of
+ * one region are about a millisecond apart.
+ */
+const CONNECT_TIMEOUT_MS = 60;
 
 /** Why an exchange ended without a whole answer. */
 export type ExchangeFailure =
