Load each version first on engines that no open step can use

A version goes to a model's equal share of the pool, first to engines whose version is too old for the open steps, so the ones with the version before serve on.

--- a/packages/rollout/src/control/weightMover.ts
+++ b/packages/rollout/src/control/weightMover.ts
@@ -11,12 +11,14 @@
 import type {
   EngineReport,
   JsonCall,
+  Pool,
   UpstreamDialect,
   WeightOrder,
 } from '../model/index.js';
 import type {Directory, Upstream} from '../upstreams/index.js';
 import type {ControlFeed} from './controlFeed.js';
 import type {LeaseTask} from './leaseTask.js';
+import type {NamedModel, PlannedUpstream} from './weightPlan.js';
 import {planMoves} from './weightPlan.js';
 
 /** Interval at which the plan is looked at, ms. */
@@ -48,7 +50,8 @@
 
 /** Moves engines to the named versions while this process has the lease. */
 export class WeightMover {
-  private readonly moving = new Set<Upstream>();
+  /** Model that an order under way changes. */
+  private readonly moving = new Map<Upstream, string>();
   private readonly waitUntil = new Map<Upstream, MonotonicMs>();
   private isStopped = false;
 
@@ -70,51 +73,63 @@
     }
   }
 
-  /** Engines of all pools that serve models. */
-  private getEngines(): Upstream[] {
-    const {configuration, directory} = this.options;
+  private plan(): void {
+    const {configuration} = this.options;
     const pools = configuration.getRoutes()?.configuration.pools.values() ?? [];
-    return [...pools]
-      .filter(pool => pool.models.length > 0)
-      .flatMap(pool => directory.getUsable(pool.id));
+    for (const pool of pools) {
+      if (pool.models.length > 0) this.planPool(pool);
+    }
   }
 
-  private plan(): void {
-    const {configuration, clock} = this.options;
-    const named = configuration.getWeights();
+  private planPool(pool: Pool): void {
+    const {directory} = this.options;
+    const named = this.getNamed(pool);
     if (named.size === 0) return;
-    const engines = this.getEngines();
+    const engines = directory.getUsable(pool.id);
     const byId = new Map(engines.map(engine => [String(engine.id), engine]));
     const moves = planMoves({
-      named: new Map(
-        [...named].map(([model, {version, namedAt}]) => [
-          model,
-          {
-            version,
-            ageMs: clock.now() - namedAt,
-            neededVersion: this.options.getNeededVersion(model),
-          },
-        ]),
-      ),
-      upstreams: engines.map(engine => ({
-        id: engine.id,
-        domain: engine.entry.domain,
-        versions: new Map(
-          [...named.keys()].map(model => [model, engine.getVersion(model)]),
-        ),
-        isMoving: this.moving.has(engine),
-        isPostponed: (this.waitUntil.get(engine) ?? 0) > clock.now(),
-      })),
+      modelCount: pool.models.length,
+      named,
+      upstreams: engines.map(engine => this.getPlanned(engine, named)),
     });
     for (const {upstream, model, version} of moves) {
       const engine = byId.get(upstream)!;
-      this.moving.add(engine);
+      this.moving.set(engine, model);
       void this.move(engine, model, version).finally(() => {
         this.moving.delete(engine);
       });
     }
   }
 
+  /** The pool's models whose versions were named. */
+  private getNamed(pool: Pool): Map<string, NamedModel> {
+    const {configuration, clock, getNeededVersion} = this.options;
+    const named = new Map<string, NamedModel>();
+    for (const [model, {version, namedAt}] of configuration.getWeights()) {
+      if (!pool.models.includes(model)) continue;
+      const ageMs = clock.now() - namedAt;
+      const neededVersion = getNeededVersion(model);
+      named.set(model, {version, ageMs, neededVersion});
+    }
+    return named;
+  }
+
+  private getPlanned(
+    engine: Upstream,
+    named: ReadonlyMap<string, NamedModel>,
+  ): PlannedUpstream {
+    const now = this.options.clock.now();
+    return {
+      id: engine.id,
+      domain: engine.entry.domain,
+      versions: new Map(
+        [...named.keys()].map(model => [model, engine.getVersion(model)]),
+      ),
+      moving: this.moving.get(engine) ?? null,
+      isPostponed: (this.waitUntil.get(engine) ?? 0) > now,
+    };
+  }
+
   private async move(
     engine: Upstream,
     model: string,
--- a/packages/rollout/src/control/weightPlan.ts
+++ b/packages/rollout/src/control/weightPlan.ts
@@ -4,8 +4,8 @@
   domain: string;
   /** Version by model. */
   versions: ReadonlyMap<string, number>;
-  /** An order to it is under way. */
-  isMoving: boolean;
+  /** Model that an order under way changes; null without one. */
+  moving: string | null;
   /** It refused an order or did not answer a moment ago. */
   isPostponed: boolean;
 }
@@ -26,115 +26,125 @@
   neededVersion: number;
 }
 
-/**
- * Time after the naming of a version in which engines that can still serve
- * take the new step's samples instead of loading, ms.
- */
-const LOAD_DELAY_MS = 400;
-
 export interface WeightPlanInput {
+  /** Models that the pool serves, named or not. */
+  modelCount: number;
   /** The newest named version by model. */
   named: ReadonlyMap<string, NamedModel>;
+  /** The pool's upstreams. */
   upstreams: readonly PlannedUpstream[];
 }
 
-/** The upstreams that keep a model's versions up to date, by model. */
-export function assignModels(
-  input: WeightPlanInput,
-): Map<string, PlannedUpstream[]> {
-  const models = [...input.named.keys()].sort();
-  const assigned = new Map<string, PlannedUpstream[]>();
-  const free = new Set(input.upstreams);
-  for (const model of models) assigned.set(model, []);
-  // In turn, so that each model gets a share even if upstreams are missing.
-  while (free.size > 0 && models.length > 0) {
-    for (const model of models) {
-      const best = pickUpstream([...free], model, assigned.get(model)!);
-      if (!best) continue;
-      free.delete(best);
-      assigned.get(model)!.push(best);
-    }
-  }
-  return assigned;
-}
-
-/** Prefers the newest version, then a failure domain not yet used. */
-function pickUpstream(
-  free: readonly PlannedUpstream[],
-  model: string,
-  taken: readonly PlannedUpstream[],
-): PlannedUpstream | null {
-  const domains = new Set(taken.map(upstream => upstream.domain));
-  const getRank = (upstream: PlannedUpstream) => {
-    const own = upstream.versions.get(model) ?? 0;
-    const others = [...upstream.versions]
-      .filter(([name]) => name !== model)
-      .map(([, version]) => version);
-    // What another model has moved further is rather left to that model.
-    const lead = own - Math.max(0, ...others);
-    return lead * 2 + (domains.has(upstream.domain) ? 0 : 1);
-  };
-  const ranked = [...free].sort(
-    (a, b) => getRank(b) - getRank(a) || (a.id < b.id ? -1 : 1),
-  );
-  return ranked[0] ?? null;
-}
-
+/**
+ * Time after the naming of a version in which its step is submitted, so that
+ * the oldest version that the model still needs is known, ms.
+ */
+const SETTLE_MS = 300;
+/**
+ * Time after the naming of a version in which engines that can still serve
+ * take the new step's samples instead of loading, ms.
+ */
+const LOAD_DELAY_MS = 1_500;
 /** Part of all engines that may load at once without slowing each other. */
 const MOVING_SHARE = 0.3;
 /** Engines that may load at once in a small deployment. */
 const MIN_MOVES = 2;
-/** Part of a model's engines that may load at once; the rest serve. */
-const MODEL_MOVING_SHARE = 0.5;
+/** Part of the engines that serve a model which may load at once. */
+const SERVING_MOVES_SHARE = 0.5;
 
 /**
- * The moves that should start now. Of a model's engines that serve its open
- * steps half move at a time, at least one; engines whose version is too old
- * for them have nothing to serve and need not wait.
+ * The moves that should start now. Each version goes to a model's equal share
+ * of the engines. Engines whose version is too old for the open steps come
+ * first, so that those with the version before serve on while the new one
+ * loads elsewhere.
  */
 export function planMoves(input: WeightPlanInput): WeightMove[] {
   const {upstreams, named} = input;
   const moves: WeightMove[] = [];
   const most = Math.max(MIN_MOVES, Math.floor(upstreams.length * MOVING_SHARE));
-  let room = most - upstreams.filter(upstream => upstream.isMoving).length;
-  for (const [model, assigned] of assignModels(input)) {
-    const {version, neededVersion} = named.get(model)!;
-    const stale = assigned
-      .filter(upstream => !upstream.isMoving && !upstream.isPostponed)
-      .filter(upstream => getVersion(upstream, model) < version)
-      .sort((a, b) => getVersion(a, model) - getVersion(b, model));
-    const isIdle = (upstream: PlannedUpstream) =>
-      getVersion(upstream, model) < neededVersion;
-    const idle = stale.filter(isIdle);
-    const serving = stale.filter(upstream => !isIdle(upstream));
-    const servingRoom = getServingRoom(assigned, model, named.get(model)!);
-    const chosen = [...idle, ...serving.slice(0, servingRoom)];
-    for (const upstream of chosen.slice(0, Math.max(0, room))) {
-      room--;
+  const taken = new Set(upstreams.filter(u => u.moving !== null));
+  for (const model of [...named.keys()].sort()) {
+    const {version} = named.get(model)!;
+    const room = Math.min(most - taken.size, getMissing(input, model));
+    for (const upstream of getCandidates(input, model, taken)) {
+      const isOver = moves.filter(move => move.model === model).length >= room;
+      if (isOver) break;
+      taken.add(upstream);
       moves.push({upstream: upstream.id, model, version});
     }
   }
   return moves;
 }
 
-/** Engines of a model that may stop serving its open steps now. */
-function getServingRoom(
-  assigned: readonly PlannedUpstream[],
-  model: string,
-  named: NamedModel,
-): number {
-  if (named.ageMs < LOAD_DELAY_MS) return 0;
-  const serving = assigned.filter(
+/** Upstreams that a model's newest version still has to come to. */
+function getMissing(input: WeightPlanInput, model: string): number {
+  const {upstreams, modelCount, named} = input;
+  const {version} = named.get(model)!;
+  const share = Math.max(1, Math.floor(upstreams.length / modelCount));
+  const reached = upstreams.filter(
     upstream =>
-      !upstream.isMoving && getVersion(upstream, model) >= named.neededVersion,
+      upstream.moving === model || getVersion(upstream, model) >= version,
+  );
+  return share - reached.length;
+}
+
+/** Upstreams that may load a model's newest version now, the best first. */
+function getCandidates(
+  input: WeightPlanInput,
+  model: string,
+  taken: ReadonlySet<PlannedUpstream>,
+): PlannedUpstream[] {
+  const {upstreams, named} = input;
+  const {version, ageMs, neededVersion} = named.get(model)!;
+  const isServing = (upstream: PlannedUpstream) =>
+    upstream.moving !== model && getVersion(upstream, model) >= neededVersion;
+  const serving = upstreams.filter(isServing);
+  const free = upstreams
+    .filter(upstream => !taken.has(upstream) && !upstream.isPostponed)
+    .filter(upstream => getVersion(upstream, model) < version);
+  const ranked = rankUpstreams(input, model, free);
+  const idle = ranked.filter(upstream => !isServing(upstream));
+  const isSettled = ageMs >= SETTLE_MS || serving.length === 0;
+  const moving = upstreams.filter(upstream => upstream.moving === model).length;
+  const mayMove = Math.max(
+    1,
+    Math.floor((serving.length + moving) * SERVING_MOVES_SHARE),
   );
-  const kept = assigned.length - getMovingShare(assigned.length);
-  return Math.max(0, serving.length - kept);
+  const servingRoom = ageMs >= LOAD_DELAY_MS ? mayMove - moving : 0;
+  return [
+    ...(isSettled ? idle : []),
+    ...ranked.filter(isServing).slice(0, Math.max(0, servingRoom)),
+  ];
 }
 
-/** Engines out of a model's that may load at once. */
-function getMovingShare(engines: number): number {
-  return Math.max(1, Math.floor(engines * MODEL_MOVING_SHARE));
+/**
+ * Prefers upstreams that are not the newest of other models, then failure
+ * domains without the newest version, then the oldest version.
+ */
+function rankUpstreams(
+  input: WeightPlanInput,
+  model: string,
+  upstreams: readonly PlannedUpstream[],
+): PlannedUpstream[] {
+  const {named} = input;
+  const {version} = named.get(model)!;
+  const reached = new Set(
+    input.upstreams
+      .filter(u => u.moving === model || getVersion(u, model) >= version)
+      .map(u => u.domain),
+  );
+  const getOthers = (upstream: PlannedUpstream) =>
+    [...named].filter(
+      ([other, {version: newest}]) =>
+        other !== model &&
+        (upstream.moving === other || getVersion(upstream, other) >= newest),
+    ).length;
+  const compare = (a: PlannedUpstream, b: PlannedUpstream) =>
+    getOthers(a) - getOthers(b) ||
+    Number(reached.has(a.domain)) - Number(reached.has(b.domain)) ||
+    getVersion(a, model) - getVersion(b, model) ||
+    (a.id < b.id ? -1 : 1);
+  return [...upstreams].sort(compare);
 }
 
 function getVersion(upstream: PlannedUpstream, model: string): number {
