Take upstreams that have run for long as warm after a start

An upstream that states no cold time and was born more than its cold time and 6 s ago (clocks may be wrong by seconds) is warm.

--- a/packages/rollout/src/upstreams/directory.ts
+++ b/packages/rollout/src/upstreams/directory.ts
@@ -9,7 +9,12 @@
 import {as} from '@vanillacross/common';
 
 import type {StoreHealth} from '../log/index.js';
-import type {KeyedRecord, Pool, RecordDialect} from '../model/index.js';
+import type {
+  KeyedRecord,
+  Pool,
+  RecordDialect,
+  UpstreamEntry,
+} from '../model/index.js';
 import {Upstream} from './upstream.js';
 
 /**
@@ -19,6 +24,8 @@
 const LAPSE_GRACE_MS = 2_200;
 /** Cold time that is assumed before the configuration is known, ms. */
 const UNKNOWN_COLD_MS = 3_000;
+/** Wall clocks of upstreams and processes may differ by this much, ms. */
+const CLOCK_MARGIN_MS = 6_000;
 
 export interface DirectoryOptions {
   dialect: RecordDialect;
@@ -90,7 +97,7 @@
       const added = new Upstream(
         entry.value,
         this.options.clock,
-        this.getColdMs(entry.value.pool, entry.value.coldLeftMs),
+        this.getFirstColdMs(entry.value),
       );
       this.upstreams.set(id, added);
       this.log(added, 'listed');
@@ -132,14 +139,27 @@
   private markDomainCold(domain: DomainId): void {
     for (const upstream of this.upstreams.values()) {
       if (upstream.entry.domain !== domain) continue;
-      upstream.markCold(this.getColdMs(upstream.entry.pool, 0));
+      upstream.markCold(this.getColdMs(upstream.entry.pool));
     }
   }
 
-  private getColdMs(pool: PoolId, statedMs: number): number {
-    if (this.options.isStarting()) return statedMs;
-    const coldMs = this.options.getPool(pool)?.coldMs ?? UNKNOWN_COLD_MS;
-    return Math.max(statedMs, coldMs);
+  /**
+   * Cold time of an upstream that this process has not known. One that has
+   * run for long and states none is warm, also for a process that has just
+   * started; its clock may be wrong, so a fresh one counts as cold.
+   */
+  private getFirstColdMs(entry: UpstreamEntry): number {
+    const {isStarting, clock} = this.options;
+    if (isStarting()) return entry.coldLeftMs;
+    const coldMs = this.getColdMs(entry.pool);
+    const ageMs = clock.wallNow() - entry.bornAt;
+    const isWarm = entry.bornAt > 0 && ageMs > coldMs + CLOCK_MARGIN_MS;
+    if (isWarm) return entry.coldLeftMs;
+    return Math.max(entry.coldLeftMs, coldMs);
+  }
+
+  private getColdMs(pool: PoolId): number {
+    return this.options.getPool(pool)?.coldMs ?? UNKNOWN_COLD_MS;
   }
 
   private remove(id: UpstreamId): void {
--- a/packages/rollout/src/upstreams/upstream.ts
+++ b/packages/rollout/src/upstreams/upstream.ts
@@ -49,7 +49,8 @@
     coldMs: number,
   ) {
     this.id = entry.id;
-    this.coldUntil = (clock.now() + coldMs) as MonotonicMs;
+    this.coldUntil = clock.now();
+    if (coldMs > 0) this.markCold(coldMs);
   }
 
   /** Takes a newer entry of the same incarnation. */
