--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -287,10 +287,13 @@
     const paceMs = generation.upstream.getPace();
     const pool = configuration.getPool(generation.upstream.entry.pool);
     if (paceMs === null || !pool) return;
-    const other = this.choose(task, pool, generation.upstream);
+    const other = this.choose(
+      task,
+      pool,
+      upstream => (upstream.getPace() ?? Infinity) * SLOW_FACTOR <= paceMs,
+    );
     const otherPaceMs = other?.getPace() ?? null;
     if (!other || otherPaceMs === null) return;
-    if (paceMs < otherPaceMs * SLOW_FACTOR) return;
     logger.info('sample moves to a faster engine', {
       step: task.open.step.id,
       sample: task.id,
@@ -351,7 +354,8 @@
       : undefined;
     if (!route || !pool) return false;
     const upstream =
-      this.choose(task, pool, task.avoided) ?? this.choose(task, pool, null);
+      this.choose(task, pool, other => other !== task.avoided) ??
+      this.choose(task, pool, () => true);
     if (!upstream) return false;
     this.generate(task, route, upstream);
     this.options.metrics.count('vc_samples_started', {
@@ -370,17 +374,20 @@
   private choose(
     task: SampleTask,
     pool: Pool,
-    except: Upstream | null,
+    isWanted: (upstream: Upstream) => boolean,
   ): Upstream | null {
     const {directory, domain, getColdShare} = this.options;
     const usable = directory.getUsable(pool.id);
     const {model, minVersion} = task.open.step;
-    const roomy = usable.filter(u => u.getOccupancy() < u.entry.slots);
+    const roomy = usable.filter(
+      upstream =>
+        upstream.getOccupancy() < upstream.entry.slots && isWanted(upstream),
+    );
     return chooseUpstream(roomy, {
       pool,
       coldShare: getColdShare(pool),
       domain,
-      tried: new Set(except ? [except] : []),
+      tried: new Set(),
       weights: model === null ? null : {model, minVersion},
       maxInFlight: pool.maxConnections,
       isBackground: false,
