Share what cold upstreams bear by the processes that send

Each process took a sixth of what a cold upstream bears, which is right for six senders only; 12 owners of partitions or the callers of more than six processes could together send more than an upstream may get in a second.

Property test: the shares add up to no more than the limit.

--- a/packages/rollout/src/control/timeConsensus.ts
+++ b/packages/rollout/src/control/timeConsensus.ts
@@ -32,6 +32,11 @@
     this.readings.set(process, {offsetMs, at});
   }
 
+  /** Processes that have told their wall clock, this one included. */
+  get processCount(): number {
+    return this.readings.size + 1;
+  }
+
   /** The time of day, ms since 1970. */
   now(): number {
     const now = this.clock.now();
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -27,7 +27,6 @@
   Deadline,
   DutyPort,
   KeyedRecord,
-  Pool,
   RecordDialect,
   Self,
   SharedLog,
@@ -40,7 +39,7 @@
   StepService,
   decodeStepRecord,
 } from './steps/index.js';
-import {Directory} from './upstreams/index.js';
+import {ColdShares, Directory} from './upstreams/index.js';
 
 /** Names of the product's own streams in the shared log. */
 const STREAMS = {
@@ -60,11 +59,6 @@
 const SWEEP_MS = 250;
 /** Part of the revocation time after which callers should go elsewhere. */
 const STALE_SHARE = 0.5;
-/**
- * Processes that may send to one cold upstream at the same time. Only the
- * lease holder's view would be exact, so each takes a fixed share.
- */
-const COLD_SENDERS = 6;
 /** Time after a signal until the listener closes, ms. */
 const DRAIN_ACCEPT_MS = 2_500;
 const DRAIN_POLL_MS = 50;
@@ -223,7 +217,11 @@
       logger: logger.part('usage'),
       metrics,
     });
-    const getColdShare = (pool: Pool) => this.getColdShare(pool);
+    const coldShares = new ColdShares({
+      bounds,
+      getOpenPartitions: () => this.book.getOpenPartitions(),
+      getProcessCount: () => time.processCount,
+    });
     const forwarding: ForwardContext = {
       directory: this.directory,
       dialect: options.upstreams,
@@ -231,7 +229,7 @@
       logger: logger.part('forward'),
       metrics,
       domain: self.domain,
-      getColdShare,
+      getColdShare: pool => coldShares.getCallerShare(pool),
       onBegun: account => this.usage.note(account),
     };
     this.runner = new StepRunner({
@@ -245,7 +243,7 @@
       logger: logger.part('samples'),
       metrics,
       domain: self.domain,
-      getColdShare,
+      getColdShare: pool => coldShares.getSampleShare(pool),
       process,
       texts,
       storeProgress: (partition, part) =>
@@ -470,12 +468,6 @@
     });
   }
 
-  private getColdShare(pool: Pool): number {
-    const {coldOverage, coldSlack} = this.options.bounds;
-    const total = pool.coldPerSecond * coldOverage + coldSlack;
-    return Math.max(1, Math.floor(total / COLD_SENDERS));
-  }
-
   private async sweep(): Promise<void> {
     const {clock} = this.options;
     while (!this.isStopping) {
--- a/packages/rollout/src/steps/stepBook.ts
+++ b/packages/rollout/src/steps/stepBook.ts
@@ -42,6 +42,8 @@
   private readonly completed = new Map<string, SampleResult>();
   private readonly progress = new ProgressBook();
   private readonly earlyEnds = new Set<string>();
+  /** Number of open steps by partition. */
+  private readonly openByPartition = new Map<number, number>();
   private readonly listeners: Array<(change: StepChange) => void> = [];
 
   constructor(
@@ -68,6 +70,11 @@
     return this.progress.get(getKey(partition, sample));
   }
 
+  /** Partitions with open steps, whose owners send to engines. */
+  getOpenPartitions(): number {
+    return this.openByPartition.size;
+  }
+
   getAll(): Iterable<OpenStep> {
     return this.steps.values();
   }
@@ -120,6 +127,7 @@
       isEnded: this.earlyEnds.delete(key),
     };
     this.steps.set(key, open);
+    if (!open.isEnded) this.countOpen(partition, 1);
     this.notify({tag: 'accepted', open});
   }
 
@@ -149,9 +157,16 @@
     }
     if (open.isEnded) return;
     open.isEnded = true;
+    this.countOpen(partition, -1);
     this.notify({tag: 'ended', open});
   }
 
+  private countOpen(partition: number, change: 1 | -1): void {
+    const count = (this.openByPartition.get(partition) ?? 0) + change;
+    if (count > 0) this.openByPartition.set(partition, count);
+    else this.openByPartition.delete(partition);
+  }
+
   private notify(change: StepChange): void {
     for (const listener of this.listeners) listener(change);
   }
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -34,9 +34,9 @@
 /** Time for which an engine that refused a sample gets none, ms. */
 const REFUSAL_WAIT_MS = 80;
 /** Interval at which running samples are stored and compared, ms. */
-const REVIEW_MS = 400;
+const REVIEW_MS = 300;
 /** Samples that end sooner than this are not stored on their way, ms. */
-const STORE_AFTER_MS = 500;
+const STORE_AFTER_MS = 300;
 /** Parts that may wait for the store; more are left for the next review. */
 const MAX_WAITING_PARTS = 200;
 /** A run moves if its engine is slower than another by this factor. */
--- /dev/null
+++ b/packages/rollout/src/upstreams/coldShares.test.ts
@@ -0,0 +1,72 @@
+import type {DomainId, PoolId, UpstreamId} from '@vanillacross/common';
+import {ManualClock, as} from '@vanillacross/common';
+import fc from 'fast-check';
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import type {Bounds, Pool} from '../model/index.js';
+import {ColdShares} from './coldShares.js';
+import {Upstream} from './upstream.js';
+
+const bounds = {coldOverage: 1.5, coldSlack: 5} as Bounds;
+
+function getPool(coldPerSecond: number, models: string[] = []): Pool {
+  return {
+    id: as<PoolId>('p'),
+    healthPath: '/',
+    maxConnections: 10,
+    coldMs: 3_000,
+    coldPerSecond,
+    models,
+    scaling: null,
+  };
+}
+
+describe('ColdShares', () => {
+  it('add up to no more than an upstream bears (guards cold starts)', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({min: 1, max: 100}),
+        fc.integer({min: 0, max: 12}),
+        fc.integer({min: 1, max: 400}),
+        (coldPerSecond, partitions, processes) => {
+          const shares = new ColdShares({
+            bounds,
+            getOpenPartitions: () => partitions,
+            getProcessCount: () => processes,
+          });
+          const pool = getPool(coldPerSecond, ['m']);
+          const samples = shares.getSampleShare(pool) * partitions;
+          const callers = shares.getCallerShare(pool) * processes;
+          assert.ok(samples + callers <= coldPerSecond * 1.5 + 5);
+        },
+      ),
+    );
+  });
+});
+
+describe('Upstream', () => {
+  it('gets a share below one request a second while it is cold', () => {
+    const clock = new ManualClock();
+    const entry = {
+      id: as<UpstreamId>('u'),
+      pool: as<PoolId>('p'),
+      address: '127.0.0.1:1',
+      domain: as<DomainId>('a'),
+      slots: 4,
+      isDraining: false,
+      coldLeftMs: 0,
+      bornAt: 0,
+      versions: new Map(),
+    };
+    const upstream = new Upstream(entry, clock, 60_000);
+    const pool = getPool(1);
+    assert.ok(upstream.hasColdRoom(pool, 0.5));
+    upstream.noteStart();
+    clock.advance(1_500);
+    assert.ok(!upstream.hasColdRoom(pool, 0.5));
+    clock.advance(600);
+    assert.ok(upstream.hasColdRoom(pool, 0.5));
+    upstream.close();
+  });
+});
--- a/packages/rollout/src/upstreams/index.ts
+++ b/packages/rollout/src/upstreams/index.ts
@@ -1,5 +1,6 @@
 /** Upstreams: the list, their state, choice among them, and exchanges. */
 export * from './choice.js';
+export * from './coldShares.js';
 export * from './directory.js';
 export * from './exchange.js';
 export * from './upstream.js';
--- a/packages/rollout/src/upstreams/upstream.ts
+++ b/packages/rollout/src/upstreams/upstream.ts
@@ -105,12 +105,17 @@
     return this.clock.now() < this.coldUntil;
   }
 
-  /** Whether a cold upstream may get one more request now. */
+  /**
+   * Whether a cold upstream may get one more request now.
+   *
+   * @param share Requests per second of this process; may be less than one.
+   */
   hasColdRoom(pool: Pool, share: number): boolean {
     if (pool.coldPerSecond === 0 || !this.isCold()) return true;
-    const since = this.clock.now() - COLD_WINDOW_MS;
+    const windowMs = COLD_WINDOW_MS * Math.max(1, 1 / share);
+    const since = this.clock.now() - windowMs;
     this.recentStarts = this.recentStarts.filter(at => at > since);
-    return this.recentStarts.length < share;
+    return this.recentStarts.length < Math.max(1, Math.floor(share));
   }
 
   noteStart(): void {
