Split the node, the step runner and the caller server

The platform's tails, the status servers, the streams of steps, the choice of engines, stored work, the call of a sample and the admission of callers get files of their own. No change of behaviour.

--- a/packages/rollout/src/callers/callerServer.ts
+++ b/packages/rollout/src/callers/callerServer.ts
@@ -6,25 +6,25 @@
   PoolId,
   RequestId,
 } from '@vanillacross/common';
-import {getDeadline, readBody} from '@vanillacross/common';
+import {readBody} from '@vanillacross/common';
 import * as http from 'node:http';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
-import type {ConfigurationState, RouteTable} from '../configuration/index.js';
+import type {ConfigurationState} from '../configuration/index.js';
 import {drawPool} from '../configuration/index.js';
 import type {ForwardContext, ForwardOutcome} from '../forwarding/index.js';
 import {ForwardRun} from '../forwarding/index.js';
 import type {
-  Account,
   CallerDialect,
   CallerHead,
   Pool,
-  Route,
   StepCall,
 } from '../model/index.js';
 import type {StepService} from '../steps/index.js';
+import type {AdmittedRequest} from './admission.js';
+import {Admission} from './admission.js';
 import type {Refusal} from './refusal.js';
-import {RETRY_AFTER_MS, getStaleRefusal} from './refusal.js';
+import {RETRY_AFTER_MS} from './refusal.js';
 import {StepCalls} from './stepCalls.js';
 import {passStream} from './streamPass.js';
 
@@ -47,16 +47,6 @@
   metrics: Metrics;
 }
 
-/** A request whose route and account are known. */
-interface AdmittedRequest {
-  head: CallerHead;
-  routes: RouteTable;
-  route: Route;
-  account: Account | null;
-  arrivedAt: MonotonicMs;
-  deadline: MonotonicMs;
-}
-
 /** Meets callers and trainers. */
 export class CallerServer {
   readonly server: http.Server;
@@ -64,9 +54,11 @@
   private openRequests = 0;
   private heldBytes = 0;
 
+  private readonly admission: Admission;
   private readonly stepCalls: StepCalls;
 
   constructor(private readonly options: CallerServerOptions) {
+    this.admission = new Admission(options.configuration);
     this.stepCalls = new StepCalls(options.steps, options.dialect);
     this.server = http.createServer(
       {
@@ -143,7 +135,7 @@
       request.resume();
       return this.handleStepCall(head, call.value, arrivedAt, response);
     }
-    const admitted = this.admit(head, arrivedAt);
+    const admitted = this.admission.admit(head, arrivedAt);
     if ('status' in admitted) {
       request.resume();
       return this.refuse(head, response, admitted);
@@ -195,36 +187,6 @@
     return null;
   }
 
-  /** Finds route and account, or why there are none. */
-  private admit(
-    head: CallerHead,
-    arrivedAt: MonotonicMs,
-  ): AdmittedRequest | Refusal {
-    const routes = this.options.configuration.getRoutes();
-    if (!routes) return getStaleRefusal('no configuration yet');
-    const route = routes.findRoute(head.host, head.path);
-    if (!route) return {status: 404, reason: 'no route'};
-    const account = this.authenticate(head, routes, route);
-    if (account && 'status' in account) return account;
-    const budgetMs = Math.min(head.budgetMs ?? Infinity, route.timeoutMs);
-    const deadline = getDeadline(arrivedAt, budgetMs);
-    return {head, routes, route, account, arrivedAt, deadline};
-  }
-
-  /** The account of a request's key; null where none is needed. */
-  private authenticate(
-    head: CallerHead,
-    routes: RouteTable,
-    route: Route | null,
-  ): Account | Refusal | null {
-    if (!routes.hasAccounts() || route?.isPublic) return null;
-    if (!this.options.configuration.areKeysFresh()) {
-      return getStaleRefusal('the keys are not known to be current');
-    }
-    const account = head.key === null ? null : routes.findAccount(head.key);
-    return account ?? {status: 401, reason: 'unknown key'};
-  }
-
   private refuse(
     head: CallerHead,
     response: ServerResponse,
@@ -390,12 +352,7 @@
     arrivedAt: MonotonicMs,
     response: ServerResponse,
   ): Promise<void> {
-    const routes = this.options.configuration.getRoutes();
-    if (!routes) {
-      const refusal = getStaleRefusal('no configuration yet');
-      return this.refuse(head, response, refusal);
-    }
-    const account = this.authenticate(head, routes, null);
+    const account = this.admission.admitStepCall(head);
     if (account && 'status' in account) {
       return this.refuse(head, response, account);
     }
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -1,6 +1,5 @@
 import type {Clock, Logger, Metrics} from '@vanillacross/common';
 import {getDeadline} from '@vanillacross/common';
-import * as http from 'node:http';
 
 import {CallerServer} from './callers/index.js';
 import {ConfigurationState} from './configuration/index.js';
@@ -14,48 +13,32 @@
   WeightMover,
 } from './control/index.js';
 import type {ForwardContext} from './forwarding/index.js';
-import {
-  AppendQueue,
-  KeyedTail,
-  StoreHealth,
-  StreamTail,
-  TextStore,
-} from './log/index.js';
+import {AppendQueue, StoreHealth, StreamTail} from './log/index.js';
 import type {
   Bounds,
   CallerDialect,
-  Deadline,
   DutyPort,
-  KeyedRecord,
   RecordDialect,
   Self,
   SharedLog,
   UpstreamDialect,
 } from './model/index.js';
-import type {StepPartition} from './steps/index.js';
-import {
-  StepBook,
-  StepRunner,
-  StepService,
-  decodeStepRecord,
-} from './steps/index.js';
+import type {PlatformTails} from './platformTails.js';
+import {createPlatformTails} from './platformTails.js';
+import type {ListenAddress} from './statusServers.js';
+import {StatusServers, closeAtOnce, listenOn} from './statusServers.js';
+import {StepStreams} from './stepStreams.js';
+import {StepBook, StepRunner, StepService} from './steps/index.js';
 import {ColdShares, Directory} from './upstreams/index.js';
 
 /** Names of the product's own streams in the shared log. */
 const STREAMS = {
-  steps: 'vc-steps',
-  texts: 'vc-texts',
   control: 'vc-control',
   lease: 'vc-lease',
 };
 const STEP_GROUP = 'vc-steps';
 /** Time for which the store holds reads without records, ms. */
-const CONFIGURATION_WAIT_MS = 800;
-const UPSTREAM_WAIT_MS = 800;
-const STEP_WAIT_MS = 2_000;
 const CONTROL_WAIT_MS = 2_000;
-/** Shortest time between reads of the instance list, ms. */
-const UPSTREAM_PAUSE_MS = 120;
 const SWEEP_MS = 250;
 /** Part of the revocation time after which callers should go elsewhere. */
 const STALE_SHARE = 0.5;
@@ -64,7 +47,6 @@
 const DRAIN_POLL_MS = 50;
 /** Time that the store has to take unfinished samples at the end, ms. */
 const HANDOVER_MS = 600;
-const HANDOVER_POLL_MS = 10;
 /** What is left of the grace for the exit itself, ms. */
 const EXIT_MARGIN_MS = 700;
 /** A process that starts with others does not take upstreams for cold, ms. */
@@ -80,10 +62,10 @@
   minTtlMs: number;
   /** The whole deployment starts for the first time. */
   isFirstStart: boolean;
-  callerAddress: {host: string; port: number};
-  readyAddress: {host: string; port: number};
+  callerAddress: ListenAddress;
+  readyAddress: ListenAddress;
   /** Null serves no metrics. */
-  metricsAddress: {host: string; port: number} | null;
+  metricsAddress: ListenAddress | null;
   log: SharedLog;
   records: RecordDialect;
   callers: CallerDialect;
@@ -99,7 +81,7 @@
   private readonly configuration: ConfigurationState;
   private readonly directory: Directory;
   private readonly book: StepBook;
-  private readonly partitions: StepPartition[];
+  private readonly streams: StepStreams;
   private readonly runner: StepRunner;
   private readonly server: CallerServer;
   private readonly lease: LeaseTask;
@@ -108,10 +90,8 @@
   private readonly membership: MembershipTask;
   private readonly controlTail: StreamTail;
   private readonly controlQueue: AppendQueue;
-  private readonly textQueues: AppendQueue[];
-  private readonly keyedTails: KeyedTail[];
-  private readonly readyServer: http.Server;
-  private readonly metricsServer: http.Server | null;
+  private readonly platformTails: PlatformTails;
+  private readonly statusServers: StatusServers;
   private isReady = false;
   private isStopping = false;
   private readonly startedAt;
@@ -136,37 +116,20 @@
     });
     this.book = new StepBook(clock, logger.part('steps'), bounds.stepStatusMs);
     const shared = {clock, logger: logger.part('log'), metrics};
-    this.partitions = Array.from(
-      {length: options.stepPartitions},
-      (_, partition) => ({
-        tail: new StreamTail({
-          ...shared,
-          log,
-          stream: STREAMS.steps,
-          partition,
-          waitMs: STEP_WAIT_MS,
-          pauseMs: 0,
-          health,
-          onEntry: (entry, offset) =>
-            this.applyStepEntry(entry, offset, partition),
-        }),
-        queue: this.createQueue(STREAMS.steps, partition, process),
-      }),
-    );
-    this.textQueues = this.partitions.map((_, partition) =>
-      this.createQueue(STREAMS.texts, partition, process),
-    );
-    const texts = new TextStore({
-      ...shared,
-      log,
-      stream: STREAMS.texts,
-      queues: this.textQueues,
+    this.streams = new StepStreams({
+      ...options,
+      book: this.book,
+      health,
+      partitionCount: options.stepPartitions,
+      createQueue: (stream, partition) =>
+        this.createQueue(stream, partition, process),
     });
+    const {partitions, texts} = this.streams;
     const steps = new StepService({
       ...shared,
       texts,
       book: this.book,
-      partitions: this.partitions,
+      partitions,
       logger: logger.part('steps'),
     });
     const ledger = new UsageLedger();
@@ -248,7 +211,7 @@
       texts,
       storeProgress: (partition, part) =>
         void steps.storeProgress(partition, part),
-      getWaiting: partition => this.textQueues[partition].size,
+      getWaiting: partition => this.streams.getWaitingTexts(partition),
       storeResult: (open, result, output) =>
         steps.storeResult(open, result, output),
     });
@@ -268,7 +231,7 @@
       log,
       group: STEP_GROUP,
       member: self.id,
-      stream: STREAMS.steps,
+      stream: this.streams.name,
       minTtlMs: options.minTtlMs,
       clock,
       logger: logger.part('membership'),
@@ -283,35 +246,35 @@
       logger: logger.part('callers'),
       metrics,
     });
-    this.keyedTails = this.createKeyedTails(health);
-    this.readyServer = http.createServer((request, response) =>
-      this.answerReady(request, response),
-    );
-    this.metricsServer = options.metricsAddress
-      ? http.createServer((_request, response) => {
-          response.setHeader('content-type', 'text/plain');
-          response.end(metrics.render());
-        })
-      : null;
+    this.platformTails = createPlatformTails({
+      ...options,
+      configuration: this.configuration,
+      directory: this.directory,
+      health,
+    });
+    this.statusServers = new StatusServers({
+      ...options,
+      readyPath: options.callers.readyPath,
+      mayTakeCallers: () => this.mayTakeCallers(),
+    });
     this.registerGauges();
   }
 
   /** Starts listening, reading and, once caught up, taking part. */
   async start(): Promise<void> {
     const {options} = this;
-    const {callerAddress, readyAddress, metricsAddress, clock} = options;
-    for (const tail of this.keyedTails) tail.start();
-    for (const {tail} of this.partitions) tail.start();
+    const {callerAddress, clock} = options;
+    this.platformTails.operator.start();
+    this.platformTails.upstreams.start();
+    this.streams.start();
     this.controlTail.start();
     await listenOn(this.server.server, callerAddress);
-    await listenOn(this.readyServer, readyAddress);
-    if (this.metricsServer && metricsAddress) {
-      await listenOn(this.metricsServer, metricsAddress);
-    }
+    await this.statusServers.start();
     void this.sweep();
-    await Promise.all(this.partitions.map(({tail}) => tail.whenCaughtUp()));
+    await this.streams.whenCaughtUp();
     await this.controlTail.whenCaughtUp();
-    while (!this.configuration.getRoutes() || !this.keyedTails[1].confirmedAt) {
+    const {upstreams} = this.platformTails;
+    while (!this.configuration.getRoutes() || !upstreams.confirmedAt) {
       await clock.waitUntil(getDeadline(clock.now(), DRAIN_POLL_MS));
     }
     if (this.isStopping) return;
@@ -338,7 +301,7 @@
     this.mover.stop();
     this.usage.stop();
     this.runner.storeAll();
-    await this.drainQueues(getDeadline(clock.now(), HANDOVER_MS));
+    await this.streams.drain(getDeadline(clock.now(), HANDOVER_MS));
     this.runner.stop();
     await Promise.all([this.membership.stop(), this.lease.stop()]);
     await clock.waitUntil(getDeadline(startedAt, DRAIN_ACCEPT_MS));
@@ -363,35 +326,17 @@
     this.membership.halt();
     this.lease.halt();
     this.runner.stop();
-    for (const tail of this.keyedTails) tail.stop();
+    this.platformTails.operator.stop();
+    this.platformTails.upstreams.stop();
     this.controlTail.stop();
-    for (const {tail, queue} of this.partitions) {
-      tail.stop();
-      queue.close();
-    }
+    this.streams.close();
     this.controlQueue.close();
-    for (const queue of this.textQueues) queue.close();
-    const servers = [this.server.server, this.readyServer, this.metricsServer];
-    for (const server of servers) {
-      server?.close();
-      server?.closeAllConnections();
-    }
-  }
-
-  private hasUnstored(): boolean {
-    const queues = this.partitions.map(({queue}) => queue);
-    return [...queues, ...this.textQueues].some(queue => queue.size > 0);
+    closeAtOnce(this.server.server);
+    this.statusServers.close();
   }
 
   private isIdle(): boolean {
-    return this.server.openCount === 0 && !this.hasUnstored();
-  }
-
-  private async drainQueues(deadline: Deadline): Promise<void> {
-    const {clock} = this.options;
-    while (this.hasUnstored() && clock.now() < deadline) {
-      await clock.waitUntil(getDeadline(clock.now(), HANDOVER_POLL_MS));
-    }
+    return this.server.openCount === 0 && !this.streams.hasUnstored();
   }
 
   private isStarting(): boolean {
@@ -414,60 +359,6 @@
     });
   }
 
-  private createKeyedTails(health: StoreHealth): KeyedTail[] {
-    const {log, records, clock, logger, metrics} = this.options;
-    const shared = {log, clock, logger: logger.part('log'), metrics, health};
-    return [
-      new KeyedTail({
-        ...shared,
-        stream: records.operatorStream,
-        waitMs: CONFIGURATION_WAIT_MS,
-        pauseMs: 0,
-        onRecord: record => this.applyOperatorRecord(record),
-        onConfirmed: (at, offsetMs) => this.configuration.confirm(at, offsetMs),
-      }),
-      new KeyedTail({
-        ...shared,
-        stream: records.upstreamStream,
-        waitMs: UPSTREAM_WAIT_MS,
-        pauseMs: UPSTREAM_PAUSE_MS,
-        onRecord: record => this.directory.apply(record),
-      }),
-    ];
-  }
-
-  private applyOperatorRecord({key, value, offset}: KeyedRecord): void {
-    const record = this.options.records.readOperatorRecord(key, value);
-    switch (record.tag) {
-      case 'configuration':
-        return this.configuration.apply(record.configuration);
-      case 'evacuation':
-        return this.directory.setEvacuated(record.domain, record.isActive);
-      case 'weights':
-        return this.configuration.applyWeights(record.model, record.version);
-      case 'ignored':
-        this.options.logger.part('configuration').warn('record was ignored', {
-          key,
-          offset,
-          reason: record.reason,
-        });
-    }
-  }
-
-  private applyStepEntry(
-    entry: Buffer,
-    offset: number,
-    partition: number,
-  ): void {
-    const record = decodeStepRecord(entry);
-    if (record.ok) return this.book.apply(record.value, partition);
-    this.options.logger.part('steps').error('unreadable step record', {
-      partition,
-      offset,
-      reason: record.error,
-    });
-  }
-
   private async sweep(): Promise<void> {
     const {clock} = this.options;
     while (!this.isStopping) {
@@ -478,16 +369,6 @@
     }
   }
 
-  private answerReady(
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-  ): void {
-    request.resume();
-    const isKnown = request.url === this.options.callers.readyPath;
-    response.writeHead(isKnown ? (this.mayTakeCallers() ? 200 : 503) : 404);
-    response.end();
-  }
-
   /**
    * Whether callers should come here. A process that has lost the store for
    * long will soon have to refuse keys, while others may still reach it.
@@ -508,13 +389,3 @@
     metrics.gauge('vc_lease_held', () => (this.lease.mayAct() ? 1 : 0));
   }
 }
-
-function listenOn(
-  server: http.Server,
-  address: {host: string; port: number},
-): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(address.port, address.host, () => resolve());
-  });
-}
--- /dev/null
+++ b/packages/rollout/src/platformTails.ts
@@ -0,0 +1,79 @@
+import type {Clock, Logger, Metrics} from '@vanillacross/common';
+
+import type {ConfigurationState} from './configuration/index.js';
+import type {StoreHealth} from './log/index.js';
+import {KeyedTail} from './log/index.js';
+import type {KeyedRecord, RecordDialect, SharedLog} from './model/index.js';
+import type {Directory} from './upstreams/index.js';
+
+/** Time for which the store holds reads without records, ms. */
+const CONFIGURATION_WAIT_MS = 800;
+const UPSTREAM_WAIT_MS = 800;
+/** Shortest time between reads of the instance list, ms. */
+const UPSTREAM_PAUSE_MS = 120;
+
+export interface PlatformTailsOptions {
+  log: SharedLog;
+  records: RecordDialect;
+  configuration: ConfigurationState;
+  directory: Directory;
+  health: StoreHealth;
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+}
+
+/** Followers of what operators and upstreams write. */
+export interface PlatformTails {
+  operator: KeyedTail;
+  upstreams: KeyedTail;
+}
+
+/** Follows the operator's records and the instance list. */
+export function createPlatformTails(
+  options: PlatformTailsOptions,
+): PlatformTails {
+  const {log, records, configuration, directory, clock, health, metrics} =
+    options;
+  const logger = options.logger.part('log');
+  const shared = {log, clock, logger, metrics, health};
+  return {
+    operator: new KeyedTail({
+      ...shared,
+      stream: records.operatorStream,
+      waitMs: CONFIGURATION_WAIT_MS,
+      pauseMs: 0,
+      onRecord: record => applyOperatorRecord(options, record),
+      onConfirmed: (at, offsetMs) => configuration.confirm(at, offsetMs),
+    }),
+    upstreams: new KeyedTail({
+      ...shared,
+      stream: records.upstreamStream,
+      waitMs: UPSTREAM_WAIT_MS,
+      pauseMs: UPSTREAM_PAUSE_MS,
+      onRecord: record => directory.apply(record),
+    }),
+  };
+}
+
+function applyOperatorRecord(
+  options: PlatformTailsOptions,
+  {key, value, offset}: KeyedRecord,
+): void {
+  const {records, configuration, directory, logger} = options;
+  const record = records.readOperatorRecord(key, value);
+  switch (record.tag) {
+    case 'configuration':
+      return configuration.apply(record.configuration);
+    case 'evacuation':
+      return directory.setEvacuated(record.domain, record.isActive);
+    case 'weights':
+      return configuration.applyWeights(record.model, record.version);
+    case 'ignored':
+      logger.part('configuration').warn('record was ignored', {
+        key,
+        offset,
+        reason: record.reason,
+      });
+  }
+}
--- /dev/null
+++ b/packages/rollout/src/statusServers.ts
@@ -0,0 +1,67 @@
+import type {Metrics} from '@vanillacross/common';
+import * as http from 'node:http';
+
+/** Where a listener is bound. */
+export interface ListenAddress {
+  host: string;
+  port: number;
+}
+
+export interface StatusServersOptions {
+  readyAddress: ListenAddress;
+  readyPath: string;
+  /** Null serves no metrics. */
+  metricsAddress: ListenAddress | null;
+  metrics: Metrics;
+  /** Whether callers should come to this process. */
+  mayTakeCallers: () => boolean;
+}
+
+/** Tells the platform whether this process is ready, and its metrics. */
+export class StatusServers {
+  private readonly ready: http.Server;
+  private readonly metrics: http.Server;
+
+  constructor(private readonly options: StatusServersOptions) {
+    this.ready = http.createServer((request, response) => {
+      request.resume();
+      const isKnown = request.url === options.readyPath;
+      const status = options.mayTakeCallers() ? 200 : 503;
+      response.writeHead(isKnown ? status : 404).end();
+    });
+    this.metrics = http.createServer((_request, response) => {
+      response.setHeader('content-type', 'text/plain');
+      response.end(options.metrics.render());
+    });
+  }
+
+  /** Rejects if an address can't be bound. */
+  async start(): Promise<void> {
+    const {readyAddress, metricsAddress} = this.options;
+    await listenOn(this.ready, readyAddress);
+    if (metricsAddress) await listenOn(this.metrics, metricsAddress);
+  }
+
+  /** Ends all connections at once. */
+  close(): void {
+    closeAtOnce(this.ready);
+    closeAtOnce(this.metrics);
+  }
+}
+
+/** Binds a listener; rejects if the address can't be bound. */
+export function listenOn(
+  server: http.Server,
+  address: ListenAddress,
+): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(address.port, address.host, () => resolve());
+  });
+}
+
+/** Closes a listener and all its connections. */
+export function closeAtOnce(server: http.Server): void {
+  server.close();
+  server.closeAllConnections();
+}
--- /dev/null
+++ b/packages/rollout/src/stepStreams.ts
@@ -0,0 +1,103 @@
+import type {Clock, Logger, Metrics} from '@vanillacross/common';
+import {getDeadline} from '@vanillacross/common';
+
+import type {AppendQueue, StoreHealth} from './log/index.js';
+import {StreamTail, TextStore} from './log/index.js';
+import type {Deadline, SharedLog} from './model/index.js';
+import type {StepBook, StepPartition} from './steps/index.js';
+import {decodeStepRecord} from './steps/index.js';
+
+const STEP_STREAM = 'vc-steps';
+const TEXT_STREAM = 'vc-texts';
+/** Time for which the store holds reads without records, ms. */
+const STEP_WAIT_MS = 2_000;
+const DRAIN_POLL_MS = 10;
+
+export interface StepStreamsOptions {
+  log: SharedLog;
+  book: StepBook;
+  health: StoreHealth;
+  partitionCount: number;
+  createQueue: (stream: string, partition: number) => AppendQueue;
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+}
+
+/** The streams of steps and of texts at this process. */
+export class StepStreams {
+  /** Name of the stream whose partitions are shared out to owners. */
+  readonly name = STEP_STREAM;
+  readonly partitions: readonly StepPartition[];
+  readonly texts: TextStore;
+  private readonly textQueues: readonly AppendQueue[];
+
+  constructor(private readonly options: StepStreamsOptions) {
+    const {log, clock, metrics, health, partitionCount, createQueue} = options;
+    const shared = {log, clock, metrics, logger: options.logger.part('log')};
+    const indexes = Array.from({length: partitionCount}, (_, index) => index);
+    this.partitions = indexes.map(partition => ({
+      tail: new StreamTail({
+        ...shared,
+        stream: STEP_STREAM,
+        partition,
+        waitMs: STEP_WAIT_MS,
+        pauseMs: 0,
+        health,
+        onEntry: (entry, offset) => this.apply(entry, offset, partition),
+      }),
+      queue: createQueue(STEP_STREAM, partition),
+    }));
+    this.textQueues = indexes.map(index => createQueue(TEXT_STREAM, index));
+    const queues = this.textQueues;
+    this.texts = new TextStore({...shared, stream: TEXT_STREAM, queues});
+  }
+
+  start(): void {
+    for (const {tail} of this.partitions) tail.start();
+  }
+
+  /** Resolves once every partition was read to an end that it had. */
+  async whenCaughtUp(): Promise<void> {
+    await Promise.all(this.partitions.map(({tail}) => tail.whenCaughtUp()));
+  }
+
+  /** Texts of a partition that wait for the store. */
+  getWaitingTexts(partition: number): number {
+    return this.textQueues[partition].size;
+  }
+
+  /** Whether the store has not acknowledged everything. */
+  hasUnstored(): boolean {
+    const queues = this.partitions.map(({queue}) => queue);
+    return [...queues, ...this.textQueues].some(queue => queue.size > 0);
+  }
+
+  /** Resolves when everything is stored, or at the deadline. */
+  async drain(deadline: Deadline): Promise<void> {
+    const {clock} = this.options;
+    while (this.hasUnstored() && clock.now() < deadline) {
+      await clock.waitUntil(getDeadline(clock.now(), DRAIN_POLL_MS));
+    }
+  }
+
+  /** Stops reading and withdraws what waits. */
+  close(): void {
+    for (const {tail, queue} of this.partitions) {
+      tail.stop();
+      queue.close();
+    }
+    for (const queue of this.textQueues) queue.close();
+  }
+
+  private apply(entry: Buffer, offset: number, partition: number): void {
+    const {book, logger} = this.options;
+    const record = decodeStepRecord(entry);
+    if (record.ok) return book.apply(record.value, partition);
+    logger.part('steps').error('unreadable step record', {
+      partition,
+      offset,
+      reason: record.error,
+    });
+  }
+}
--- /dev/null
+++ b/packages/rollout/src/steps/engineChoice.ts
@@ -0,0 +1,75 @@
+import type {DomainId} from '@vanillacross/common';
+
+import type {ConfigurationState} from '../configuration/index.js';
+import {drawPool} from '../configuration/index.js';
+import type {Pool, Route} from '../model/index.js';
+import type {Directory, Upstream} from '../upstreams/index.js';
+import {chooseUpstream} from '../upstreams/index.js';
+import type {SampleTask} from './sampleTask.js';
+import type {OpenStep} from './stepBook.js';
+
+/** A run moves if its engine is slower than another by this factor. */
+const SLOW_FACTOR = 1.7;
+
+export interface EngineChoiceOptions {
+  configuration: ConfigurationState;
+  directory: Directory;
+  domain: DomainId;
+  /** Requests per second that this process may send to a cold engine. */
+  getColdShare: (pool: Pool) => number;
+}
+
+/** Chooses the engines that samples run on. */
+export class EngineChoice {
+  constructor(private readonly options: EngineChoiceOptions) {}
+
+  getRoute(open: OpenStep): Route | null {
+    const routes = this.options.configuration.getRoutes();
+    return routes?.getRoute(open.step.route) ?? null;
+  }
+
+  /** An engine with room for a waiting sample, or null. */
+  chooseForStart(task: SampleTask, route: Route): Upstream | null {
+    const poolId = drawPool(route, Math.random);
+    const pool = poolId
+      ? this.options.configuration.getPool(poolId as Pool['id'])
+      : undefined;
+    if (!pool) return null;
+    return (
+      this.choose(task, pool, upstream => upstream !== task.avoided) ??
+      this.choose(task, pool, () => true)
+    );
+  }
+
+  /** An engine that is known to be much faster than the present one. */
+  chooseFaster(task: SampleTask, present: Upstream): Upstream | null {
+    const paceMs = present.getPace();
+    const pool = this.options.configuration.getPool(present.entry.pool);
+    if (paceMs === null || !pool) return null;
+    const isFaster = (upstream: Upstream) =>
+      (upstream.getPace() ?? Infinity) * SLOW_FACTOR <= paceMs;
+    return this.choose(task, pool, isFaster);
+  }
+
+  private choose(
+    task: SampleTask,
+    pool: Pool,
+    isWanted: (upstream: Upstream) => boolean,
+  ): Upstream | null {
+    const {directory, domain, getColdShare} = this.options;
+    const {model, minVersion} = task.open.step;
+    const roomy = directory
+      .getUsable(pool.id)
+      .filter(upstream => upstream.getOccupancy() < upstream.entry.slots)
+      .filter(isWanted);
+    return chooseUpstream(roomy, {
+      pool,
+      coldShare: getColdShare(pool),
+      domain,
+      tried: new Set(),
+      weights: model === null ? null : {model, minVersion},
+      maxInFlight: pool.maxConnections,
+      isBackground: false,
+    });
+  }
+}
--- a/packages/rollout/src/steps/sampleTask.ts
+++ b/packages/rollout/src/steps/sampleTask.ts
@@ -1,12 +1,15 @@
 import type {MonotonicMs, SampleId} from '@vanillacross/common';
 
-import type {Sample, SampleResult} from '../model/index.js';
+import type {Route, Sample, SampleResult} from '../model/index.js';
 import type {Upstream} from '../upstreams/index.js';
 import type {Generation} from './generation.js';
 import type {Progress, ProgressPart} from './progress.js';
 import {SampleText} from './sampleText.js';
 import type {OpenStep} from './stepBook.js';
 
+/** A sample is given up this much after its retention, ms. */
+const RETENTION_MARGIN_MS = 10_000;
+
 /** Where a sample stands at the process that runs it. */
 export type SampleStage =
   'loading' | 'queued' | 'generating' | 'scoring' | 'storing';
@@ -85,6 +88,13 @@
     this.storedEvents = 0;
   }
 
+  /** Whether a sample that is not done may be given up. */
+  isPastRetention(route: Route, wallMs: number): boolean {
+    if (route.sampleRetentionMs <= 0) return false;
+    const ageMs = wallMs - this.open.step.acceptedAt;
+    return ageMs > route.sampleRetentionMs + RETENTION_MARGIN_MS;
+  }
+
   /** Ends what is under way for it. */
   cancel(): void {
     this.isCancelled = true;
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -8,7 +8,6 @@
 import {getDeadline} from '@vanillacross/common';
 
 import type {ConfigurationState} from '../configuration/index.js';
-import {drawPool} from '../configuration/index.js';
 import type {ForwardContext} from '../forwarding/index.js';
 import type {
   Pool,
@@ -19,15 +18,15 @@
 } from '../model/index.js';
 import type {TextStore} from '../log/index.js';
 import type {Directory, Upstream} from '../upstreams/index.js';
-import {chooseUpstream} from '../upstreams/index.js';
+import {EngineChoice} from './engineChoice.js';
 import type {GenerationOutcome} from './generation.js';
 import {Generation} from './generation.js';
+import {getSampleCall} from './sampleCall.js';
 import {SampleScoring} from './sampleScoring.js';
 import type {UnstoredPart} from './sampleTask.js';
 import {SampleTask, compareTasks} from './sampleTask.js';
-import {areVersionsUsable, readPieces} from './sampleText.js';
-import type {Progress} from './progress.js';
 import type {OpenStep, StepBook, StepChange} from './stepBook.js';
+import {StoredWork} from './storedWork.js';
 
 /** Interval at which waiting samples look for room, ms. */
 const PUMP_MS = 25;
@@ -39,17 +38,10 @@
 const STORE_AFTER_MS = 300;
 /** Parts that may wait for the store; more are left for the next review. */
 const MAX_WAITING_PARTS = 200;
-/** A run moves if its engine is slower than another by this factor. */
-const SLOW_FACTOR = 1.7;
 /** Time for which a run is watched before it may move, ms. */
 const MOVE_AFTER_MS = 500;
 /** Moves of one sample away from slow engines. */
 const MAX_MOVES = 3;
-/** Most time that one generation may take, ms. */
-const GENERATION_BUDGET_MS = 30_000;
-/** A sample is given up this much after its retention, ms. */
-const RETENTION_MARGIN_MS = 10_000;
-
 /** Samples of one step that one process runs at most. */
 const SAMPLES_PER_OWNER = 128;
 
@@ -89,6 +81,8 @@
   private readonly owned = new Set<number>();
   private readonly tasks = new Map<string, SampleTask>();
   private readonly scoring: SampleScoring;
+  private readonly engines: EngineChoice;
+  private readonly stored: StoredWork;
   private chains = 0;
   private isPumpPlanned = false;
   private isStopped = false;
@@ -97,6 +91,11 @@
     options.book.onChange(change => this.handleChange(change));
     options.directory.onChange(() => this.pump());
     options.configuration.onChange(() => this.pump());
+    this.engines = new EngineChoice(options);
+    this.stored = new StoredWork({
+      ...options,
+      getRoute: open => this.engines.getRoute(open),
+    });
     this.scoring = new SampleScoring({
       ...options,
       onScore: (task, score) =>
@@ -174,7 +173,7 @@
   }
 
   private startTask(open: OpenStep, sample: Sample, position: number): void {
-    const {clock, book} = this.options;
+    const {clock} = this.options;
     const chain = this.getNextChain();
     const runner = this.getRunner(open, position);
     const task = new SampleTask(
@@ -186,58 +185,16 @@
       clock.now(),
     );
     this.tasks.set(this.getKey(open, sample.id), task);
-    if (this.reuseResult(task)) return;
-    const progress = book.getProgress(open.partition, sample.id);
-    if (progress && this.areUsable(task, progress.versions)) {
-      void this.loadProgress(task, progress);
-    }
-  }
-
-  private areUsable(task: SampleTask, versions: readonly number[]): boolean {
-    const isSingle = this.getRoute(task.open)?.isSingleVersion ?? false;
-    return areVersionsUsable(versions, task.open.step.minVersion, isSingle);
-  }
-
-  /** Goes on from what is stored; from the beginning if it can't be read. */
-  private async loadProgress(
-    task: SampleTask,
-    progress: Progress,
-  ): Promise<void> {
-    task.stage = 'loading';
-    const {texts, logger} = this.options;
-    const pieces = await Promise.all(progress.texts.map(t => texts.get(t)));
-    if (task.isCancelled) return;
-    const data = readPieces(pieces);
-    if (data?.length === progress.events) task.resume(progress, data);
-    logger.info('sample is taken up', {
-      step: task.open.step.id,
-      sample: task.id,
-      stored: progress.events,
-      events: task.text.lastEventId,
+    if (this.stored.reuseResult(task)) return this.score(task);
+    void this.stored.load(task).then(isLoaded => {
+      if (isLoaded) this.pump();
     });
-    task.stage = 'queued';
-    this.pump();
   }
 
   private getNextChain(): string {
     return `${this.options.process}/${++this.chains}`;
   }
 
-  /** Lists a sample again that an earlier step had completed. */
-  private reuseResult(task: SampleTask): boolean {
-    const {book} = this.options;
-    const before = book.getCompleted(task.open.partition, task.id);
-    if (!before || !this.areUsable(task, before.versions)) return false;
-    task.reused = before;
-    this.options.logger.info('result of an earlier step is used', {
-      step: task.open.step.id,
-      sample: task.id,
-      versions: before.versions,
-    });
-    this.score(task);
-    return true;
-  }
-
   private drop(open: OpenStep, sample: SampleId): void {
     const key = this.getKey(open, sample);
     this.tasks.get(key)?.cancel();
@@ -281,43 +238,29 @@
   /** Goes on at a faster engine; the text so far is kept. */
   private moveIfSlow(task: SampleTask): void {
     const {generation} = task;
-    const {clock, logger, configuration} = this.options;
+    const {clock, logger} = this.options;
     if (!generation || task.migrations >= MAX_MOVES) return;
     if (clock.now() - generation.startedAt < MOVE_AFTER_MS) return;
-    const paceMs = generation.upstream.getPace();
-    const pool = configuration.getPool(generation.upstream.entry.pool);
-    if (paceMs === null || !pool) return;
-    const other = this.choose(
-      task,
-      pool,
-      upstream => (upstream.getPace() ?? Infinity) * SLOW_FACTOR <= paceMs,
-    );
-    const otherPaceMs = other?.getPace() ?? null;
-    if (!other || otherPaceMs === null) return;
+    const other = this.engines.chooseFaster(task, generation.upstream);
+    if (!other) return;
     logger.info('sample moves to a faster engine', {
       step: task.open.step.id,
       sample: task.id,
       events: task.text.lastEventId,
       from: generation.upstream.id,
-      paceMs: Math.round(paceMs),
+      paceMs: getRoundedPace(generation.upstream),
       to: other.id,
-      otherPaceMs: Math.round(otherPaceMs),
+      otherPaceMs: getRoundedPace(other),
     });
     task.migrations++;
     task.avoided = generation.upstream;
     generation.abort();
     task.generation = null;
     task.stage = 'queued';
-    const route = this.getRoute(task.open);
+    const route = this.engines.getRoute(task.open);
     if (route) this.generate(task, route, other);
   }
 
-  private getRoute(open: OpenStep): Route | null {
-    return (
-      this.options.configuration.getRoutes()?.getRoute(open.step.route) ?? null
-    );
-  }
-
   /** Starts waiting samples where there is room. */
   pump(): void {
     if (this.isStopped) return;
@@ -343,20 +286,13 @@
 
   private tryStart(task: SampleTask): boolean {
     const {step} = task.open;
-    if (this.isPastRetention(task)) {
+    const route = this.engines.getRoute(task.open);
+    if (route && task.isPastRetention(route, this.options.clock.wallNow())) {
       this.finish(task, 'dead', null);
       return true;
     }
-    const route = this.getRoute(task.open);
-    const poolId = route && drawPool(route, Math.random);
-    const pool = poolId
-      ? this.options.configuration.getPool(poolId as Pool['id'])
-      : undefined;
-    if (!route || !pool) return false;
-    const upstream =
-      this.choose(task, pool, other => other !== task.avoided) ??
-      this.choose(task, pool, () => true);
-    if (!upstream) return false;
+    const upstream = route && this.engines.chooseForStart(task, route);
+    if (!route || !upstream) return false;
     this.generate(task, route, upstream);
     this.options.metrics.count('vc_samples_started', {
       model: step.model ?? '',
@@ -364,52 +300,10 @@
     return true;
   }
 
-  private isPastRetention(task: SampleTask): boolean {
-    const route = this.getRoute(task.open);
-    if (!route || route.sampleRetentionMs <= 0) return false;
-    const ageMs = this.options.clock.wallNow() - task.open.step.acceptedAt;
-    return ageMs > route.sampleRetentionMs + RETENTION_MARGIN_MS;
-  }
-
-  private choose(
-    task: SampleTask,
-    pool: Pool,
-    isWanted: (upstream: Upstream) => boolean,
-  ): Upstream | null {
-    const {directory, domain, getColdShare} = this.options;
-    const usable = directory.getUsable(pool.id);
-    const {model, minVersion} = task.open.step;
-    const roomy = usable.filter(
-      upstream =>
-        upstream.getOccupancy() < upstream.entry.slots && isWanted(upstream),
-    );
-    return chooseUpstream(roomy, {
-      pool,
-      coldShare: getColdShare(pool),
-      domain,
-      tried: new Set(),
-      weights: model === null ? null : {model, minVersion},
-      maxInFlight: pool.maxConnections,
-      isBackground: false,
-    });
-  }
-
   private generate(task: SampleTask, route: Route, upstream: Upstream): void {
     const {dialect, clock, logger} = this.options;
     const {step} = task.open;
     task.stage = 'generating';
-    const call = {
-      id: task.sample.id as unknown as OpenStep['step']['id'],
-      method: 'POST',
-      target: task.sample.path,
-      host: step.host,
-      headers: task.sample.headers,
-      account: step.account,
-      upstream: upstream.id,
-      budgetMs: GENERATION_BUDGET_MS,
-      lastEventId: task.text.lastEventId,
-      priority: null,
-    };
     logger.info('sample starts', {
       step: step.id,
       sample: task.id,
@@ -422,7 +316,7 @@
       upstream,
       dialect,
       clock,
-      call,
+      call: getSampleCall(task, upstream),
       body: Buffer.from(task.sample.body, 'base64'),
       text: task.text,
       model: step.model,
@@ -502,3 +396,7 @@
     void storeResult(task.open, result, output);
   }
 }
+
+function getRoundedPace(upstream: Upstream): number {
+  return Math.round(upstream.getPace() ?? 0);
+}
