Keep requests that crash upstreams away from further ones

The node sent a request that crashes each upstream which runs it again and again: per caller's attempt to max_attempts upstreams, at any process.

A connection that breaks after a request was sent is told in the control stream with the request's fingerprint; after three distinct upstreams the request is refused for 60 s (503, this attempt has not run), a sample waits. Counting is countCrashes of packages/domain, now with its limit as a parameter; the fingerprint moved to packages/common. Tests: CrashBook, and a deployment whose engines all crash on one sample: three are hit, others serve.

--- a/packages/common/src/hash.ts
+++ b/packages/common/src/hash.ts
@@ -3,6 +3,16 @@
 const FNV_OFFSET = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
 
+/** SHA-256 of what makes two requests the same, in hexadecimal digits. */
+export function getRequestFingerprint(
+  method: string,
+  target: string,
+  body: Buffer,
+): string {
+  const hash = createHash('sha256').update(`${method}\n${target}\n`);
+  return hash.update(body).digest('hex');
+}
+
 /** SHA-256 of a text in hexadecimal digits. */
 export function getSha256(text: string): string {
   return createHash('sha256').update(text).digest('hex');
--- a/packages/daemon/src/callerRequest.ts
+++ b/packages/daemon/src/callerRequest.ts
@@ -1,5 +1,11 @@
 import type {Result} from '@vanillacross/common';
-import {fail, getSha256, ok, parseJson} from '@vanillacross/common';
+import {
+  fail,
+  getRequestFingerprint,
+  getSha256,
+  ok,
+  parseJson,
+} from '@vanillacross/common';
 import type {
   AccessFailure,
   AccessTable,
@@ -17,7 +23,6 @@
   isPlainPath,
   sanitizePath,
 } from '@vanillacross/domain';
-import {createHash} from 'node:crypto';
 import type {IncomingMessage} from 'node:http';
 import {z} from 'zod';
 
@@ -112,11 +117,6 @@
   return ok({method, path, key, routes, needsModel});
 }
 
-function getFingerprint(method: string, path: string, body: Buffer): string {
-  const hash = createHash('sha256').update(`${method}\n${path}\n`);
-  return hash.update(body).digest('hex');
-}
-
 /** The prompt as text; null if it is nested too deeply to be written. */
 function getPromptText(completion: Completion): string | null {
   const prompt = completion.prompt ?? completion.messages ?? '';
@@ -178,7 +178,7 @@
   if (!pool) {
     return fail(createNotRun('no_upstream', 'the pool is not configured', 1));
   }
-  const fingerprint = getFingerprint(head.method, head.path, body);
+  const fingerprint = getRequestFingerprint(head.method, head.path, body);
   if (state.quarantine.has(fingerprint)) {
     const message = 'the request crashes upstreams and is not run again';
     return fail(createNotRun('quarantined', message));
--- a/packages/domain/src/quarantine.ts
+++ b/packages/domain/src/quarantine.ts
@@ -15,6 +15,7 @@
 export function countCrashes(
   counts: CrashCounts,
   reports: readonly CrashReport[],
+  enoughUpstreams = QUARANTINE_UPSTREAMS,
 ): {counts: CrashCounts; reached: string[]} {
   const next = new Map(counts);
   const reached = new Set<string>();
@@ -22,10 +23,10 @@
     for (const fingerprint of fingerprints) {
       const upstreams = next.get(fingerprint) ?? [];
       if (upstreams.includes(upstream)) continue;
-      if (upstreams.length >= QUARANTINE_UPSTREAMS) continue;
+      if (upstreams.length >= enoughUpstreams) continue;
       next.delete(fingerprint);
       next.set(fingerprint, [...upstreams, upstream]);
-      if (upstreams.length + 1 >= QUARANTINE_UPSTREAMS) {
+      if (upstreams.length + 1 >= enoughUpstreams) {
         reached.add(fingerprint);
       }
     }
--- a/packages/rollout/src/callers/callerServer.ts
+++ b/packages/rollout/src/callers/callerServer.ts
@@ -24,7 +24,7 @@
 import type {AdmittedRequest} from './admission.js';
 import {Admission} from './admission.js';
 import type {Refusal} from './refusal.js';
-import {RETRY_AFTER_MS} from './refusal.js';
+import {RETRY_AFTER_MS, getQuarantineRefusal} from './refusal.js';
 import {StepCalls} from './stepCalls.js';
 import {passStream} from './streamPass.js';
 
@@ -280,6 +280,8 @@
           reason: `not run: ${outcome.reason}`,
           retryAfterMs: RETRY_AFTER_MS,
         });
+      case 'quarantined':
+        return this.refuse(head, response, getQuarantineRefusal());
       case 'failed':
         return this.refuse(head, response, {
           status: 502,
--- a/packages/rollout/src/callers/streamPass.ts
+++ b/packages/rollout/src/callers/streamPass.ts
@@ -1,10 +1,11 @@
+import {getRequestFingerprint} from '@vanillacross/common';
 import type {ServerResponse} from 'node:http';
 
 import type {ForwardContext, PlainRequest} from '../forwarding/index.js';
 import type {Exchange, ExchangeEvents, Upstream} from '../upstreams/index.js';
 import {chooseUpstream, startExchange} from '../upstreams/index.js';
 import type {Refusal} from './refusal.js';
-import {RETRY_AFTER_MS} from './refusal.js';
+import {RETRY_AFTER_MS, getQuarantineRefusal} from './refusal.js';
 
 /**
  * Passes a stream of events on as it arrives. Another upstream is asked only
@@ -21,6 +22,11 @@
     const tried = new Set<Upstream>();
     let exchange: Exchange | null = null;
     let isDone = false;
+    const fingerprint = getRequestFingerprint(
+      request.method,
+      request.target,
+      request.body,
+    );
     const finish = (refusal?: Refusal) => {
       if (isDone) return;
       isDone = true;
@@ -55,6 +61,9 @@
         },
         onFailure: failure => {
           exchange?.upstream.noteFailure();
+          if (failure.tag === 'lost' && exchange) {
+            context.crashes.note(fingerprint, exchange.upstream.id);
+          }
           if (failure.tag === 'not_sent') return sendNext();
           finish({status: 502, reason: `${failure.tag}: ${failure.detail}`});
         },
@@ -91,6 +100,9 @@
       );
     };
     response.on('close', () => finish());
+    if (context.crashes.isQuarantined(fingerprint)) {
+      return finish(getQuarantineRefusal());
+    }
     sendNext();
   });
 }
--- a/packages/rollout/src/control/controlFeed.ts
+++ b/packages/rollout/src/control/controlFeed.ts
@@ -2,7 +2,7 @@
 import {as, getDeadline} from '@vanillacross/common';
 
 import type {AppendQueue} from '../log/index.js';
-import type {Directory, Upstream} from '../upstreams/index.js';
+import type {CrashBook, Directory, Upstream} from '../upstreams/index.js';
 import type {ControlRecord} from './controlRecords.js';
 import {decodeControlRecord, encodeControlRecord} from './controlRecords.js';
 import type {TimeConsensus} from './timeConsensus.js';
@@ -11,11 +11,15 @@
 /** Time after which a version that could not be told is old news, ms. */
 const VERSION_BUDGET_MS = 2_000;
 
+/** Time after which a crash that could not be told is old news, ms. */
+const CRASH_BUDGET_MS = 5_000;
+
 export interface ControlFeedOptions {
   queue: AppendQueue;
   directory: Directory;
   ledger: UsageLedger;
   time: TimeConsensus;
+  crashes: CrashBook;
   /** Whether the stream was read to its end, so that entries are new. */
   isLive: () => boolean;
   clock: Clock;
@@ -64,6 +68,13 @@
     void queue.append(entry, getDeadline(clock.now(), VERSION_BUDGET_MS));
   }
 
+  /** Tells all processes which request broke an upstream's connection. */
+  publishCrash(fingerprint: string, upstream: UpstreamId): void {
+    const {clock, queue} = this.options;
+    const entry = encodeControlRecord({type: 'crash', fingerprint, upstream});
+    void queue.append(entry, getDeadline(clock.now(), CRASH_BUDGET_MS));
+  }
+
   private readonly handlers: {
     [Type in ControlRecord['type']]: (
       record: ControlRecord & {type: Type},
@@ -85,5 +96,9 @@
     },
     seal: record => this.options.ledger.applySeal(record),
     reported: record => this.options.ledger.applyReported(record.window),
+    crash: record => {
+      const {isLive, crashes} = this.options;
+      if (isLive()) crashes.apply(record.fingerprint, record.upstream);
+    },
   };
 }
--- a/packages/rollout/src/control/controlRecords.ts
+++ b/packages/rollout/src/control/controlRecords.ts
@@ -34,11 +34,19 @@
   window: z.number(),
 });
 
+const crashSchema = z.object({
+  type: z.literal('crash'),
+  /** Request that was under way when the connection broke. */
+  fingerprint: z.string(),
+  upstream: z.string(),
+});
+
 const controlRecordSchema = z.discriminatedUnion('type', [
   versionSchema,
   usageSchema,
   sealSchema,
   reportedSchema,
+  crashSchema,
 ]);
 
 /** A record of the control stream. */
--- a/packages/rollout/src/forwarding/forward.ts
+++ b/packages/rollout/src/forwarding/forward.ts
@@ -7,11 +7,12 @@
   MonotonicMs,
   RequestId,
 } from '@vanillacross/common';
-import {getDeadline} from '@vanillacross/common';
+import {getDeadline, getRequestFingerprint} from '@vanillacross/common';
 import type {IncomingHttpHeaders} from 'node:http';
 
 import type {AnswerHead, Pool, Route, UpstreamDialect} from '../model/index.js';
 import type {
+  CrashBook,
   Directory,
   Exchange,
   ExchangeFailure,
@@ -61,6 +62,8 @@
     }
   /** It has not run and will not. */
   | {tag: 'not_run'; reason: string}
+  /** It has not run, as others like it have crashed upstreams. */
+  | {tag: 'quarantined'}
   /** It may have run; there is no whole answer. */
   | {tag: 'failed'; reason: string}
   /** The time was over while an upstream may have worked on it. */
@@ -71,6 +74,7 @@
 export interface ForwardContext {
   directory: Directory;
   dialect: UpstreamDialect;
+  crashes: CrashBook;
   clock: Clock;
   logger: Logger;
   metrics: Metrics;
@@ -98,6 +102,7 @@
   private readonly tried = new Set<Upstream>();
   private readonly attempts = new Set<Attempt>();
   private readonly startedAt: MonotonicMs;
+  private fingerprint: string | null = null;
   private sends = 0;
   private serverErrors = 0;
   private runs = 0;
@@ -119,6 +124,7 @@
   run(): Promise<ForwardOutcome> {
     return new Promise(resolve => {
       this.resolve = resolve;
+      if (this.isQuarantined()) return this.settle({tag: 'quarantined'});
       this.callAt(this.request.deadline, () => this.expire());
       this.sendNext();
     });
@@ -129,6 +135,17 @@
     this.settle({tag: 'cancelled'});
   }
 
+  private getFingerprint(): string {
+    const {method, target, body} = this.request;
+    this.fingerprint ??= getRequestFingerprint(method, target, body);
+    return this.fingerprint;
+  }
+
+  private isQuarantined(): boolean {
+    const {crashes} = this.context;
+    return !crashes.isEmpty && crashes.isQuarantined(this.getFingerprint());
+  }
+
   private get isIdempotent(): boolean {
     return this.request.route.kind === 'idempotent';
   }
@@ -153,6 +170,7 @@
     if (this.isDone) return;
     if (this.runs >= this.request.route.maxAttempts) return this.giveUp();
     if (this.sends >= MAX_SENDS) return this.giveUp();
+    if (this.isQuarantined()) return this.giveUp();
     if (this.getLeftMs() < MIN_ATTEMPT_MS) return this.giveUp();
     const upstream = this.choose();
     if (!upstream) return this.waitForRoom();
@@ -309,6 +327,9 @@
     }
     this.mayHaveRun = true;
     this.context.onBegun(this.request.account);
+    if (failure.tag === 'lost') {
+      this.context.crashes.note(this.getFingerprint(), attempt.upstream.id);
+    }
     this.retry(attempt.upstream, `${failure.tag}: ${failure.detail}`);
   }
 
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -29,7 +29,7 @@
 import {StatusServers, closeAtOnce, listenOn} from './statusServers.js';
 import {StepStreams} from './stepStreams.js';
 import {StepBook, StepRunner, StepService} from './steps/index.js';
-import {ColdShares, Directory} from './upstreams/index.js';
+import {ColdShares, CrashBook, Directory} from './upstreams/index.js';
 
 /** Names of the product's own streams in the shared log. */
 const STREAMS = {
@@ -136,11 +136,17 @@
     const time = new TimeConsensus(clock);
     this.controlQueue = this.createQueue(STREAMS.control, 0, process);
     const {controlQueue} = this;
+    const crashes: CrashBook = new CrashBook(
+      clock,
+      logger.part('crashes'),
+      (fingerprint, upstream) => feed.publishCrash(fingerprint, upstream),
+    );
     const feed = new ControlFeed({
       queue: controlQueue,
       directory: this.directory,
       ledger,
       time,
+      crashes,
       isLive: () => this.controlTail.confirmedAt !== null,
       clock,
       logger: logger.part('control'),
@@ -188,6 +194,7 @@
     const forwarding: ForwardContext = {
       directory: this.directory,
       dialect: options.upstreams,
+      crashes,
       clock,
       logger: logger.part('forward'),
       metrics,
--- a/packages/rollout/src/steps/generation.ts
+++ b/packages/rollout/src/steps/generation.ts
@@ -31,6 +31,8 @@
   | {tag: 'impossible'}
   /** The stream broke off; the text so far holds. */
   | {tag: 'broken'; reason: string}
+  /** The connection was lost; the engine may have crashed. */
+  | {tag: 'lost'; detail: string}
   /** The engine serves weights that the sample must not have. */
   | {tag: 'wrong_version'; version: number};
 
@@ -186,6 +188,8 @@
     if (failure.tag === 'not_sent') {
       return this.settle({tag: 'not_run', status: 0});
     }
-    this.settle({tag: 'broken', reason: `${failure.tag}: ${failure.detail}`});
+    const {tag, detail} = failure;
+    if (tag === 'lost') return this.settle({tag, detail});
+    this.settle({tag: 'broken', reason: `${tag}: ${detail}`});
   }
 }
--- a/packages/rollout/src/steps/sampleTask.ts
+++ b/packages/rollout/src/steps/sampleTask.ts
@@ -79,6 +79,11 @@
     return this.sample.id;
   }
 
+  /** Names the sample among requests that may crash engines. */
+  get fingerprint(): string {
+    return `${this.open.step.account}/${this.sample.id}`;
+  }
+
   /** Forgets the text; what follows is another run of events. */
   restart(chain: string): void {
     this.text.clear();
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -291,6 +291,8 @@
       this.finish(task, 'dead', null);
       return true;
     }
+    const {crashes} = this.options.forwarding;
+    if (crashes.isQuarantined(task.fingerprint)) return false;
     const upstream = route && this.engines.chooseForStart(task, route);
     if (!route || !upstream) return false;
     this.generate(task, route, upstream);
@@ -342,6 +344,7 @@
       events: task.text.lastEventId,
       outcome,
     });
+    if (outcome.tag === 'lost') this.noteCrash(task, upstream);
     if (outcome.tag === 'impossible') return this.finish(task, 'dead', null);
     if (outcome.tag === 'failed' && outcome.status === 500) {
       task.failures++;
@@ -355,6 +358,12 @@
     this.planPump();
   }
 
+  /** A run that is lost before its first event may have crashed the engine. */
+  private noteCrash(task: SampleTask, upstream: Upstream): void {
+    if (task.text.lastEventId > 0) return;
+    this.options.forwarding.crashes.note(task.fingerprint, upstream.id);
+  }
+
   /** An engine that refuses is full or loads; it is asked again later. */
   private holdBack(task: SampleTask, upstream: Upstream): void {
     const {clock} = this.options;
