--- /dev/null
+++ b/packages/rollout/src/steps/runnerPartition.ts
@@ -0,0 +1,15 @@
+/** Samples of one step that one process runs at most. */
+const SAMPLES_PER_OWNER = 128;
+
+/**
+ * The partition whose owner runs the sample at a position of a step. Large
+ * steps spread over the owners of the partitions that follow their own.
+ */
+export function getRunnerPartition(
+  stepPartition: number,
+  position: number,
+  partitionCount: number,
+): number {
+  const shift = Math.floor(position / SAMPLES_PER_OWNER);
+  return (stepPartition + shift) % partitionCount;
+}
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -21,6 +21,7 @@
 import {EngineChoice} from './engineChoice.js';
 import type {GenerationOutcome} from './generation.js';
 import {Generation} from './generation.js';
+import {getRunnerPartition} from './runnerPartition.js';
 import {getSampleCall} from './sampleCall.js';
 import {SampleScoring} from './sampleScoring.js';
 import type {UnstoredPart} from './sampleTask.js';
@@ -42,9 +43,6 @@
 const MOVE_AFTER_MS = 500;
 /** Moves of one sample away from slow engines. */
 const MAX_MOVES = 3;
-/** Samples of one step that one process runs at most. */
-const SAMPLES_PER_OWNER = 128;
-
 export interface StepRunnerOptions {
   book: StepBook;
   /** Partitions of the step stream. */
@@ -153,13 +151,9 @@
     return `${open.step.id}/${sample}`;
   }
 
-  /**
-   * The partition whose owner runs a sample. Large steps spread over the
-   * owners of the partitions that follow their own.
-   */
   private getRunner(open: OpenStep, position: number): number {
-    const shift = Math.floor(position / SAMPLES_PER_OWNER);
-    return (open.partition + shift) % this.options.partitionCount;
+    const {partitionCount} = this.options;
+    return getRunnerPartition(open.partition, position, partitionCount);
   }
 
   private addStep(open: OpenStep): void {
@@ -173,16 +167,13 @@
   }
 
   private startTask(open: OpenStep, sample: Sample, position: number): void {
-    const {clock} = this.options;
-    const chain = this.getNextChain();
-    const runner = this.getRunner(open, position);
     const task = new SampleTask(
       open,
       sample,
       position,
-      runner,
-      chain,
-      clock.now(),
+      this.getRunner(open, position),
+      this.getNextChain(),
+      this.options.clock.now(),
     );
     this.tasks.set(this.getKey(open, sample.id), task);
     if (this.stored.reuseResult(task)) return this.score(task);
@@ -248,9 +239,9 @@
       sample: task.id,
       events: task.text.lastEventId,
       from: generation.upstream.id,
-      paceMs: getRoundedPace(generation.upstream),
+      paceMs: Math.round(generation.upstream.getPace() ?? 0),
       to: other.id,
-      otherPaceMs: getRoundedPace(other),
+      otherPaceMs: Math.round(other.getPace() ?? 0),
     });
     task.migrations++;
     task.avoided = generation.upstream;
@@ -405,7 +396,3 @@
     void storeResult(task.open, result, output);
   }
 }
-
-function getRoundedPace(upstream: Upstream): number {
-  return Math.round(upstream.getPace() ?? 0);
-}
