--- /dev/null
+++ b/packages/rollout/src/testing/upstreams.ts
@@ -0,0 +1,77 @@
+import type {DomainId, PoolId, UpstreamId} from '@vanillacross/common';
+import {ManualClock, as, createLogger, ok} from '@vanillacross/common';
+
+import {StoreHealth} from '../log/index.js';
+import type {Pool, RecordDialect, UpstreamEntry} from '../model/index.js';
+import {Directory} from '../upstreams/index.js';
+
+export const POOL_ID = as<PoolId>('engines');
+export const MODEL = 'm';
+/** Processes and upstreams of a test have run this long, ms. */
+const LONG_MS = 100_000;
+
+export const testPool: Pool = {
+  id: POOL_ID,
+  healthPath: '/',
+  maxConnections: 10,
+  coldMs: 3_000,
+  coldPerSecond: 10,
+  models: [MODEL],
+  scaling: null,
+};
+
+const dialect: RecordDialect = {
+  operatorStream: 'op',
+  upstreamStream: 'servers',
+  readOperatorRecord: () => ({tag: 'ignored', reason: ''}),
+  readUpstream: (_key, value) => {
+    const entry = JSON.parse(value.toString('utf8')) as UpstreamEntry;
+    return ok({...entry, versions: new Map([[MODEL, 1]])});
+  },
+};
+
+/** A directory whose entries a test lists itself. */
+export interface DirectoryFixture {
+  clock: ManualClock;
+  health: StoreHealth;
+  directory: Directory;
+  /** Lists an upstream that has run for long, with what is changed. */
+  list(id: string, change?: Partial<UpstreamEntry>): void;
+  unlist(id: string): void;
+}
+
+export function createDirectoryFixture(isStarting = false): DirectoryFixture {
+  const clock = new ManualClock();
+  clock.advance(LONG_MS);
+  const logger = createLogger('test', 'silent');
+  const health = new StoreHealth(clock, logger);
+  const directory = new Directory({
+    dialect,
+    clock,
+    logger,
+    health,
+    getPool: () => testPool,
+    isStarting: () => isStarting,
+  });
+  return {
+    clock,
+    health,
+    directory,
+    list: (id, change = {}) => {
+      const entry = {
+        id: as<UpstreamId>(id),
+        pool: POOL_ID,
+        address: '127.0.0.1:1',
+        domain: as<DomainId>('a'),
+        slots: 4,
+        isDraining: false,
+        coldLeftMs: 0,
+        bornAt: clock.wallNow() - LONG_MS + 1,
+        ...change,
+      };
+      const value = Buffer.from(JSON.stringify(entry));
+      directory.apply({offset: 0, key: id, value});
+    },
+    unlist: id => directory.apply({offset: 1, key: id, value: null}),
+  };
+}
