Count the owners of large steps; keep tasks of equal step ids apart

Found by reading the change again. A step of more than 128 samples has several owners, but cold shares counted its partition once; and tasks were kept by the id of the step alone, though ids count within a partition. The first has a test, the second is covered by StepBook's.

--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -188,7 +188,7 @@
     });
     const coldShares = new ColdShares({
       bounds,
-      getOpenPartitions: () => this.book.getOpenPartitions(),
+      getSampleSenders: () => this.book.getOpenRunners(),
       getProcessCount: () => time.processCount,
     });
     const forwarding: ForwardContext = {
--- a/packages/rollout/src/steps/runnerPartition.ts
+++ b/packages/rollout/src/steps/runnerPartition.ts
@@ -13,3 +13,8 @@
   const shift = Math.floor(position / SAMPLES_PER_OWNER);
   return (stepPartition + shift) % partitionCount;
 }
+
+/** Owners that run the samples of a step. */
+export function getRunnerCount(samples: number): number {
+  return Math.max(1, Math.ceil(samples / SAMPLES_PER_OWNER));
+}
--- a/packages/rollout/src/steps/stepBook.test.ts
+++ b/packages/rollout/src/steps/stepBook.test.ts
@@ -114,6 +114,20 @@
       assert.ok(book.get(0, STEP)!.isEnded);
     });
 
+    it('counts the owners that run its samples (guards cold engines)', () => {
+      const samples = Array.from({length: 300}, (_, n) => getSample(`s${n}`));
+      const large = {...getStep(), id: as<RequestId>('large'), samples};
+      const book = createBook([
+        {tag: 'step', step: getStep()},
+        {tag: 'step', step: large},
+      ]);
+      assert.equal(book.getOpenRunners(), 3);
+      book.apply({tag: 'end', step: large.id}, 0);
+      assert.equal(book.getOpenRunners(), 1);
+      book.apply({tag: 'end', step: STEP}, 0);
+      assert.equal(book.getOpenRunners(), 0);
+    });
+
     it('tells the version that its model needs while it is open', () => {
       const open = createBook([{tag: 'step', step: getStep(3)}]);
       assert.equal(open.getNeededVersion('m'), 3);
--- a/packages/rollout/src/steps/stepBook.ts
+++ b/packages/rollout/src/steps/stepBook.ts
@@ -4,6 +4,7 @@
 import type {Progress} from './progress.js';
 import {ProgressBook} from './progress.js';
 import type {StepRecord} from './records.js';
+import {getRunnerCount} from './runnerPartition.js';
 
 /** A step with what is listed of it. */
 export interface OpenStep {
@@ -42,8 +43,8 @@
   private readonly completed = new Map<string, SampleResult>();
   private readonly progress = new ProgressBook();
   private readonly earlyEnds = new Set<string>();
-  /** Number of open steps by partition. */
-  private readonly openByPartition = new Map<number, number>();
+  /** Number of open steps by the partition whose owner runs their samples. */
+  private readonly openByRunner = new Map<number, number>();
   private readonly listeners: Array<(change: StepChange) => void> = [];
 
   constructor(
@@ -70,9 +71,9 @@
     return this.progress.get(getKey(partition, sample));
   }
 
-  /** Partitions with open steps, whose owners send to engines. */
-  getOpenPartitions(): number {
-    return this.openByPartition.size;
+  /** Partitions at most whose owners run samples of open steps. */
+  getOpenRunners(): number {
+    return this.openByRunner.size;
   }
 
   getAll(): Iterable<OpenStep> {
@@ -127,7 +128,7 @@
       isEnded: this.earlyEnds.delete(key),
     };
     this.steps.set(key, open);
-    if (!open.isEnded) this.countOpen(partition, 1);
+    if (!open.isEnded) this.countOpen(open, 1);
     this.notify({tag: 'accepted', open});
   }
 
@@ -157,14 +158,17 @@
     }
     if (open.isEnded) return;
     open.isEnded = true;
-    this.countOpen(partition, -1);
+    this.countOpen(open, -1);
     this.notify({tag: 'ended', open});
   }
 
-  private countOpen(partition: number, change: 1 | -1): void {
-    const count = (this.openByPartition.get(partition) ?? 0) + change;
-    if (count > 0) this.openByPartition.set(partition, count);
-    else this.openByPartition.delete(partition);
+  private countOpen({partition, samples}: OpenStep, change: 1 | -1): void {
+    for (let shift = 0; shift < getRunnerCount(samples.size); shift++) {
+      const runner = partition + shift;
+      const count = (this.openByRunner.get(runner) ?? 0) + change;
+      if (count > 0) this.openByRunner.set(runner, count);
+      else this.openByRunner.delete(runner);
+    }
   }
 
   private notify(change: StepChange): void {
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -148,7 +148,7 @@
   }
 
   private getKey(open: OpenStep, sample: SampleId): string {
-    return `${open.step.id}/${sample}`;
+    return `${open.partition}/${open.step.id}/${sample}`;
   }
 
   private getRunner(open: OpenStep, position: number): number {
--- a/packages/rollout/src/upstreams/coldShares.test.ts
+++ b/packages/rollout/src/upstreams/coldShares.test.ts
@@ -32,7 +32,7 @@
         (coldPerSecond, partitions, processes) => {
           const shares = new ColdShares({
             bounds,
-            getOpenPartitions: () => partitions,
+            getSampleSenders: () => partitions,
             getProcessCount: () => processes,
           });
           const pool = getPool(coldPerSecond, ['m']);
--- a/packages/rollout/src/upstreams/coldShares.ts
+++ b/packages/rollout/src/upstreams/coldShares.ts
@@ -11,8 +11,8 @@
 
 export interface ColdSharesOptions {
   bounds: Bounds;
-  /** Partitions of the step stream with open steps. */
-  getOpenPartitions: () => number;
+  /** Owners of partitions that run samples of open steps. */
+  getSampleSenders: () => number;
   /** Processes that are known to serve callers. */
   getProcessCount: () => number;
 }
@@ -26,7 +26,7 @@
 
   /** Requests per second that samples of this process may send. */
   getSampleShare(pool: Pool): number {
-    const senders = this.options.getOpenPartitions() + HANDOVER_SENDERS;
+    const senders = this.options.getSampleSenders() + HANDOVER_SENDERS;
     return (this.getTotal(pool) * SAMPLE_SHARE) / senders;
   }
 
