--- /dev/null
+++ b/packages/cli/src/journalReport.ts
@@ -0,0 +1,173 @@
+import {fail, ok, parseJson} from '@vanillacross/common';
+import type {Result} from '@vanillacross/common';
+import {readFileSync, writeFileSync} from 'node:fs';
+import {z} from 'zod';
+
+import {EXIT} from './constants.js';
+import {formatTable} from './textTable.js';
+import type {CommandResult} from './types.js';
+
+const ENTRY_TIME_LENGTH = 16;
+const COMMIT_LENGTH = 8;
+const DIGITS = 3;
+
+const daySchema = z.object({
+  name: z.string(),
+  /** Value earned less prices, as a share of what could be earned. */
+  G: z.number().nullish(),
+  served: z.number().nullish(),
+  failed: z.number().nullish(),
+  /** Broken rules and how often. */
+  rules: z.record(z.string(), z.unknown()).default({}),
+  /** Why the day counts nothing, as if the programs did not start. */
+  fault: z.string().nullish(),
+});
+
+const entrySchema = z.object({
+  id: z.string(),
+  /** Start and end of the run. */
+  at: z.array(z.string()).min(1),
+  cmd: z.string(),
+  head: z.string().default(''),
+  site: z.string().nullish(),
+  days: z.array(daySchema).default([]),
+});
+
+type JournalEntry = z.infer<typeof entrySchema>;
+
+/** One played day of one journal entry. */
+export interface PlayedDay {
+  site: string;
+  day: string;
+  startedAt: string;
+  entry: string;
+  commit: string;
+  worth: number | null;
+  /** Against the day before it in the same site's list; null for the first. */
+  change: number | null;
+  served: number | null;
+  failed: number | null;
+  brokenRules: string[];
+}
+
+/** Reads one entry of the bench's journal. */
+export function parseJournalEntry(text: string): Result<JournalEntry, string> {
+  const parsed = parseJson(text);
+  if (!parsed.ok) return fail(parsed.error.detail);
+  const entry = entrySchema.safeParse(parsed.value);
+  if (entry.success) return ok(entry.data);
+  const {path, message} = entry.error.issues[0];
+  return fail(`${path.join('.')}: ${message}`);
+}
+
+/** All played days of scores, by site and day in the order of time. */
+export function listPlayedDays(entries: readonly JournalEntry[]): PlayedDay[] {
+  const days = entries
+    .filter(entry => entry.cmd === 'score' && entry.site)
+    .flatMap(entry => entry.days.map(day => getPlayedDay(entry, day)))
+    .sort(comparePlayed);
+  return days.map((day, index) => {
+    const before = days[index - 1];
+    const isSame = before?.site === day.site && before.day === day.day;
+    if (!isSame || before.worth === null || day.worth === null) return day;
+    return {...day, change: day.worth - before.worth};
+  });
+}
+
+function getPlayedDay(
+  entry: JournalEntry,
+  day: JournalEntry['days'][number],
+): PlayedDay {
+  return {
+    site: entry.site ?? '',
+    day: day.name,
+    startedAt: entry.at[0],
+    entry: entry.id,
+    commit: entry.head.slice(0, COMMIT_LENGTH),
+    worth: day.G ?? null,
+    change: null,
+    served: day.served ?? null,
+    failed: day.failed ?? null,
+    brokenRules: [...Object.keys(day.rules), ...(day.fault ? ['fault'] : [])],
+  };
+}
+
+function comparePlayed(a: PlayedDay, b: PlayedDay): number {
+  const getKey = (day: PlayedDay) => [day.site, day.day, day.startedAt];
+  const [keyA, keyB] = [getKey(a).join('\n'), getKey(b).join('\n')];
+  return keyA < keyB ? -1 : Number(keyA > keyB);
+}
+
+/** Shows how each standard day went from entry to entry of the journal. */
+export function reportJournal(
+  files: readonly string[],
+  plotFile: string | undefined,
+): CommandResult {
+  const entries: JournalEntry[] = [];
+  for (const file of files) {
+    const entry = readEntry(file);
+    if (!entry.ok) return fail({tag: 'usage', message: entry.error});
+    entries.push(entry.value);
+  }
+  const days = listPlayedDays(entries);
+  if (plotFile) {
+    try {
+      writeFileSync(plotFile, getPlotText(days));
+    } catch (error) {
+      return fail({tag: 'usage', message: (error as Error).message});
+    }
+  }
+  return ok({data: days, text: getTable(days), status: EXIT.done});
+}
+
+function readEntry(file: string): Result<JournalEntry, string> {
+  try {
+    const entry = parseJournalEntry(readFileSync(file, 'utf8'));
+    return entry.ok ? entry : fail(`${file}: ${entry.error}`);
+  } catch (error) {
+    return fail((error as Error).message);
+  }
+}
+
+function formatNumber(value: number | null): string {
+  return value === null ? '-' : value.toFixed(DIGITS);
+}
+
+function getTable(days: readonly PlayedDay[]): string {
+  const headers = [
+    'site',
+    'day',
+    'started',
+    'entry',
+    'commit',
+    'worth',
+    'change',
+    'served',
+    'failed',
+    'broken rules',
+  ];
+  const rows = days.map(day => [
+    day.site,
+    day.day,
+    day.startedAt.slice(0, ENTRY_TIME_LENGTH),
+    day.entry,
+    day.commit,
+    formatNumber(day.worth),
+    formatNumber(day.change),
+    formatNumber(day.served),
+    formatNumber(day.failed),
+    day.brokenRules.join(' ') || '-',
+  ]);
+  return formatTable(headers, rows);
+}
+
+/** Comma-separated values with a header, one line a played day. */
+function getPlotText(days: readonly PlayedDay[]): string {
+  const lines = days.map(day =>
+    [day.startedAt, day.site, day.day, day.entry, day.commit]
+      .concat([day.worth, day.served, day.failed].map(v => String(v ?? '')))
+      .join(','),
+  );
+  const header = 'started,site,day,entry,commit,worth,served,failed';
+  return `${[header, ...lines].join('\n')}\n`;
+}
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -4,6 +4,7 @@
 
 import {getExitStatus} from './errors.js';
 import {explain} from './explain.js';
+import {reportJournal} from './journalReport.js';
 import {createOperatorClient} from './operatorClient.js';
 import {
   applyRecords,
@@ -172,6 +173,15 @@
       const {output} = program.opts<RawOptions>();
       printResult(terminal, output, explain(id, logs));
     });
+  program
+    .command('report <entries...>')
+    .description('shows how the days of the bench went from entry to entry')
+    .option('--plot <file>', 'also writes comma-separated values to a file')
+    .addHelpText('after', '\nExample: vanillacross report journal/*.json')
+    .action((entries: string[], options: {plot?: string}) => {
+      const {output} = program.opts<RawOptions>();
+      printResult(terminal, output, reportJournal(entries, options.plot));
+    });
   program
     .command('settings')
     .description('works on settings files of the daemon')
