--- a/packages/rollout/src/upstreams/exchange.ts
+++ b/packages/rollout/src/upstreams/exchange.ts
@@ -9,11 +9,12 @@
 } from '../model/index.js';
 import type {Upstream} from './upstream.js';
 
-/**
- * Time in which a connection to an upstream must stand, ms. Failure domains of
- * one region are about a millisecond apart.
- */
-const CONNECT_TIMEOUT_MS = 60;
+/** Time in which a connection to an upstream must stand, ms. */
+const CONNECT_TIMEOUT_MS = 150;
+/** A timer that fires this late tells that this process was busy, ms. */
+const LATE_TIMER_MS = 30;
+/** Time in which a connection that stood meanwhile is noticed, ms. */
+const BUSY_GRACE_MS = 50;
 
 /** Why an exchange ended without a whole answer. */
 export type ExchangeFailure =
@@ -85,15 +86,20 @@
     request.destroy();
     events.onFailure(wasSent ? {tag, detail} : {tag: 'not_sent', detail});
   };
+  const awaitConnection = (spanMs: number) => {
+    const deadline = getDeadline(clock.now(), spanMs);
+    cancelConnectTimer = clock.callAt(deadline, () => {
+      const isBusy = clock.now() - deadline > LATE_TIMER_MS;
+      if (isBusy) return awaitConnection(BUSY_GRACE_MS);
+      lose('lost', 'connect timeout');
+    });
+  };
   request.on('socket', socket => {
     if (!socket.connecting) {
       wasSent = true;
       return;
     }
-    cancelConnectTimer = clock.callAt(
-      getDeadline(clock.now(), CONNECT_TIMEOUT_MS),
-      () => lose('lost', 'connect timeout'),
-    );
+    awaitConnection(CONNECT_TIMEOUT_MS);
     socket.once('connect', () => {
       wasSent = true;
       cancelConnectTimer();
