Read stored texts one after the other; give an owner 40 samples of a step

One read of a partition's texts is under way at a time, and what it brings is not asked for again; after a failure the waiting ones fail with it.

--- a/packages/rollout/src/log/textStore.ts
+++ b/packages/rollout/src/log/textStore.ts
@@ -25,6 +25,10 @@
 export class TextStore {
   private readonly cache = new Map<string, Buffer>();
   private readonly reads = new Map<string, Promise<Buffer | null>>();
+  /** The newest read of each partition; one is under way at a time. */
+  private readonly turns = new Map<number, Promise<unknown>>();
+  /** Failed reads of each partition. */
+  private readonly failures = new Map<number, number>();
   private cachedBytes = 0;
 
   constructor(private readonly options: TextStoreOptions) {}
@@ -50,11 +54,32 @@
     if (cached) return Promise.resolve(cached);
     const running = this.reads.get(key);
     if (running) return running;
-    const read = this.read(place).finally(() => this.reads.delete(key));
+    const read = this.readInTurn(place).finally(() => this.reads.delete(key));
     this.reads.set(key, read);
     return read;
   }
 
+  /**
+   * Waits for the reads of the partition before, which often bring this text
+   * too. After one of them has failed the store is not asked once for each.
+   */
+  private readInTurn(place: TextPlace): Promise<Buffer | null> {
+    const {partition} = place;
+    const before = this.turns.get(partition) ?? Promise.resolve();
+    const failures = this.getFailures(partition);
+    const turn = before.then(() => {
+      const cached = this.cache.get(getKey(place));
+      if (cached) return cached;
+      return this.getFailures(partition) === failures ? this.read(place) : null;
+    });
+    this.turns.set(partition, turn);
+    return turn;
+  }
+
+  private getFailures(partition: number): number {
+    return this.failures.get(partition) ?? 0;
+  }
+
   private async read(place: TextPlace): Promise<Buffer | null> {
     const {log, stream, logger, metrics} = this.options;
     const {partition, offset, bytes} = place;
@@ -68,6 +93,7 @@
     if (!outcome.ok) {
       logger.warn('text was not read', {...place, failure: outcome.error});
       metrics.count('vc_text_read_failures', {reason: outcome.error.tag});
+      this.failures.set(partition, this.getFailures(partition) + 1);
       return null;
     }
     metrics.count('vc_text_reads');
--- a/packages/rollout/src/steps/runnerPartition.ts
+++ b/packages/rollout/src/steps/runnerPartition.ts
@@ -1,5 +1,8 @@
-/** Samples of one step that one process runs at most. */
-const SAMPLES_PER_OWNER = 128;
+/**
+ * Samples of one step that one process runs at most. Two steps of an account
+ * are open at a time, and the smallest instances have a quarter of a core.
+ */
+const SAMPLES_PER_OWNER = 40;
 
 /**
  * The partition whose owner runs the sample at a position of a step. Large
