Never end a wait of the system clock before its deadline

Cause: Node drops the fraction of a timer's delay, so a callback ran up to 1 ms before its deadline; a request that ended at its deadline was then reported as draining. Change: delays are rounded up, and a timer that is still early is set again.

--- a/packages/common/src/clock.test.ts
+++ b/packages/common/src/clock.test.ts
@@ -3,7 +3,7 @@
 import {describe, it} from 'node:test';
 
 import type {MonotonicMs} from './brand.js';
-import {ManualClock} from './clock.js';
+import {ManualClock, getDeadline, systemClock} from './clock.js';
 
 const at = (ms: number) => ms as MonotonicMs;
 
@@ -45,3 +45,29 @@
     assert.deepEqual(called, ['passed', 'first']);
   });
 });
+
+describe('systemClock', () => {
+  describe('with a deadline at a fraction of a millisecond', () => {
+    const ROUNDS = 100;
+    const SPAN_MS = 2.9;
+
+    const waits: Record<string, (deadline: MonotonicMs) => Promise<void>> = {
+      callAt: deadline =>
+        new Promise(resolve => systemClock.callAt(deadline, resolve)),
+      waitUntil: deadline => systemClock.waitUntil(deadline),
+    };
+
+    for (const [name, wait] of Object.entries(waits)) {
+      // Guards against a request that ends at its deadline and is reported with
+      // another reason, because the clock is still before the deadline.
+      it(`does not end ${name} before the deadline`, async () => {
+        for (let round = 0; round < ROUNDS; round++) {
+          const deadline = getDeadline(systemClock.now(), SPAN_MS);
+          await wait(deadline);
+          const earlyMs = deadline - systemClock.now();
+          assert.ok(earlyMs <= 0, `${earlyMs} ms early in round ${round}`);
+        }
+      });
+    }
+  });
+});
--- a/packages/common/src/clock.ts
+++ b/packages/common/src/clock.ts
@@ -35,6 +35,27 @@
   return clock.wallNow() - clock.now();
 }
 
+/**
+ * Calls back at the deadline, never before it. Node drops the fraction of a
+ * delay, so a timer may fire up to 1 ms early.
+ */
+function setDeadlineTimer(
+  deadline: MonotonicMs,
+  callback: () => void,
+): () => void {
+  let timer: NodeJS.Timeout;
+  const schedule = () => {
+    const delay = Math.max(0, Math.ceil(deadline - performance.now()));
+    timer = setTimeout(handleTimer, Math.min(delay, MAX_TIMER_MS));
+  };
+  const handleTimer = () => {
+    if (performance.now() < deadline) schedule();
+    else callback();
+  };
+  schedule();
+  return () => clearTimeout(timer);
+}
+
 /** The clock of the operating system. */
 export const systemClock: Clock = {
   now: () => performance.now() as MonotonicMs,
@@ -42,20 +63,15 @@
   waitUntil: (deadline, signal) =>
     new Promise(resolve => {
       if (signal?.aborted) return resolve();
-      const delay = Math.max(0, deadline - performance.now());
       const done = () => {
-        clearTimeout(timer);
+        cancelTimer();
         signal?.removeEventListener('abort', done);
         resolve();
       };
-      const timer = setTimeout(done, Math.min(delay, MAX_TIMER_MS));
+      const cancelTimer = setDeadlineTimer(deadline, done);
       signal?.addEventListener('abort', done, {once: true});
     }),
-  callAt: (deadline, callback) => {
-    const delay = Math.max(0, deadline - performance.now());
-    const timer = setTimeout(callback, Math.min(delay, MAX_TIMER_MS));
-    return () => clearTimeout(timer);
-  },
+  callAt: setDeadlineTimer,
 };
 
 interface ManualTimer {
