Fail a response without a length whose connection is reset

Cause: libuv reports data and a reset that arrive together as data and an orderly end, and Node then ends a body without a length as complete; the caller got 200 with a short body. Change: such a body is whole only if its connection still has a peer address when the data ends, which a reset connection does not.

--- a/packages/rollout/src/upstreams/exchange.ts
+++ b/packages/rollout/src/upstreams/exchange.ts
@@ -7,6 +7,7 @@
   UpstreamCall,
   UpstreamDialect,
 } from '../model/index.js';
+import {isEndOfBodyProven, watchForReset} from './responseEnd.js';
 import type {Upstream} from './upstream.js';
 
 /** Timeout for connecting to an upstream, ms. */
@@ -100,6 +101,7 @@
     });
   };
   request.on('socket', socket => {
+    watchForReset(socket);
     if (!socket.connecting) {
       mayHaveBeenSent = true;
       return;
@@ -123,7 +125,9 @@
       if (!isSettled) events.onData(chunk);
     });
     response.on('end', () => {
-      if (!response.complete) return fail('lost', 'answer was cut');
+      if (!isEndOfBodyProven(response)) {
+        return fail('lost', 'answer was cut');
+      }
       if (settle()) events.onEnd();
     });
     response.on('aborted', () => fail('lost', 'answer was cut'));
