End generations that make no progress; bound what an upstream may send

Cause: any byte restarted the silence timeout of a generation, so an engine that sent a byte now and then held its sample and slot forever; an event without an end and events beyond the sample's tokens grew memory without bound; a character split between two chunks was decoded as two replacement characters, so the listed text differed from the engine's; a response that is no HTTP or too large was told as a possible crash and counted towards quarantine; a stream was read as fast as the upstream sent, whatever the caller read. Change: only an event is progress; events have a size limit and a number limit by the sample's tokens; a StringDecoder keeps split characters; unusable bytes fail as 'invalid', which is no crash; a stream pauses its upstream while the caller is slow. Bytes without end in six places of a head or body close the connection.

--- a/packages/rollout/src/callers/forwardStream.ts
+++ b/packages/rollout/src/callers/forwardStream.ts
@@ -11,7 +11,8 @@
  * Forwards an event stream to the caller as it arrives. Another upstream is
  * tried only while no upstream can have executed the request. If the stream
  * fails after that, the caller's connection is reset so that a truncated stream
- * cannot be mistaken for a complete one.
+ * cannot be mistaken for a complete one. The upstream is read only as fast as
+ * the caller reads, so that the memory held for a slow caller is bounded.
  */
 export function forwardStream(
   context: ForwardContext,
@@ -53,7 +54,7 @@
           response.writeHead(head.status, callerHeaders);
         },
         onData: chunk => {
-          if (isForwarding) response.write(chunk);
+          if (isForwarding && !response.write(chunk)) exchange?.pause();
         },
         onEnd: () => {
           if (!isForwarding) return tryNext();
@@ -100,6 +101,7 @@
         getEvents(),
       );
     };
+    response.on('drain', () => exchange?.resume());
     response.on('close', () => finish());
     if (context.crashes.isQuarantined(fingerprint)) {
       return finish(getQuarantineRefusal());
--- a/packages/rollout/src/forwarding/requestForwarder.ts
+++ b/packages/rollout/src/forwarding/requestForwarder.ts
@@ -299,7 +299,8 @@
       return;
     }
     attempt.exchange.abort();
-    this.handleFailure(attempt, {tag: 'lost', detail: 'answer is too large'});
+    const detail = 'answer is too large';
+    this.handleFailure(attempt, {tag: 'invalid', detail});
   }
 
   private handleEnd(attempt: Attempt): void {
--- /dev/null
+++ b/packages/rollout/src/steps/generation.test.ts
@@ -0,0 +1,137 @@
+import type {RequestId, UpstreamId} from '@vanillacross/common';
+import {systemClock, toBranded} from '@vanillacross/common';
+import assert from 'node:assert/strict';
+import {afterEach, describe, it} from 'node:test';
+
+import type {RawResponder, RawUpstream} from '../testing/rawUpstream.js';
+import {rawDialect, startRawUpstream} from '../testing/rawUpstream.js';
+import type {GenerationOutcome} from './generation.js';
+import {Generation} from './generation.js';
+import {SampleText} from './sampleText.js';
+
+const HEAD =
+  'HTTP/1.1 200 OK\r\nid: r1\r\nproof: p\r\nversion: 1\r\nconnection: close\r\n\r\n';
+const MAX_EVENTS = 10;
+/** Time by which a stalled run must have ended, ms. */
+const STALL_LIMIT_MS = 2_500;
+
+describe('Generation', () => {
+  let raw: RawUpstream | null = null;
+  afterEach(async () => {
+    await raw?.close();
+    raw = null;
+  });
+
+  const generate = async (respond: RawResponder) => {
+    const started = await startRawUpstream(respond);
+    raw = started;
+    const {upstream} = started;
+    const text = new SampleText();
+    const outcome = await new Promise<GenerationOutcome>(resolve => {
+      new Generation({
+        upstream,
+        dialect: rawDialect,
+        clock: systemClock,
+        call: {
+          id: toBranded<RequestId>('r1'),
+          method: 'POST',
+          target: '/',
+          host: 'h',
+          headers: {},
+          account: null,
+          upstream: toBranded<UpstreamId>('raw'),
+          budgetMs: 10_000,
+          lastEventId: 0,
+          priority: null,
+        },
+        body: Buffer.alloc(0),
+        text,
+        maxEvents: MAX_EVENTS,
+        model: 'm',
+        minVersion: 1,
+        isSingleVersion: false,
+        onDone: resolve,
+      });
+    });
+    return {outcome, output: text.getOutput().toString('utf8')};
+  };
+
+  /** Writes pieces at an interval until the connection closes. */
+  const repeat =
+    (getPiece: (index: number) => string, intervalMs: number): RawResponder =>
+    socket => {
+      socket.write(HEAD);
+      let index = 0;
+      const timer = setInterval(
+        () => socket.write(getPiece(index++)),
+        intervalMs,
+      );
+      socket.on('close', () => clearInterval(timer));
+    };
+
+  it('completes a slow stream', async () => {
+    // Guards against sound streams that are cut because they are slow.
+    const {outcome, output} = await generate(socket => {
+      socket.write(HEAD);
+      let id = 0;
+      const timer = setInterval(() => {
+        socket.write(`id: ${++id}\ndata: ${id}\n\n`);
+        if (id < 4) return;
+        clearInterval(timer);
+        socket.end();
+      }, 600);
+    });
+    assert.deepEqual(
+      {outcome, output},
+      {outcome: {tag: 'complete'}, output: '1\n2\n3\n4'},
+    );
+  });
+
+  it('keeps a character that is split between two chunks', async () => {
+    // Guards against a result whose text differs from what the engine sent.
+    const event = Buffer.from('id: 1\ndata: ışık\n\n');
+    const {output} = await generate(socket => {
+      socket.write(HEAD);
+      let sent = 0;
+      const timer = setInterval(() => {
+        socket.write(event.subarray(sent, ++sent));
+        if (sent < event.length) return;
+        clearInterval(timer);
+        socket.end();
+      }, 3);
+    });
+    assert.equal(output, 'ışık');
+  });
+
+  describe('with a stream that never ends', () => {
+    const stalled: Record<string, {respond: RawResponder; reason: RegExp}> = {
+      'a byte of an event now and then': {
+        respond: repeat(index => (index === 0 ? 'data: ' : 'x'), 100),
+        reason: /silent/,
+      },
+      'comments only': {
+        respond: repeat(() => ': still here\n\n', 100),
+        reason: /silent/,
+      },
+      'an event without an end': {
+        respond: repeat(() => 'x'.repeat(64 * 1_024), 1),
+        reason: /too large/,
+      },
+      'more events than the sample has tokens': {
+        respond: repeat(index => `id: ${index + 1}\ndata: x\n\n`, 1),
+        reason: /unexpected event 11/,
+      },
+    };
+
+    for (const [content, {respond, reason}] of Object.entries(stalled)) {
+      // Guards against a sample that occupies an engine, and memory, forever.
+      it(`gives up the run (${content})`, async () => {
+        const startedAt = systemClock.now();
+        const {outcome} = await generate(respond);
+        assert.equal(outcome.tag, 'broken');
+        assert.match(JSON.stringify(outcome), reason);
+        assert.ok(systemClock.now() - startedAt < STALL_LIMIT_MS);
+      });
+    }
+  });
+});
--- a/packages/rollout/src/steps/generation.ts
+++ b/packages/rollout/src/steps/generation.ts
@@ -1,6 +1,7 @@
 import type {Clock, MonotonicMs} from '@vanillacross/common';
 import {getDeadline} from '@vanillacross/common';
 import {createParser} from 'eventsource-parser';
+import {StringDecoder} from 'node:string_decoder';
 
 import type {
   ResponseHead,
@@ -20,6 +21,9 @@
 /** Time allowed after a stall to read data that has arrived meanwhile, ms. */
 const STALL_GRACE_MS = 200;
 
+/** Maximum size of one event together with its fields, bytes. */
+const MAX_EVENT_BYTES = 1024 * 1024;
+
 /** Outcome of a generation. */
 export type GenerationOutcome =
   | {tag: 'complete'}
@@ -48,6 +52,8 @@
   call: UpstreamCall;
   body: Buffer;
   text: SampleText;
+  /** Maximum number of events; an event holds one token at least. */
+  maxEvents: number;
   model: string | null;
   minVersion: number;
   isSingleVersion: boolean;
@@ -65,6 +71,9 @@
   private lastEventAt: MonotonicMs | null = null;
   private cancelIdleTimer: () => void = () => undefined;
   private readonly parser;
+  /** Keeps the bytes of a character that is split between chunks. */
+  private readonly decoder = new StringDecoder('utf8');
+  private bytesSinceEvent = 0;
 
   constructor(private readonly options: GenerationOptions) {
     this.upstream = options.upstream;
@@ -142,8 +151,11 @@
 
   private handleChunk(chunk: Buffer): void {
     if (this.head?.status !== 200 || this.isDone) return;
-    this.startIdleTimer(NEXT_EVENT_TIMEOUT_MS);
-    this.parser.feed(chunk.toString('utf8'));
+    this.bytesSinceEvent += chunk.length;
+    this.parser.feed(this.decoder.write(chunk));
+    if (this.bytesSinceEvent <= MAX_EVENT_BYTES || this.isDone) return;
+    this.upstream.recordFailure();
+    this.settle({tag: 'broken', reason: 'an event is too large'});
   }
 
   private handleEvent(id: string | undefined, data: string): void {
@@ -154,10 +166,14 @@
       this.recordVersion(this.version);
       if (this.isDone) return;
     }
-    const {text, isSingleVersion, minVersion} = this.options;
-    if (!text.append(Number(id), data, this.version)) {
+    const {text, maxEvents, isSingleVersion, minVersion} = this.options;
+    const isExpected = Number(id) <= maxEvents;
+    if (!isExpected || !text.append(Number(id), data, this.version)) {
       return this.settle({tag: 'broken', reason: `unexpected event ${id}`});
     }
+    // Only an event is progress: an engine that sends single bytes is stalled.
+    this.startIdleTimer(NEXT_EVENT_TIMEOUT_MS);
+    this.bytesSinceEvent = 0;
     if (!text.isUsable(minVersion, isSingleVersion)) {
       return this.settle({tag: 'wrong_version', version: this.version});
     }
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -341,6 +341,7 @@
       call: getSampleCall(task, upstream),
       body: Buffer.from(task.sample.body, 'base64'),
       text: task.text,
+      maxEvents: task.sample.tokens > 0 ? task.sample.tokens : Infinity,
       model: step.model,
       minVersion: step.minVersion,
       isSingleVersion: route.isSingleVersion,
--- a/packages/rollout/src/upstreams/exchange.test.ts
+++ b/packages/rollout/src/upstreams/exchange.test.ts
@@ -99,4 +99,95 @@
       }
     }
   });
+
+  describe('when an upstream sends a second copy of a response', () => {
+    const getResponse = (id: string, body: string) =>
+      `HTTP/1.1 200 OK\r\nid: ${id}\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+
+    /** When the second copy of the first response is sent. */
+    const copies: Record<string, RawResponder> = {
+      'with the first': (socket, requests) =>
+        socket.write(
+          requests === 1
+            ? getResponse('r1', 'first') + getResponse('r1', 'first')
+            : getResponse('r2', 'second'),
+        ),
+      'between two requests': (socket, requests) => {
+        if (requests > 1) {
+          socket.write(getResponse('r2', 'second'));
+          return;
+        }
+        socket.write(getResponse('r1', 'first'));
+        setTimeout(() => socket.write(getResponse('r1', 'first')), 5);
+      },
+      'after the next request': (socket, requests) =>
+        socket.write(
+          requests === 1
+            ? getResponse('r1', 'first')
+            : getResponse('r1', 'first') + getResponse('r2', 'second'),
+        ),
+      'in part': (socket, requests) =>
+        socket.write(
+          requests === 1
+            ? getResponse('r1', 'first') + 'HTTP/1.1 200 O'
+            : getResponse('r2', 'second'),
+        ),
+    };
+
+    for (const [time, respond] of Object.entries(copies)) {
+      // Guards against a caller that gets the response to an earlier request.
+      it(`never passes it on as another response (${time})`, async () => {
+        let connections = 0;
+        const counted: RawResponder = (socket, requests) => {
+          if (requests === 1) connections++;
+          // Each connection after the first is to another, sound upstream.
+          if (connections > 1) socket.write(getResponse('r2', 'second'));
+          else respond(socket, requests);
+        };
+        const first = await exchange(counted, 'r1');
+        assert.deepEqual(first, {outcome: 'end', body: 'first'});
+        await new Promise(resolve => setTimeout(resolve, 20));
+        const second = await exchange(counted, 'r2');
+        if (second.outcome === 'end') assert.equal(second.body, 'second');
+        else assert.equal(second.outcome, 'crossed');
+      });
+    }
+  });
+
+  describe('when an upstream sends bytes without end', () => {
+    const streams: Record<string, {start: string; repeated: string}> = {
+      'in a status line': {start: 'HTTP/1.1 200 ', repeated: 'x'.repeat(1_024)},
+      'in a header': {
+        start: 'HTTP/1.1 200 OK\r\na: ',
+        repeated: 'x'.repeat(99),
+      },
+      'as headers': {start: 'HTTP/1.1 200 OK\r\n', repeated: 'a: b\r\n'},
+      'in a chunk extension': {
+        start: 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;',
+        repeated: 'x'.repeat(99),
+      },
+      'as trailers': {
+        start: 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n',
+        repeated: 'a: b\r\n',
+      },
+      'that are no HTTP': {start: '\0', repeated: '\0'.repeat(99)},
+    };
+
+    for (const [place, {start, repeated}] of Object.entries(streams)) {
+      // Guards against memory that grows until the process is killed.
+      it(`fails as invalid and closes the connection (${place})`, async () => {
+        const closed = new Promise<void>(resolve => {
+          void exchange(socket => {
+            socket.write(start);
+            const timer = setInterval(() => socket.write(repeated), 1);
+            socket.on('close', () => {
+              clearInterval(timer);
+              resolve();
+            });
+          }).then(({outcome}) => assert.equal(outcome, 'invalid'));
+        });
+        await closed;
+      });
+    }
+  });
 });
--- a/packages/rollout/src/upstreams/exchange.ts
+++ b/packages/rollout/src/upstreams/exchange.ts
@@ -28,6 +28,8 @@
   | {tag: 'lost'; detail: string}
   /** The response belongs to another request. */
   | {tag: 'crossed'; detail: string}
+  /** The bytes received are no usable response. */
+  | {tag: 'invalid'; detail: string}
   /** This process aborted it; never passed to `onFailure`. */
   | {tag: 'aborted'; detail: string};
 
@@ -43,6 +45,9 @@
 export interface Exchange {
   upstream: Upstream;
   startedAt: MonotonicMs;
+  /** Stops reading, so that the upstream is blocked while a caller is slow. */
+  pause(): void;
+  resume(): void;
   /** Closes the connection; no further events are emitted. */
   abort(): void;
 }
@@ -56,6 +61,11 @@
   };
 }
 
+/** Whether an upstream sent bytes that are not HTTP or exceed its limits. */
+function isParseError(error: NodeJS.ErrnoException): boolean {
+  return error.code?.startsWith('HPE_') ?? false;
+}
+
 /** Sends a request to an upstream and emits events for the response. */
 export function startExchange(
   upstream: Upstream,
@@ -85,7 +95,7 @@
     upstream.recordEnd();
     return true;
   };
-  const fail = (tag: 'lost' | 'crossed', detail: string) => {
+  const fail = (tag: 'lost' | 'crossed' | 'invalid', detail: string) => {
     if (!settle()) return;
     request.destroy();
     events.onFailure(
@@ -112,8 +122,12 @@
       cancelConnectTimer();
     });
   });
-  request.on('error', error => fail('lost', error.message));
+  request.on('error', (error: NodeJS.ErrnoException) =>
+    fail(isParseError(error) ? 'invalid' : 'lost', error.message),
+  );
+  let currentResponse: http.IncomingMessage | null = null;
   request.on('response', response => {
+    currentResponse = response;
     const head = dialect.readHead(response.statusCode ?? 0, response.headers);
     if (head.id !== null && head.id !== call.id) {
       return fail('crossed', `answer to ${head.id}`);
@@ -131,13 +145,17 @@
       if (settle()) events.onEnd();
     });
     response.on('aborted', () => fail('lost', 'answer was cut'));
-    response.on('error', error => fail('lost', error.message));
+    response.on('error', (error: NodeJS.ErrnoException) =>
+      fail(isParseError(error) ? 'invalid' : 'lost', error.message),
+    );
   });
   request.on('close', () => fail('lost', 'connection closed'));
   request.end(body);
   return {
     upstream,
     startedAt: clock.now(),
+    pause: () => currentResponse?.pause(),
+    resume: () => currentResponse?.resume(),
     abort: () => {
       if (settle()) request.destroy();
     },
