Read streams that nobody needs here at intervals

Cause: every process held a read on every step partition and on the control stream, so each record that any process appended was read by all others at once: the reads grew with the square of the processes, and the least machines paid for results that no caller of theirs asked for. Change: the control stream is read every 100 ms at most; a process that runs no samples reads a step partition every 250 ms at most, unless a caller waits for its results here.

--- a/packages/rollout/src/control/leaseTask.ts
+++ b/packages/rollout/src/control/leaseTask.ts
@@ -73,7 +73,7 @@
       stream,
       partition: PARTITION,
       waitMs: LONG_POLL_MS,
-      pauseMs: POLL_INTERVAL_MS,
+      getPauseMs: () => POLL_INTERVAL_MS,
       clock,
       logger,
       metrics,
--- a/packages/rollout/src/log/streamTail.ts
+++ b/packages/rollout/src/log/streamTail.ts
@@ -15,8 +15,8 @@
   partition: number;
   /** Time for which the store waits for records before it answers, ms. */
   waitMs: number;
-  /** Pause after a read that reached the end of the partition, ms. */
-  pauseMs: number;
+  /** Returns the pause after a read that reached the partition's end, ms. */
+  getPauseMs: () => number;
   clock: Clock;
   logger: Logger;
   metrics: Metrics;
@@ -39,6 +39,7 @@
   private readonly stopController = new AbortController();
   private readonly longPoll: LongPollReader;
   private caughtUpResolvers: Array<() => void> = [];
+  private endPause: () => void = () => undefined;
 
   constructor(private readonly options: StreamTailOptions) {
     this.longPoll = new LongPollReader(
@@ -69,6 +70,11 @@
     return true;
   }
 
+  /** Ends a pause between two reads. */
+  hurry(): void {
+    this.endPause();
+  }
+
   /** Resolves after the first read that reached the end of the partition. */
   whenCaughtUp(): Promise<void> {
     if (this.confirmedAt !== null) return Promise.resolve();
@@ -91,7 +97,7 @@
       );
       if (this.stopController.signal.aborted) return;
       if (!outcome) continue;
-      let delayMs = this.options.pauseMs;
+      let delayMs = this.options.getPauseMs();
       if (outcome.ok) {
         health.recordSuccess();
         this.apply(outcome.value.records);
@@ -101,10 +107,16 @@
         this.handleFailure(outcome.error);
         delayMs = RETRY_MS;
       }
-      if (delayMs > 0) await clock.waitUntil(getDeadline(clock.now(), delayMs));
+      if (delayMs > 0) await this.pause(getDeadline(clock.now(), delayMs));
     }
   }
 
+  private async pause(deadline: MonotonicMs): Promise<void> {
+    const pause = new AbortController();
+    this.endPause = () => pause.abort();
+    await this.options.clock.waitUntil(deadline, pause.signal);
+  }
+
   private read(waitMs: number, signal?: AbortSignal) {
     const {log, stream, partition} = this.options;
     return log.read({stream, partition, from: this.nextOffset, waitMs, signal});
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -43,6 +43,12 @@
 const STEP_GROUP = 'vc-steps';
 /** Long-poll time of reads of the control stream, ms. */
 const CONTROL_LONG_POLL_MS = 2_000;
+/**
+ * Minimum interval between reads of the control stream, ms. Every process writes
+ * to it and reads it, so that without an interval the reads would grow with the
+ * square of the number of processes.
+ */
+const CONTROL_READ_INTERVAL_MS = 100;
 const SWEEP_INTERVAL_MS = 250;
 /**
  * This process reports that it is not ready once its configuration has been
@@ -142,6 +148,7 @@
       partitionCount: options.stepPartitionCount,
       createQueue: (stream, partition) =>
         this.createQueue(stream, partition, processId),
+      isRunner: () => this.runner.ownsPartitions(),
     });
     const {partitions, texts} = this.streams;
     const steps = new StepService({
@@ -149,6 +156,7 @@
       texts,
       registry: this.registry,
       partitions,
+      watchPartition: partition => this.streams.watch(partition),
       logger: logger.child('steps'),
     });
     const ledger = new UsageLedger();
@@ -176,7 +184,7 @@
       stream: STREAMS.control,
       partition: 0,
       waitMs: CONTROL_LONG_POLL_MS,
-      pauseMs: 0,
+      getPauseMs: () => CONTROL_READ_INTERVAL_MS,
       health,
       onEntry: (entry, offset) => feed.apply(entry, offset),
     });
--- a/packages/rollout/src/stepStreams.ts
+++ b/packages/rollout/src/stepStreams.ts
@@ -11,6 +11,12 @@
 const TEXT_STREAM = 'vc-texts';
 /** Long-poll time of reads of the step stream, ms. */
 const STEP_LONG_POLL_MS = 2_000;
+/**
+ * Minimum interval between reads of a partition for whose results no caller
+ * waits here, ms. It applies to processes that run no samples, which are most of
+ * a large deployment.
+ */
+const UNWATCHED_READ_INTERVAL_MS = 250;
 const DRAIN_POLL_INTERVAL_MS = 10;
 
 export interface StepStreamsOptions {
@@ -18,6 +24,8 @@
   registry: StepRegistry;
   health: StoreHealth;
   partitionCount: number;
+  /** Whether this process runs the samples of any partition. */
+  isRunner: () => boolean;
   createQueue: (stream: string, partition: number) => AppendQueue;
   clock: Clock;
   logger: Logger;
@@ -31,6 +39,8 @@
   readonly partitions: readonly StepPartition[];
   readonly texts: TextStore;
   private readonly textQueues: readonly AppendQueue[];
+  /** For each partition, the number of callers that wait for its results. */
+  private readonly watchers = new Map<number, number>();
 
   constructor(private readonly options: StepStreamsOptions) {
     const {log, clock, metrics, health, partitionCount, createQueue} = options;
@@ -42,7 +52,7 @@
         stream: STEP_STREAM,
         partition,
         waitMs: STEP_LONG_POLL_MS,
-        pauseMs: 0,
+        getPauseMs: () => this.getPauseMs(partition),
         health,
         onEntry: (entry, offset) => this.apply(entry, offset, partition),
       }),
@@ -62,6 +72,13 @@
     await Promise.all(this.partitions.map(({tail}) => tail.whenCaughtUp()));
   }
 
+  /** Reads a partition without pauses until the returned function is called. */
+  watch(partition: number): () => void {
+    this.addWatchers(partition, 1);
+    this.partitions[partition].tail.hurry();
+    return () => this.addWatchers(partition, -1);
+  }
+
   /** Returns the number of texts of a partition that are not yet stored. */
   getPendingTextCount(partition: number): number {
     return this.textQueues[partition].size;
@@ -90,6 +107,16 @@
     for (const queue of this.textQueues) queue.close();
   }
 
+  private addWatchers(partition: number, count: number): void {
+    this.watchers.set(partition, (this.watchers.get(partition) ?? 0) + count);
+  }
+
+  private getPauseMs(partition: number): number {
+    const isWatched = (this.watchers.get(partition) ?? 0) > 0;
+    const {isRunner} = this.options;
+    return isWatched || isRunner() ? 0 : UNWATCHED_READ_INTERVAL_MS;
+  }
+
   private apply(entry: Buffer, offset: number, partition: number): void {
     const {registry, logger} = this.options;
     const record = decodeStepRecord(entry);
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -121,6 +121,11 @@
     return this.tasks.size;
   }
 
+  /** Whether this process runs the samples of any partition. */
+  ownsPartitions(): boolean {
+    return this.ownedPartitions.size > 0;
+  }
+
   /** Acquires the given partitions and releases all others. */
   setOwnedPartitions(partitions: readonly number[]): void {
     for (const partition of [...this.ownedPartitions]) {
--- a/packages/rollout/src/steps/stepService.ts
+++ b/packages/rollout/src/steps/stepService.ts
@@ -70,6 +70,8 @@
   registry: StepRegistry;
   partitions: readonly StepPartition[];
   texts: TextStore;
+  /** Reads a partition without pauses until the returned function is called. */
+  watchPartition: (partition: number) => () => void;
   clock: Clock;
   logger: Logger;
   metrics: Metrics;
@@ -218,7 +220,10 @@
       tracked.results.length > after ||
       tracked.isEnded ||
       clock.now() >= deadline;
+    if (isDone()) return;
+    const stopWatching = this.options.watchPartition(tracked.partition);
     while (!isDone()) await this.waitForChange(tracked, deadline, signal);
+    stopWatching();
   }
 
   /**
