Wait at a planned stop for the requests of accepted connections

Cause: a stopping node counted only requests whose head it had read. It closed its listener 2.5 s after the signal, which resets connections in the accept queue, and exited at once if no request was open, so a connection accepted just before was cut without an answer. Change: the listener closes after 300 ms without a new connection, at the latest 3 s before the end of the grace period, and right after pending connections were accepted; the exit waits up to 1.5 s for the requests of accepted connections.

--- a/packages/rollout/src/callers/callerServer.ts
+++ b/packages/rollout/src/callers/callerServer.ts
@@ -62,6 +62,8 @@
   readonly server: http.Server;
   private isDraining = false;
   private openRequests = 0;
+  private openConnections = 0;
+  private lastConnectionAt: MonotonicMs | null = null;
   private bufferedBytes = 0;
 
   private readonly admission: Admission;
@@ -78,6 +80,11 @@
       },
       (request, response) => void this.handle(request, response),
     );
+    this.server.on('connection', socket => {
+      this.openConnections++;
+      this.lastConnectionAt = options.clock.now();
+      socket.on('close', () => this.openConnections--);
+    });
     this.server.on('checkContinue', (request, response) => {
       response.writeContinue();
       void this.handle(request, response);
@@ -90,6 +97,17 @@
     return this.openRequests;
   }
 
+  /** Number of connections, on which a request may be arriving. */
+  get openConnectionCount(): number {
+    return this.openConnections;
+  }
+
+  /** Whether no connection was accepted during the given time, ms. */
+  hasBeenQuietFor(spanMs: number): boolean {
+    if (this.lastConnectionAt === null) return true;
+    return this.options.clock.now() - this.lastConnectionAt >= spanMs;
+  }
+
   /** Lets open requests finish and closes connections after their responses. */
   drain(): void {
     this.isDraining = true;
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -1,5 +1,6 @@
 import type {Clock, Logger, Metrics} from '@vanillacross/common';
 import {getDeadline} from '@vanillacross/common';
+import {setImmediate} from 'node:timers/promises';
 
 import {CallerServer} from './callers/index.js';
 import {ConfigurationState} from './configuration/index.js';
@@ -15,6 +16,7 @@
 import type {ForwardContext} from './forwarding/index.js';
 import {AppendQueue, StoreHealth, StreamTail} from './log/index.js';
 import type {
+  Deadline,
   DeploymentLimits,
   CallerDialect,
   LeaseHolderClient,
@@ -55,8 +57,26 @@
  * unconfirmed for this fraction of the key revocation bound.
  */
 const MAX_STALE_SHARE = 0.5;
-/** Time between the stop signal and the closing of the listener, ms. */
+/**
+ * Minimum time between the stop signal and the closing of the listener, ms. The
+ * platform sends new connections until two of its checks have failed.
+ */
 const LISTENER_CLOSE_DELAY_MS = 2_500;
+/**
+ * Time without a new connection after which the listener closes, ms. Closing it
+ * resets the connections that wait to be accepted.
+ */
+const LISTENER_QUIET_MS = 300;
+/**
+ * Part of the shutdown grace period that remains after the listener has closed
+ * at the latest, ms.
+ */
+const AFTER_LISTENER_MS = 3_000;
+/**
+ * Time after the closing of the listener for which a stopping process waits for
+ * the requests of connections that it has accepted, ms.
+ */
+const ACCEPTED_CONNECTION_GRACE_MS = 1_500;
 const POLL_INTERVAL_MS = 50;
 /** Time for storing unfinished samples at shutdown, ms. */
 const HANDOVER_TIMEOUT_MS = 600;
@@ -344,9 +364,13 @@
     this.runner.stop();
     await Promise.all([this.membership.stop(), this.lease.stop()]);
     await clock.waitUntil(getDeadline(startedAt, LISTENER_CLOSE_DELAY_MS));
+    await this.waitUntilQuiet(
+      getDeadline(startedAt, limits.graceMs - AFTER_LISTENER_MS),
+    );
     this.server.server.close();
     this.server.server.closeIdleConnections();
-    while (clock.now() < deadline && !this.isDrained()) {
+    const quietAt = getDeadline(clock.now(), ACCEPTED_CONNECTION_GRACE_MS);
+    while (clock.now() < deadline && !this.isDrained(quietAt)) {
       await clock.waitUntil(getDeadline(clock.now(), POLL_INTERVAL_MS));
       this.server.server.closeIdleConnections();
     }
@@ -374,10 +398,28 @@
     this.statusServers.close();
   }
 
-  private isDrained(): boolean {
-    return (
-      this.server.openRequestCount === 0 && !this.streams.hasPendingAppends()
-    );
+  /** Waits until no new connections arrive, at most until the deadline. */
+  private async waitUntilQuiet(deadline: Deadline): Promise<void> {
+    const {clock} = this.options;
+    while (
+      clock.now() < deadline &&
+      !this.server.hasBeenQuietFor(LISTENER_QUIET_MS)
+    ) {
+      await clock.waitUntil(getDeadline(clock.now(), POLL_INTERVAL_MS));
+    }
+    // Connections that arrived before this turn of the event loop are accepted
+    // in it, before an immediate runs.
+    await setImmediate();
+  }
+
+  /**
+   * Whether nothing is left to finish. A connection without a request counts
+   * until `quietAt`, because its request may be on the way.
+   */
+  private isDrained(quietAt: Deadline): boolean {
+    const {openRequestCount, openConnectionCount} = this.server;
+    if (openRequestCount > 0 || this.streams.hasPendingAppends()) return false;
+    return openConnectionCount === 0 || this.options.clock.now() >= quietAt;
   }
 
   private isStarting(): boolean {
