Start samples of the groups nearest to complete first

Cause: a trainer uses complete groups, but queued samples started longest first over the whole step; with fewer slots than the step needs, all its groups were nearly complete at their deadline and none was complete. Change: compareQueuedSamples (domain) orders by step, by unfinished samples of the group, then longest first; groups of a new step are equal, so that the longest still start first while there is room.

--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -24,6 +24,7 @@
 export * from './settings.js';
 export * from './subset.js';
 export * from './spans.js';
+export * from './startOrder.js';
 export * from './retryBudget.js';
 export * from './sanitize.js';
 export * from './upstreamChoice.js';
--- a/packages/rollout/src/steps/engineSelector.test.ts
+++ b/packages/rollout/src/steps/engineSelector.test.ts
@@ -74,6 +74,7 @@
     samples: new Map([[sample.id, sample]]),
     results: [],
     listedSamples: new Set<SampleId>(),
+    unlistedByGroup: new Map(),
     isEnded: false,
   };
   const task = new SampleTask(tracked, sample, 0, 0, 'chain', clock.now());
--- a/packages/rollout/src/steps/sampleTask.ts
+++ b/packages/rollout/src/steps/sampleTask.ts
@@ -1,4 +1,5 @@
 import type {MonotonicMs, SampleId} from '@vanillacross/common';
+import type {QueuedSample} from '@vanillacross/domain';
 
 import type {Route, Sample, SampleResult} from '../model/index.js';
 import type {Upstream} from '../upstreams/index.js';
@@ -105,6 +106,17 @@
     this.storedEvents = 0;
   }
 
+  /** Returns what the order in which samples start depends on. */
+  getQueuedSample(): QueuedSample {
+    const {sample, position, trackedStep: tracked} = this;
+    return {
+      acceptedAt: tracked.step.acceptedAt,
+      unfinishedInGroup: tracked.unlistedByGroup.get(sample.group) ?? 0,
+      expectedTokens: sample.expectedTokens ?? sample.tokens,
+      position,
+    };
+  }
+
   /** Whether an unfinished sample may be abandoned. */
   isPastRetention(route: Route, wallMs: number): boolean {
     if (route.sampleRetentionMs <= 0) return false;
@@ -120,15 +132,3 @@
     this.cancelScoring?.();
   }
 }
-
-/**
- * Order in which queued samples start: older steps first, then the samples that
- * are expected to take longest, because they determine when a group completes.
- */
-export function compareTasks(a: SampleTask, b: SampleTask): number {
-  const byAge = a.trackedStep.step.acceptedAt - b.trackedStep.step.acceptedAt;
-  if (byAge !== 0) return byAge;
-  const getExpectedTokens = (task: SampleTask) =>
-    task.sample.expectedTokens ?? task.sample.tokens;
-  return getExpectedTokens(b) - getExpectedTokens(a) || a.position - b.position;
-}
--- a/packages/rollout/src/steps/stepRegistry.ts
+++ b/packages/rollout/src/steps/stepRegistry.ts
@@ -18,6 +18,8 @@
   /** In stream order, which is the same for every process. */
   results: SampleResult[];
   listedSamples: Set<SampleId>;
+  /** Number of samples of each group that are not listed yet. */
+  unlistedByGroup: Map<string, number>;
   isEnded: boolean;
 }
 
@@ -40,6 +42,14 @@
   return `${partition}/${id}`;
 }
 
+function countByGroup(samples: readonly Sample[]): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const {group} of samples) {
+    counts.set(group, (counts.get(group) ?? 0) + 1);
+  }
+  return counts;
+}
+
 /**
  * State of all steps, built from the step stream. Within a partition only the
  * first record of a step, of a sample's result and of a step's end counts, so
@@ -139,6 +149,7 @@
       samples: new Map(step.samples.map(sample => [sample.id, sample])),
       results: [],
       listedSamples: new Set(),
+      unlistedByGroup: countByGroup(step.samples),
       isEnded: this.pendingEnds.delete(key),
     };
     this.steps.set(key, tracked);
@@ -157,6 +168,9 @@
     if (tracked.listedSamples.has(result.sample)) return;
     tracked.listedSamples.add(result.sample);
     tracked.results.push(result);
+    const {group} = tracked.samples.get(result.sample)!;
+    const unlisted = tracked.unlistedByGroup.get(group) ?? 0;
+    tracked.unlistedByGroup.set(group, unlisted - 1);
     const key = getKey(partition, result.sample);
     this.progress.delete(key);
     if (result.state === 'completed') this.completed.set(key, result);
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -6,6 +6,7 @@
   SampleId,
 } from '@vanillacross/common';
 import {getDeadline} from '@vanillacross/common';
+import {compareQueuedSamples} from '@vanillacross/domain';
 
 import type {ConfigurationState} from '../configuration/index.js';
 import type {ForwardContext} from '../forwarding/index.js';
@@ -25,7 +26,7 @@
 import {getSampleCall} from './sampleCall.js';
 import {SampleScoring} from './sampleScoring.js';
 import type {UnstoredPart} from './sampleTask.js';
-import {SampleTask, compareTasks} from './sampleTask.js';
+import {SampleTask} from './sampleTask.js';
 import type {TrackedStep, StepRegistry, StepChange} from './stepRegistry.js';
 import {SampleRecovery} from './sampleRecovery.js';
 
@@ -286,11 +287,13 @@
   /** Starts queued samples while engines have room. */
   startQueuedSamples(): void {
     if (this.isStopped) return;
-    const queued = [...this.tasks.values()].filter(t => t.stage === 'queued');
+    const queued = [...this.tasks.values()]
+      .filter(({stage}) => stage === 'queued')
+      .map(task => ({task, sample: task.getQueuedSample()}));
     if (queued.length === 0) return;
-    queued.sort(compareTasks);
+    queued.sort((a, b) => compareQueuedSamples(a.sample, b.sample));
     let hasRemaining = false;
-    for (const task of queued) {
+    for (const {task} of queued) {
       if (!this.tryStart(task)) hasRemaining = true;
     }
     if (hasRemaining) this.scheduleStart();
