Refuse a request at once if its pool has no upstream

Cause: a request whose pool had no upstream in service was held for seven tenths of its time and then refused with a Retry-After of 60 ms, when the caller's only retry could hardly succeed; nothing served it meanwhile. Change: decideCapacityWait (domain) decides without a network: no upstream is refused at once, with a quarter of the time that is left as Retry-After; a busy pool is waited for as before. Refused scoring requests return after 200 ms at most. Result: tests play both pools; callers of the lost pool return after 200 of their 800 ms and are served.

--- /dev/null
+++ b/packages/domain/src/capacityWait.test.ts
@@ -0,0 +1,64 @@
+import type {MonotonicMs} from '@vanillacross/common';
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {decideCapacityWait} from './capacityWait.js';
+
+const BUDGET_MS = 800;
+const at = (ms: number) => ms as MonotonicMs;
+
+/** Plays a request until it is refused or an upstream takes it. */
+function play(getUpstreamCount: (ms: number) => number, freeAt: number) {
+  const request = {arrivedAt: at(0), deadline: at(BUDGET_MS)};
+  let now = at(0);
+  for (;;) {
+    const upstreamCount = getUpstreamCount(now);
+    if (upstreamCount > 0 && now >= freeAt) return {servedAt: now};
+    const decision = decideCapacityWait({...request, now, upstreamCount});
+    if (decision.tag === 'refuse') {
+      return {refusedAt: now, returnsAt: now + decision.retryAfterMs};
+    }
+    now = decision.until;
+  }
+}
+
+describe('decideCapacityWait', () => {
+  describe('with a pool that has lost all upstreams', () => {
+    it('refuses at once, so that the caller can return in time', () => {
+      // Guards against requests that are held although nobody can serve them.
+      const outcome = play(() => 0, Infinity);
+      assert.deepEqual(outcome, {refusedAt: 0, returnsAt: 200});
+      const returned = play(ms => (ms + 200 > 180 ? 3 : 0), 0);
+      assert.deepEqual(returned, {servedAt: 0});
+    });
+  });
+
+  describe('with a busy pool', () => {
+    it('waits for a place', () => {
+      // Guards against refusals that use up the caller's retry for nothing.
+      assert.deepEqual(
+        play(() => 3, 90),
+        {servedAt: 90},
+      );
+    });
+
+    it('refuses while another attempt can still follow', () => {
+      const outcome = play(() => 3, Infinity);
+      assert.ok(outcome.returnsAt && outcome.returnsAt < BUDGET_MS);
+    });
+  });
+
+  it('asks callers to return after a third of their time at most', () => {
+    // Callers ignore a longer delay.
+    for (let left = 200; left <= 12_000; left += 100) {
+      const decision = decideCapacityWait({
+        now: at(0),
+        arrivedAt: at(0),
+        deadline: at(left),
+        upstreamCount: 0,
+      });
+      assert.ok(decision.tag === 'refuse');
+      assert.ok(decision.retryAfterMs <= left / 3);
+    }
+  });
+});
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -3,6 +3,7 @@
 export * from './agentView.js';
 export * from './access.js';
 export * from './admission.js';
+export * from './capacityWait.js';
 export * from './checkpointPlan.js';
 export * from './constants.js';
 export * from './controlRecords.js';
--- a/packages/rollout/src/callers/callerServer.ts
+++ b/packages/rollout/src/callers/callerServer.ts
@@ -312,7 +312,7 @@
         return this.refuse(head, response, {
           status: 503,
           reason: `not run: ${outcome.reason}`,
-          retryAfterMs: RETRY_AFTER_MS,
+          retryAfterMs: outcome.retryAfterMs,
         });
       case 'quarantined':
         return this.refuse(head, response, getQuarantineRefusal());
--- a/packages/rollout/src/forwarding/requestForwarder.ts
+++ b/packages/rollout/src/forwarding/requestForwarder.ts
@@ -8,6 +8,7 @@
   RequestId,
 } from '@vanillacross/common';
 import {getDeadline, getRequestFingerprint} from '@vanillacross/common';
+import {decideCapacityWait} from '@vanillacross/domain';
 import type {IncomingHttpHeaders} from 'node:http';
 
 import type {
@@ -27,18 +28,13 @@
 
 /** Fraction of the target latency after which a hedged request is sent. */
 const HEDGE_DELAY_SHARE = 0.45;
-/**
- * Fraction of the time budget during which a request waits for capacity in its
- * pool.
- */
-const CAPACITY_WAIT_SHARE = 0.7;
-/** Interval at which a pool without capacity is polled, ms. */
-const CAPACITY_POLL_MS = 15;
 /**
  * Maximum number of attempts for one request, including those that no upstream
  * executed.
  */
 const MAX_SENDS = 12;
+/** Retry delay for a caller whose request was sent but not run, ms. */
+const MIN_RETRY_AFTER_MS = 60;
 /** Minimum time that must remain for another attempt, ms. */
 const MIN_ATTEMPT_MS = 20;
 /** Maximum size of a buffered response, bytes. */
@@ -75,7 +71,7 @@
       serverErrors: number;
     }
   /** No upstream executed it, and none will. */
-  | {tag: 'not_run'; reason: string}
+  | {tag: 'not_run'; reason: string; retryAfterMs: number}
   /** It was not executed, as identical requests have crashed upstreams. */
   | {tag: 'quarantined'}
   /** It may have been executed, but there is no complete response. */
@@ -125,6 +121,7 @@
   /** Whether an upstream may have executed the request. */
   private mayHaveRun = false;
   private lastReason = 'no upstream is listed';
+  private retryAfterMs = MIN_RETRY_AFTER_MS;
   private lastErrorResponse: ForwardOutcome | null = null;
   private isDone = false;
   private timers: Array<() => void> = [];
@@ -180,7 +177,7 @@
     if (this.mayHaveRun || this.attempts.size > 0) {
       return this.settle({tag: 'timed_out'});
     }
-    this.settle({tag: 'not_run', reason: this.lastReason});
+    this.settle(this.getNotRunOutcome());
   }
 
   private sendNext(): void {
@@ -215,25 +212,38 @@
    */
   private waitForCapacity(): void {
     if (this.attempts.size > 0) return;
-    const {clock} = this.context;
-    const budgetMs = this.request.deadline - this.startedAt;
-    const isLate =
-      clock.now() - this.startedAt > budgetMs * CAPACITY_WAIT_SHARE;
-    if (isLate || (this.mayHaveRun && !this.isIdempotent)) return this.giveUp();
-    this.callAt(getDeadline(clock.now(), CAPACITY_POLL_MS), () => {
+    if (this.mayHaveRun && !this.isIdempotent) return this.giveUp();
+    const {directory, clock} = this.context;
+    const {pool, deadline} = this.request;
+    const decision = decideCapacityWait({
+      now: clock.now(),
+      arrivedAt: this.startedAt,
+      deadline,
+      upstreamCount: directory.getUsable(pool.id).length,
+    });
+    if (decision.tag === 'refuse') {
+      this.retryAfterMs = decision.retryAfterMs;
+      return this.giveUp();
+    }
+    this.callAt(decision.until, () => {
       if (this.attempts.size > 0) return;
       this.tried.clear();
       this.sendNext();
     });
   }
 
+  private getNotRunOutcome(): ForwardOutcome {
+    const {lastReason: reason, retryAfterMs} = this;
+    return {tag: 'not_run', reason, retryAfterMs};
+  }
+
   private giveUp(): void {
     if (this.attempts.size > 0) return;
     if (this.lastErrorResponse) return this.settle(this.lastErrorResponse);
     this.settle(
       this.mayHaveRun
         ? {tag: 'failed', reason: this.lastReason}
-        : {tag: 'not_run', reason: this.lastReason},
+        : this.getNotRunOutcome(),
     );
   }
 
--- a/packages/rollout/src/steps/sampleScoring.ts
+++ b/packages/rollout/src/steps/sampleScoring.ts
@@ -10,6 +10,8 @@
 
 /** Delay before a failed scoring request is retried, ms. */
 const RETRY_MS = 40;
+/** Maximum delay before a scoring request that was refused is retried, ms. */
+const MAX_REFUSAL_RETRY_MS = 200;
 
 export interface SampleScoringOptions {
   configuration: ConfigurationState;
@@ -28,7 +30,7 @@
   score(task: SampleTask, call: ScoringCall): void {
     const route = this.findRoute(call);
     const pool = route && this.findPool(route);
-    if (!route || !pool) return this.retry(task, call);
+    if (!route || !pool) return this.retry(task, call, RETRY_MS);
     const {clock} = this.options;
     const forwarder = new RequestForwarder(this.options.forwarding, {
       id: call.id,
@@ -84,12 +86,16 @@
       outcome: outcome.tag,
       failures: task.scoringFailures,
     });
-    this.retry(task, call);
+    const isRefused = outcome.tag === 'not_run';
+    const delayMs = isRefused
+      ? Math.min(outcome.retryAfterMs, MAX_REFUSAL_RETRY_MS)
+      : RETRY_MS;
+    this.retry(task, call, delayMs);
   }
 
-  private retry(task: SampleTask, call: ScoringCall): void {
+  private retry(task: SampleTask, call: ScoringCall, delayMs: number): void {
     const {clock} = this.options;
-    clock.callAt(getDeadline(clock.now(), RETRY_MS), () => {
+    clock.callAt(getDeadline(clock.now(), delayMs), () => {
       if (!task.isCancelled) this.score(task, call);
     });
   }
