Prefer upstreams to which a connection is idle

Change: opening a connection counts as three quarters of a request when an upstream is chosen. Result: the new test plays 200 rounds of four requests at twelve upstreams: at most 8 connections; without the cost it fails. A burst of 24 still takes two places at each.

--- a/packages/rollout/src/upstreams/chooseUpstream.test.ts
+++ b/packages/rollout/src/upstreams/chooseUpstream.test.ts
@@ -53,4 +53,49 @@
     const chosen = chooseUpstream(directory.getUsable(POOL_ID), callerCriteria);
     assert.equal(chosen?.id, 'near');
   });
+
+  describe('with more upstreams than the process needs', () => {
+    const UPSTREAMS = 12;
+    const ROUNDS = 200;
+    const CONCURRENT = 4;
+
+    /** Plays rounds of concurrent requests; returns the connections opened. */
+    const play = (concurrent: number) => {
+      const {directory, list} = createDirectoryFixture();
+      for (let i = 0; i < UPSTREAMS; i++) list(`u${i}`);
+      const usable = directory.getUsable(POOL_ID);
+      const idle = new Map(usable.map(upstream => [upstream, 0]));
+      for (const upstream of usable) {
+        upstream.hasIdleConnection = () => idle.get(upstream)! > 0;
+      }
+      let opened = 0;
+      let mostAtOne = 0;
+      for (let round = 0; round < ROUNDS; round++) {
+        const busy = [];
+        for (let i = 0; i < concurrent; i++) {
+          const upstream = chooseUpstream(usable, callerCriteria)!;
+          if (idle.get(upstream) === 0) opened++;
+          else idle.set(upstream, idle.get(upstream)! - 1);
+          upstream.recordStart();
+          mostAtOne = Math.max(mostAtOne, upstream.inFlight);
+          busy.push(upstream);
+        }
+        for (const upstream of busy) {
+          upstream.recordEnd();
+          idle.set(upstream, idle.get(upstream)! + 1);
+        }
+      }
+      return {opened, mostAtOne};
+    };
+
+    it('reuses its connections instead of opening one to each upstream', () => {
+      // Guards against connections that grow with processes times upstreams.
+      assert.ok(play(CONCURRENT).opened <= CONCURRENT * 2);
+    });
+
+    it('still spreads a burst over all upstreams', () => {
+      // Guards against callers that wait at a busy upstream beside idle ones.
+      assert.equal(play(UPSTREAMS * 2).mostAtOne, 2);
+    });
+  });
 });
--- a/packages/rollout/src/upstreams/chooseUpstream.ts
+++ b/packages/rollout/src/upstreams/chooseUpstream.ts
@@ -23,6 +23,14 @@
   isBackground: boolean;
 }
 
+/** Cost of another failure domain, in requests at the upstream. */
+const OTHER_DOMAIN_COST = 0.5;
+/**
+ * Cost of opening a connection, in requests at the upstream. Without it, each
+ * process of a large deployment opens connections to all upstreams of a pool,
+ * although a few would carry its requests.
+ */
+const NEW_CONNECTION_COST = 0.75;
 /** Fraction of the slots that background requests may take. */
 const BACKGROUND_SHARE = 0.7;
 
@@ -54,7 +62,11 @@
   const isSameDomain = upstream.entry.domain === criteria.domain;
   const slowness =
     (upstream.getEventIntervalMs() ?? shortestIntervalMs) / shortestIntervalMs;
-  const occupancy = upstream.getOccupancy() + 1 + (isSameDomain ? 0 : 0.5);
+  const occupancy =
+    upstream.getOccupancy() +
+    1 +
+    (isSameDomain ? 0 : OTHER_DOMAIN_COST) +
+    (upstream.hasIdleConnection() ? 0 : NEW_CONNECTION_COST);
   return (occupancy * Math.max(1, slowness)) / slots;
 }
 
--- a/packages/rollout/src/upstreams/upstream.ts
+++ b/packages/rollout/src/upstreams/upstream.ts
@@ -103,6 +103,13 @@
     return Math.max(this.inFlight, running + waiting);
   }
 
+  /** Whether a request could be sent without opening a connection. */
+  hasIdleConnection(): boolean {
+    return Object.values(this.agent.freeSockets).some(
+      sockets => sockets !== undefined && sockets.length > 0,
+    );
+  }
+
   markCold(leftMs: number): void {
     const until = this.clock.now() + leftMs + COLD_MARGIN_MS;
     if (until > this.coldUntil) this.coldUntil = until as MonotonicMs;
