Ask for the permission of a request again before each attempt

Cause: a key was checked when the head arrived; the body, a wait for capacity, a retry or a suspension of the process could last seconds, and the request was still sent on a permission that had run out. Result: the forwarder's new tests: no attempt after the permission ended, and with the check removed one of them fails.

--- a/packages/rollout/src/callers/admission.ts
+++ b/packages/rollout/src/callers/admission.ts
@@ -33,6 +33,16 @@
     return {head, routes, route, account, arrivedAt, deadline};
   }
 
+  /** Whether the key of an admitted request is still valid and confirmed. */
+  isStillPermitted(admitted: AdmittedRequest): boolean {
+    const routes = this.configuration.getRoutes();
+    if (!routes) return false;
+    const {head, route, account} = admitted;
+    const current = this.authenticate(head, routes, route);
+    if (current && 'status' in current) return false;
+    return current?.id === account?.id;
+  }
+
   /** Returns the account of a step call, or null if no key is required. */
   authenticateStepCall(head: RequestHead): Account | Refusal | null {
     const routes = this.configuration.getRoutes();
--- a/packages/rollout/src/callers/callerServer.ts
+++ b/packages/rollout/src/callers/callerServer.ts
@@ -24,7 +24,11 @@
 import type {AdmittedRequest} from './admission.js';
 import {Admission} from './admission.js';
 import type {Refusal} from './refusal.js';
-import {RETRY_AFTER_MS, getQuarantineRefusal} from './refusal.js';
+import {
+  RETRY_AFTER_MS,
+  getQuarantineRefusal,
+  getStaleRefusal,
+} from './refusal.js';
 import {StepCallHandler} from './stepCallHandler.js';
 import {forwardStream} from './forwardStream.js';
 
@@ -175,6 +179,10 @@
       request.resume();
       return;
     }
+    if (!this.admission.isStillPermitted(admitted)) {
+      const refusal = getStaleRefusal('the key is no longer known to be valid');
+      return this.refuse(head, response, refusal);
+    }
     this.bufferedBytes += body.length;
     response.on('close', () => (this.bufferedBytes -= body.length));
     await this.serve(admitted, body, response);
@@ -282,6 +290,7 @@
       deadline,
       priority: null,
       isBackground: false,
+      isPermitted: () => this.admission.isStillPermitted(admitted),
     };
     if (route.kind === 'stream') {
       return forwardStream(
--- a/packages/rollout/src/callers/forwardStream.ts
+++ b/packages/rollout/src/callers/forwardStream.ts
@@ -73,6 +73,9 @@
     };
     const tryNext = () => {
       if (isDone) return;
+      if (!request.isPermitted()) {
+        return refuseNotExecuted('the request is no longer permitted');
+      }
       const upstream = chooseUpstream(
         context.directory.getUsable(request.pool.id),
         {
--- /dev/null
+++ b/packages/rollout/src/forwarding/requestForwarder.test.ts
@@ -0,0 +1,64 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {
+  createForwardContext,
+  createForwardRequest,
+} from '../testing/forwardFixture.js';
+import {startRawUpstream} from '../testing/rawUpstream.js';
+import {RequestForwarder} from './requestForwarder.js';
+
+describe('RequestForwarder', () => {
+  describe('with an upstream that answers 500', () => {
+    /** Forwards a request that is permitted for some attempts. */
+    const forward = async (permittedAttempts: number) => {
+      const upstreams = await Promise.all(
+        [1, 2, 3].map(() =>
+          startRawUpstream(socket => {
+            socket.write(
+              'HTTP/1.1 500 Error\r\nid: r1\r\ncontent-length: 0\r\n\r\n',
+            );
+          }),
+        ),
+      );
+      let asked = 0;
+      const forwarder = new RequestForwarder(
+        createForwardContext(upstreams.map(({upstream}) => upstream)),
+        createForwardRequest('idempotent', {
+          isPermitted: () => ++asked <= permittedAttempts,
+        }),
+      );
+      const outcome = await forwarder.run();
+      const sent = upstreams.reduce(
+        (sum, raw) => sum + raw.getConnectionCount(),
+        0,
+      );
+      await Promise.all(upstreams.map(raw => raw.close()));
+      return {tag: outcome.tag, sent};
+    };
+
+    it('sends as many attempts as the route allows', async () => {
+      assert.deepEqual(await forward(3), {tag: 'answered', sent: 3});
+    });
+
+    it('sends no further attempt once the request is no longer permitted', async () => {
+      // Guards against a request that runs on a key that was withdrawn while it
+      // waited for another attempt.
+      assert.deepEqual(await forward(1), {tag: 'answered', sent: 1});
+      assert.deepEqual(await forward(0), {tag: 'not_run', sent: 0});
+    });
+  });
+
+  describe('with a pool that has lost all upstreams', () => {
+    it('refuses at once and says when to return', async () => {
+      // Guards against callers that are held although nobody can serve them.
+      const forwarder = new RequestForwarder(
+        createForwardContext([]),
+        createForwardRequest('idempotent'),
+      );
+      const outcome = await forwarder.run();
+      assert.ok(outcome.tag === 'not_run');
+      assert.ok(outcome.retryAfterMs > 2_000 && outcome.retryAfterMs < 3_334);
+    });
+  });
+});
--- a/packages/rollout/src/forwarding/requestForwarder.ts
+++ b/packages/rollout/src/forwarding/requestForwarder.ts
@@ -58,6 +58,11 @@
    * upstream's slots.
    */
   isBackground: boolean;
+  /**
+   * Whether the request may still run; asked before each attempt, because a key
+   * may be withdrawn while a request waits or this process is suspended.
+   */
+  isPermitted: () => boolean;
 }
 
 /** Outcome of a forwarded request. */
@@ -185,6 +190,10 @@
     if (this.executions >= this.request.route.maxAttempts) return this.giveUp();
     if (this.sends >= MAX_SENDS) return this.giveUp();
     if (this.isQuarantined()) return this.giveUp();
+    if (!this.request.isPermitted()) {
+      this.lastReason = 'the request is no longer permitted';
+      return this.giveUp();
+    }
     if (this.getRemainingMs() < MIN_ATTEMPT_MS) return this.giveUp();
     const upstream = this.choose();
     if (!upstream) return this.waitForCapacity();
--- /dev/null
+++ b/packages/rollout/src/testing/forwardFixture.ts
@@ -0,0 +1,59 @@
+import type {DomainId, RequestId} from '@vanillacross/common';
+import {
+  Metrics,
+  createLogger,
+  getDeadline,
+  systemClock,
+  toBranded,
+} from '@vanillacross/common';
+
+import type {ForwardContext, ForwardRequest} from '../forwarding/index.js';
+import type {Route} from '../model/index.js';
+import type {Upstream} from '../upstreams/index.js';
+import {CrashTracker} from '../upstreams/index.js';
+import {testPool} from './directoryFixture.js';
+import {rawDialect} from './rawUpstream.js';
+
+/** Time limit of a test request, ms. */
+const BUDGET_MS = 10_000;
+
+/** A context whose pools all consist of the given upstreams. */
+export function createForwardContext(
+  upstreams: readonly Upstream[],
+): ForwardContext {
+  const logger = createLogger('test', 'silent');
+  return {
+    directory: {getUsable: () => upstreams},
+    dialect: rawDialect,
+    crashes: new CrashTracker(systemClock, logger, () => {}),
+    clock: systemClock,
+    logger,
+    metrics: new Metrics(),
+    domain: toBranded<DomainId>('a'),
+    getColdShare: () => 1,
+    onExecution: () => {},
+  } as unknown as ForwardContext;
+}
+
+export function createForwardRequest(
+  kind: Route['kind'],
+  overrides: Partial<ForwardRequest> = {},
+): ForwardRequest {
+  const route = {kind, maxAttempts: 3, targetLatencyMs: BUDGET_MS};
+  return {
+    id: toBranded<RequestId>('r1'),
+    route: route as unknown as Route,
+    pool: testPool,
+    method: 'GET',
+    target: '/',
+    host: 'h',
+    headers: {},
+    body: Buffer.alloc(0),
+    account: null,
+    deadline: getDeadline(systemClock.now(), BUDGET_MS),
+    priority: null,
+    isBackground: false,
+    isPermitted: () => true,
+    ...overrides,
+  };
+}
