Read a partition before each answer about its steps, and deliver known results without the store

While the store was away, known results were refused. Change: a state older than 50 ms is read again first; if the store does not answer, results that are known at the asked position are delivered, since results never change.

--- a/packages/rollout/src/callers/stepCallHandler.ts
+++ b/packages/rollout/src/callers/stepCallHandler.ts
@@ -31,7 +31,8 @@
     arrivedAt: MonotonicMs,
     signal: AbortSignal,
   ): Promise<StepCallResult> {
-    const lookup = await this.steps.findStep(call.step, account);
+    const position = call.tag === 'read' ? call.after : Infinity;
+    const lookup = await this.steps.findStep(call.step, account, position);
     if (lookup.tag === 'absent') {
       return fail({status: 404, reason: 'no such step'});
     }
--- a/packages/rollout/src/steps/stepService.ts
+++ b/packages/rollout/src/steps/stepService.ts
@@ -36,9 +36,10 @@
 /**
  * Maximum age of the last read that reached the end of a partition, ms. If it is
  * older, a lookup first reads the partition again, because this process may lack
- * results that another process has already listed.
+ * results that another process has already listed. A trainer that gets only some
+ * of them returns half a second later for the others.
  */
-const MAX_CATCH_UP_AGE_MS = 500;
+const MAX_CATCH_UP_AGE_MS = 50;
 /**
  * Maximum number of attempts to read a partition to its end when looking for an
  * unknown step.
@@ -154,17 +155,28 @@
     await queue.append(encodeStepRecord(record), deadline);
   }
 
-  /** Finds a step of an account, catching up with the stream if necessary. */
+  /**
+   * Finds a step of an account, catching up with the stream if necessary. If the
+   * stream can't be read, a step is still found if its result at a position is
+   * known, because results never change.
+   *
+   * @param position Position of the result that is wanted; Infinity if the caller
+   *     needs the newest state.
+   */
   async findStep(
     id: RequestId,
     account: AccountId | null,
+    position: number,
   ): Promise<StepLookup> {
     const {registry, clock, partitions} = this.options;
     const partition = this.getPartitionIndex(id, account);
     const {tail} = partitions[partition];
     const ageMs = clock.now() - (tail.confirmedAt ?? -Infinity);
     if (ageMs > MAX_CATCH_UP_AGE_MS && !(await tail.catchUp())) {
-      return {tag: 'unsure'};
+      const known = registry.get(partition, id);
+      return known?.step.account === account && known.results.length > position
+        ? {tag: 'found', trackedStep: known}
+        : {tag: 'unsure'};
     }
     let tracked = registry.get(partition, id);
     for (let attempt = 0; !tracked; attempt++) {
