Read streams as often as a process needs them

Change: a partition is read at once where a caller waits, within 30 ms by processes that run its samples, every 250 ms by other runners and every second by the rest, which hold idle reads for 10 s; the control stream every 500 ms and the instance list every 200 ms; joins every 500 ms. A process that acquires partitions reads all at once. Catching up reads up to four pages.

--- a/packages/rollout/src/control/leaseTask.ts
+++ b/packages/rollout/src/control/leaseTask.ts
@@ -72,7 +72,7 @@
       log,
       stream,
       partition: PARTITION,
-      waitMs: LONG_POLL_MS,
+      getWaitMs: () => LONG_POLL_MS,
       getPauseMs: () => POLL_INTERVAL_MS,
       clock,
       logger,
--- a/packages/rollout/src/control/membershipTask.ts
+++ b/packages/rollout/src/control/membershipTask.ts
@@ -4,7 +4,7 @@
 import type {SharedLog} from '../model/index.js';
 
 /** Interval between join calls, ms. */
-const JOIN_INTERVAL_MS = 250;
+const JOIN_INTERVAL_MS = 500;
 /** A member that does not join for this long loses its partitions, ms. */
 const MEMBER_TTL_MS = 1_800;
 /**
--- a/packages/rollout/src/log/streamTail.ts
+++ b/packages/rollout/src/log/streamTail.ts
@@ -8,13 +8,15 @@
 
 /** Delay before a failed read is retried, ms. */
 const RETRY_MS = 150;
+/** Maximum number of reads to catch up with a partition. */
+const MAX_CATCH_UP_PAGES = 4;
 
 export interface StreamTailOptions {
   log: SharedLog;
   stream: string;
   partition: number;
-  /** Time for which the store waits for records before it answers, ms. */
-  waitMs: number;
+  /** Returns for how long the store waits for records before it answers, ms. */
+  getWaitMs: () => number;
   /** Returns the pause after a read that reached the partition's end, ms. */
   getPauseMs: () => number;
   clock: Clock;
@@ -57,17 +59,20 @@
   }
 
   /**
-   * Reads once without long polling. Returns whether every record that the
-   * store had when the read was sent has been applied.
+   * Reads without long polling, a few pages at most. Returns whether every
+   * record that the store had when the last read was sent has been applied.
    */
   async catchUp(): Promise<boolean> {
-    const sentAt = this.options.clock.now();
-    const outcome = await this.read(0);
-    if (!outcome.ok) return false;
-    this.apply(outcome.value.records);
-    if (this.nextOffset < outcome.value.end) return false;
-    this.confirm(sentAt);
-    return true;
+    for (let page = 0; page < MAX_CATCH_UP_PAGES; page++) {
+      const sentAt = this.options.clock.now();
+      const outcome = await this.read(0);
+      if (!outcome.ok) return false;
+      this.apply(outcome.value.records);
+      if (this.nextOffset < outcome.value.end) continue;
+      this.confirm(sentAt);
+      return true;
+    }
+    return false;
   }
 
   /** Ends a pause between two reads. */
@@ -92,7 +97,7 @@
     while (!this.stopController.signal.aborted) {
       const sentAt = clock.now();
       const outcome = await this.longPoll.send(
-        this.confirmedAt === null ? 0 : this.options.waitMs,
+        this.confirmedAt === null ? 0 : this.options.getWaitMs(),
         (waitMs, signal) => this.read(waitMs, signal),
       );
       if (this.stopController.signal.aborted) return;
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -46,11 +46,12 @@
 /** Long-poll time of reads of the control stream, ms. */
 const CONTROL_LONG_POLL_MS = 2_000;
 /**
- * Minimum interval between reads of the control stream, ms. Every process writes
- * to it and reads it, so that without an interval the reads would grow with the
- * square of the number of processes.
+ * Minimum intervals between reads of the control stream, ms. Every process
+ * writes to it and reads it, so that without an interval the reads would grow
+ * with the square of the number of processes. Processes that run samples need
+ * the versions of engines sooner than others.
  */
-const CONTROL_READ_INTERVAL_MS = 100;
+const CONTROL_READ_INTERVAL_MS = {runner: 100, other: 500};
 const SWEEP_INTERVAL_MS = 250;
 /**
  * This process reports that it is not ready once its configuration has been
@@ -168,7 +169,7 @@
       partitionCount: options.stepPartitionCount,
       createQueue: (stream, partition) =>
         this.createQueue(stream, partition, processId),
-      isRunner: () => this.runner.ownsPartitions(),
+      getOwnedPartitions: () => this.runner.getOwnedPartitions(),
     });
     const {partitions, texts} = this.streams;
     const steps = new StepService({
@@ -203,8 +204,11 @@
       log,
       stream: STREAMS.control,
       partition: 0,
-      waitMs: CONTROL_LONG_POLL_MS,
-      getPauseMs: () => CONTROL_READ_INTERVAL_MS,
+      getWaitMs: () => CONTROL_LONG_POLL_MS,
+      getPauseMs: () =>
+        this.runner.ownsPartitions()
+          ? CONTROL_READ_INTERVAL_MS.runner
+          : CONTROL_READ_INTERVAL_MS.other,
       health,
       onEntry: (entry, offset) => feed.apply(entry, offset),
     });
@@ -290,7 +294,11 @@
       minTtlMs: options.minTtlMs,
       clock,
       logger: logger.child('membership'),
-      onPartitions: partitions => this.runner.setOwnedPartitions(partitions),
+      onPartitions: partitions => {
+        if (!this.runner.setOwnedPartitions(partitions)) return;
+        this.streams.hurry();
+        this.controlTail.hurry();
+      },
     });
     this.server = new CallerServer({
       dialect: options.callers,
--- a/packages/rollout/src/platformTails.ts
+++ b/packages/rollout/src/platformTails.ts
@@ -10,7 +10,7 @@
 const CONFIGURATION_LONG_POLL_MS = 800;
 const UPSTREAM_LONG_POLL_MS = 800;
 /** Minimum interval between reads of the instance list, ms. */
-const MIN_UPSTREAM_READ_INTERVAL_MS = 120;
+const MIN_UPSTREAM_READ_INTERVAL_MS = 200;
 
 export interface PlatformTailsOptions {
   log: SharedLog;
--- a/packages/rollout/src/stepStreams.ts
+++ b/packages/rollout/src/stepStreams.ts
@@ -9,14 +9,28 @@
 
 const STEP_STREAM = 'vc-steps';
 const TEXT_STREAM = 'vc-texts';
-/** Long-poll time of reads of the step stream, ms. */
-const STEP_LONG_POLL_MS = 2_000;
 /**
- * Minimum interval between reads of a partition for whose results no caller
- * waits here, ms. It applies to processes that run no samples, which are most of
- * a large deployment.
+ * Long-poll times of reads of the step stream, ms. A read on a connection that
+ * went silent delays the samples of a runner, but no other process, which reads
+ * a partition again before it answers for it.
  */
-const UNWATCHED_READ_INTERVAL_MS = 250;
+const STEP_LONG_POLL_MS = {runner: 2_000, other: 10_000};
+/**
+ * Minimum intervals between reads of a partition, ms, by what this process needs
+ * it for.
+ */
+const READ_INTERVALS_MS = {
+  /** A caller waits here for results. */
+  watched: 0,
+  /** This process runs samples of the partition's steps. */
+  near: 30,
+  /** This process runs samples of very large steps of the partition only. */
+  far: 250,
+  /** This process runs no samples, as most of a large deployment. */
+  unneeded: 1_000,
+};
+/** Number of partitions after that of a step whose owners usually run it. */
+const NEAR_PARTITIONS = 4;
 const DRAIN_POLL_INTERVAL_MS = 10;
 
 export interface StepStreamsOptions {
@@ -24,8 +38,8 @@
   registry: StepRegistry;
   health: StoreHealth;
   partitionCount: number;
-  /** Whether this process runs the samples of any partition. */
-  isRunner: () => boolean;
+  /** Returns the partitions whose samples this process runs. */
+  getOwnedPartitions: () => ReadonlySet<number>;
   createQueue: (stream: string, partition: number) => AppendQueue;
   clock: Clock;
   logger: Logger;
@@ -51,7 +65,7 @@
         ...shared,
         stream: STEP_STREAM,
         partition,
-        waitMs: STEP_LONG_POLL_MS,
+        getWaitMs: () => this.getWaitMs(),
         getPauseMs: () => this.getPauseMs(partition),
         health,
         onEntry: (entry, offset) => this.apply(entry, offset, partition),
@@ -79,6 +93,11 @@
     return () => this.addWatchers(partition, -1);
   }
 
+  /** Ends the pauses between reads, after this process needs more partitions. */
+  hurry(): void {
+    for (const {tail} of this.partitions) tail.hurry();
+  }
+
   /** Returns the number of texts of a partition that are not yet stored. */
   getPendingTextCount(partition: number): number {
     return this.textQueues[partition].size;
@@ -112,9 +131,22 @@
   }
 
   private getPauseMs(partition: number): number {
-    const isWatched = (this.watchers.get(partition) ?? 0) > 0;
-    const {isRunner} = this.options;
-    return isWatched || isRunner() ? 0 : UNWATCHED_READ_INTERVAL_MS;
+    const {getOwnedPartitions, partitionCount} = this.options;
+    const owned = getOwnedPartitions();
+    if ((this.watchers.get(partition) ?? 0) > 0) {
+      return READ_INTERVALS_MS.watched;
+    }
+    if (owned.size === 0) return READ_INTERVALS_MS.unneeded;
+    for (let offset = 0; offset < NEAR_PARTITIONS; offset++) {
+      const runnerPartition = (partition + offset) % partitionCount;
+      if (owned.has(runnerPartition)) return READ_INTERVALS_MS.near;
+    }
+    return READ_INTERVALS_MS.far;
+  }
+
+  private getWaitMs(): number {
+    const isRunner = this.options.getOwnedPartitions().size > 0;
+    return isRunner ? STEP_LONG_POLL_MS.runner : STEP_LONG_POLL_MS.other;
   }
 
   private apply(entry: Buffer, offset: number, partition: number): void {
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -127,21 +127,30 @@
     return this.ownedPartitions.size > 0;
   }
 
-  /** Acquires the given partitions and releases all others. */
-  setOwnedPartitions(partitions: readonly number[]): void {
+  /** Returns the partitions whose samples this process runs. */
+  getOwnedPartitions(): ReadonlySet<number> {
+    return this.ownedPartitions;
+  }
+
+  /**
+   * Acquires the given partitions and releases all others. Returns whether any
+   * were acquired.
+   */
+  setOwnedPartitions(partitions: readonly number[]): boolean {
     for (const partition of [...this.ownedPartitions]) {
       if (!partitions.includes(partition)) this.releasePartition(partition);
     }
     const added = partitions.filter(
       partition => !this.ownedPartitions.has(partition),
     );
-    if (added.length === 0) return;
+    if (added.length === 0) return false;
     for (const partition of added) {
       this.ownedPartitions.add(partition);
       this.options.logger.info('partition acquired', {partition});
     }
     for (const tracked of this.options.registry.getAll()) this.addStep(tracked);
     this.startQueuedSamples();
+    return true;
   }
 
   /** Stops all samples. */
