--- a/packages/rollout/src/control/weightUpdater.ts
+++ b/packages/rollout/src/control/weightUpdater.ts
@@ -23,6 +23,8 @@
 
 /** Interval between planning rounds, ms. */
 const PLAN_INTERVAL_MS = 100;
+/** Interval at which a process without the lease looks for it, ms. */
+const LEASE_POLL_INTERVAL_MS = 400;
 const CALL_TIMEOUT_MS = 600;
 /** Expected time to load a version, ms. */
 const EXPECTED_LOAD_MS = 950;
@@ -71,8 +73,10 @@
   private async run(): Promise<void> {
     const {clock, lease} = this.options;
     while (!this.isStopped) {
-      if (lease.isHeld()) this.planUpdates();
-      await clock.waitUntil(getDeadline(clock.now(), PLAN_INTERVAL_MS));
+      const isHeld = lease.isHeld();
+      if (isHeld) this.planUpdates();
+      const intervalMs = isHeld ? PLAN_INTERVAL_MS : LEASE_POLL_INTERVAL_MS;
+      await clock.waitUntil(getDeadline(clock.now(), intervalMs));
     }
   }
 
