Follow the step streams only where they are needed

Change: a process follows the streams of steps once it is asked about a step, gets a partition or takes the lease; it is ready without them. Partitions are acquired when all steps are known, weights are planned then, and shares of cold engines assume an owner for each partition until then. Partitions beyond those for steps no longer make a process a runner.

--- a/packages/rollout/src/control/weightUpdater.ts
+++ b/packages/rollout/src/control/weightUpdater.ts
@@ -46,6 +46,10 @@
   configuration: ConfigurationState;
   directory: UpstreamDirectory;
   dialect: UpstreamDialect;
+  /** Whether all open steps are known. */
+  areStepsKnown: () => boolean;
+  /** Called when this process has taken the lease. */
+  onLeaseTaken: () => void;
   /** Returns the oldest version of a model that all open steps can use. */
   getNeededVersion: (model: string) => number;
   clock: Clock;
@@ -71,10 +75,13 @@
   }
 
   private async run(): Promise<void> {
-    const {clock, lease} = this.options;
+    const {clock, lease, areStepsKnown, onLeaseTaken} = this.options;
+    let wasHeld = false;
     while (!this.isStopped) {
       const isHeld = lease.isHeld();
-      if (isHeld) this.planUpdates();
+      if (isHeld && !wasHeld) onLeaseTaken();
+      wasHeld = isHeld;
+      if (isHeld && areStepsKnown()) this.planUpdates();
       const intervalMs = isHeld ? PLAN_INTERVAL_MS : LEASE_POLL_INTERVAL_MS;
       await clock.waitUntil(getDeadline(clock.now(), intervalMs));
     }
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -134,6 +134,8 @@
   private readonly controlQueue: AppendQueue;
   private readonly platformTails: PlatformTails;
   private readonly statusServers: StatusServers;
+  private assignedPartitions: readonly number[] = [];
+  private isAcquiring = false;
   private isReady = false;
   private isStopping = false;
   private readonly startedAt;
@@ -170,6 +172,7 @@
       createQueue: (stream, partition) =>
         this.createQueue(stream, partition, processId),
       getOwnedPartitions: () => this.runner.getOwnedPartitions(),
+      isLeaseHeld: () => this.lease.isHeld(),
     });
     const {partitions, texts} = this.streams;
     const steps = new StepService({
@@ -177,6 +180,7 @@
       texts,
       registry: this.registry,
       partitions,
+      followPartition: partition => this.streams.follow(partition),
       watchPartition: partition => this.streams.watch(partition),
       logger: logger.child('steps'),
     });
@@ -239,7 +243,10 @@
     });
     const coldShares = new ColdShares({
       limits,
-      getOpenRunnerCount: () => this.registry.getOpenRunnerCount(),
+      getOpenRunnerCount: () =>
+        this.streams.isCaughtUp()
+          ? this.registry.getOpenRunnerCount()
+          : options.stepPartitionCount,
       getProcessCount: () => time.processCount,
     });
     const forwarding: ForwardContext = {
@@ -276,6 +283,11 @@
     });
     feed.onVersion(() => this.runner.startQueuedSamples());
     this.weightUpdater = new WeightUpdater({
+      areStepsKnown: () => this.streams.isCaughtUp(),
+      onLeaseTaken: () => {
+        this.streams.followAll();
+        this.streams.hurry();
+      },
       getNeededVersion: model => this.registry.getNeededVersion(model),
       lease: this.lease,
       feed,
@@ -294,11 +306,7 @@
       minTtlMs: options.minTtlMs,
       clock,
       logger: logger.child('membership'),
-      onPartitions: partitions => {
-        if (!this.runner.setOwnedPartitions(partitions)) return;
-        this.streams.hurry();
-        this.controlTail.hurry();
-      },
+      onPartitions: partitions => this.assignPartitions(partitions),
     });
     this.server = new CallerServer({
       dialect: options.callers,
@@ -324,21 +332,19 @@
   }
 
   /**
-   * Starts the listeners and joins the deployment once the step and control
-   * streams have been read to their ends and the configuration and upstreams
-   * are known.
+   * Starts the listeners and joins the deployment once the control stream has
+   * been read to its end and the configuration and upstreams are known. Steps
+   * are read when they are needed.
    */
   async start(): Promise<void> {
     const {options} = this;
     const {callerAddress, clock} = options;
     this.platformTails.operator.start();
     this.platformTails.upstreams.start();
-    this.streams.start();
     this.controlTail.start();
     await listenOn(this.server.server, callerAddress);
     await this.statusServers.start();
     void this.sweep();
-    await this.streams.whenCaughtUp();
     await this.controlTail.whenCaughtUp();
     const {upstreams} = this.platformTails;
     while (!this.configuration.getRoutes() || !upstreams.confirmedAt) {
@@ -430,6 +436,29 @@
     return openConnectionCount === 0 || this.options.clock.now() >= quietAt;
   }
 
+  /**
+   * Releases partitions at once and acquires others when the steps are known, so
+   * that samples that are done already are not started again.
+   */
+  private assignPartitions(assigned: readonly number[]): void {
+    const {stepPartitionCount} = this.options;
+    // The store may deal more partitions than there are for steps.
+    const partitions = assigned.filter(index => index < stepPartitionCount);
+    this.assignedPartitions = partitions;
+    const owned = this.runner.getOwnedPartitions();
+    const kept = partitions.filter(partition => owned.has(partition));
+    if (kept.length < owned.size) this.runner.setOwnedPartitions(kept);
+    if (kept.length === partitions.length || this.isAcquiring) return;
+    this.isAcquiring = true;
+    this.controlTail.hurry();
+    void this.streams.catchUpAll().then(() => {
+      this.isAcquiring = false;
+      if (this.isStopping) return;
+      this.runner.setOwnedPartitions(this.assignedPartitions);
+      this.streams.hurry();
+    });
+  }
+
   private isStarting(): boolean {
     const {clock, isFirstStart} = this.options;
     return isFirstStart && clock.now() - this.startedAt < STARTUP_MS;
--- a/packages/rollout/src/stepStreams.test.ts
+++ b/packages/rollout/src/stepStreams.test.ts
@@ -54,12 +54,13 @@
     health: new StoreHealth(clock, logger),
     partitionCount: PARTITIONS,
     getOwnedPartitions: () => new Set(owned),
+    isLeaseHeld: () => false,
     createQueue: () => ({size: 0, close: () => {}}) as unknown as AppendQueue,
     clock,
     logger,
     metrics: new Metrics(),
   });
-  streams.start();
+  streams.follow(PARTITION);
   if (isWatched) streams.watch(PARTITION);
   for (let record = 0; record < RECORDS; record++) {
     end++;
--- a/packages/rollout/src/stepStreams.ts
+++ b/packages/rollout/src/stepStreams.ts
@@ -22,7 +22,7 @@
 const READ_INTERVALS_MS = {
   /** A caller waits here for results. */
   watched: 0,
-  /** This process runs samples of the partition's steps. */
+  /** This process runs samples of the partition's steps or plans for them. */
   near: 30,
   /** This process runs samples of very large steps of the partition only. */
   far: 250,
@@ -40,6 +40,8 @@
   partitionCount: number;
   /** Returns the partitions whose samples this process runs. */
   getOwnedPartitions: () => ReadonlySet<number>;
+  /** Whether this process holds the lease and plans for all steps. */
+  isLeaseHeld: () => boolean;
   createQueue: (stream: string, partition: number) => AppendQueue;
   clock: Clock;
   logger: Logger;
@@ -53,6 +55,7 @@
   readonly partitions: readonly StepPartition[];
   readonly texts: TextStore;
   private readonly textQueues: readonly AppendQueue[];
+  private readonly followed = new Set<number>();
   /** For each partition, the number of callers that wait for its results. */
   private readonly watchers = new Map<number, number>();
 
@@ -77,17 +80,43 @@
     this.texts = new TextStore({...shared, stream: TEXT_STREAM, queues});
   }
 
-  start(): void {
-    for (const {tail} of this.partitions) tail.start();
+  /**
+   * Follows a partition from now on. A process follows only what it is asked
+   * for: when all processes of a deployment start at once, they would otherwise
+   * wait for each other at the store, which limits the bytes that all read.
+   */
+  follow(partition: number): void {
+    if (this.followed.has(partition)) return;
+    this.followed.add(partition);
+    this.partitions[partition].tail.start();
   }
 
-  /** Resolves when each partition has been read to its end at least once. */
-  async whenCaughtUp(): Promise<void> {
-    await Promise.all(this.partitions.map(({tail}) => tail.whenCaughtUp()));
+  /** Follows all partitions, as processes with duties for all steps must. */
+  followAll(): void {
+    this.partitions.forEach((_, partition) => this.follow(partition));
+  }
+
+  /** Whether every partition has been read to its end at least once. */
+  isCaughtUp(): boolean {
+    return this.partitions.every(({tail}) => tail.confirmedAt !== null);
+  }
+
+  /**
+   * Follows all partitions and resolves when each has been read to its end, for
+   * those that were followed before as of now or if the store does not answer.
+   */
+  async catchUpAll(): Promise<void> {
+    this.followAll();
+    await Promise.all(
+      this.partitions.map(({tail}) =>
+        tail.confirmedAt === null ? tail.whenCaughtUp() : tail.catchUp(),
+      ),
+    );
   }
 
   /** Reads a partition without pauses until the returned function is called. */
   watch(partition: number): () => void {
+    this.follow(partition);
     this.addWatchers(partition, 1);
     this.partitions[partition].tail.hurry();
     return () => this.addWatchers(partition, -1);
@@ -131,11 +160,12 @@
   }
 
   private getPauseMs(partition: number): number {
-    const {getOwnedPartitions, partitionCount} = this.options;
+    const {getOwnedPartitions, isLeaseHeld, partitionCount} = this.options;
     const owned = getOwnedPartitions();
     if ((this.watchers.get(partition) ?? 0) > 0) {
       return READ_INTERVALS_MS.watched;
     }
+    if (isLeaseHeld()) return READ_INTERVALS_MS.near;
     if (owned.size === 0) return READ_INTERVALS_MS.unneeded;
     for (let offset = 0; offset < NEAR_PARTITIONS; offset++) {
       const runnerPartition = (partition + offset) % partitionCount;
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -132,25 +132,21 @@
     return this.ownedPartitions;
   }
 
-  /**
-   * Acquires the given partitions and releases all others. Returns whether any
-   * were acquired.
-   */
-  setOwnedPartitions(partitions: readonly number[]): boolean {
+  /** Acquires the given partitions and releases all others. */
+  setOwnedPartitions(partitions: readonly number[]): void {
     for (const partition of [...this.ownedPartitions]) {
       if (!partitions.includes(partition)) this.releasePartition(partition);
     }
     const added = partitions.filter(
       partition => !this.ownedPartitions.has(partition),
     );
-    if (added.length === 0) return false;
+    if (added.length === 0) return;
     for (const partition of added) {
       this.ownedPartitions.add(partition);
       this.options.logger.info('partition acquired', {partition});
     }
     for (const tracked of this.options.registry.getAll()) this.addStep(tracked);
     this.startQueuedSamples();
-    return true;
   }
 
   /** Stops all samples. */
--- a/packages/rollout/src/steps/stepService.ts
+++ b/packages/rollout/src/steps/stepService.ts
@@ -40,6 +40,8 @@
  * of them returns half a second later for the others.
  */
 const MAX_CATCH_UP_AGE_MS = 50;
+/** Time for the first read of a partition that a caller asks for, ms. */
+const FIRST_READ_TIMEOUT_MS = 1_200;
 /**
  * Maximum number of attempts to read a partition to its end when looking for an
  * unknown step.
@@ -71,6 +73,8 @@
   registry: StepRegistry;
   partitions: readonly StepPartition[];
   texts: TextStore;
+  /** Follows a partition from now on. */
+  followPartition: (partition: number) => void;
   /** Reads a partition without pauses until the returned function is called. */
   watchPartition: (partition: number) => () => void;
   clock: Clock;
@@ -171,6 +175,12 @@
     const {registry, clock, partitions} = this.options;
     const partition = this.getPartitionIndex(id, account);
     const {tail} = partitions[partition];
+    if (tail.confirmedAt === null) {
+      this.options.followPartition(partition);
+      const deadline = getDeadline(clock.now(), FIRST_READ_TIMEOUT_MS);
+      await Promise.race([tail.whenCaughtUp(), clock.waitUntil(deadline)]);
+      if (tail.confirmedAt === null) return {tag: 'unsure'};
+    }
     const ageMs = clock.now() - (tail.confirmedAt ?? -Infinity);
     if (ageMs > MAX_CATCH_UP_AGE_MS && !(await tail.catchUp())) {
       const known = registry.get(partition, id);
--- a/packages/rollout/src/upstreams/coldShares.ts
+++ b/packages/rollout/src/upstreams/coldShares.ts
@@ -1,7 +1,7 @@
 import type {DeploymentLimits, Pool} from '../model/index.js';
 
 /** Additional partition owners that may run samples during a handover. */
-const HANDOVER_OWNERS = 2;
+const HANDOVER_OWNERS = 3;
 /** Minimum number of processes that are assumed to serve callers. */
 const MIN_CALLER_PROCESSES = 16;
 /** Allows for processes that began to serve since they were last counted. */
