Read partitions anew when a process becomes responsible for them

Cause: a process without samples holds idle reads for 10 s; if such a read was on a connection that had gone silent when it acquired a partition or the lease, it would see new steps only when the read timed out. Change: held reads are aborted and sent again on acquisition; the lease holder holds reads for 2 s, as runners do. Result: unit test of the abort; the suites of the node pass.

--- a/packages/rollout/src/log/longPollReader.test.ts
+++ b/packages/rollout/src/log/longPollReader.test.ts
@@ -36,6 +36,13 @@
     assert.equal(await read, null);
   });
 
+  it('aborts a held read on request (guards against a new owner that waits for a connection that went silent)', async () => {
+    const {reader} = createFixture();
+    const read = sendUnanswered(reader);
+    reader.abort();
+    assert.equal(await read, null);
+  });
+
   it('does not abort a read after a single lost response', async () => {
     const {clock, health, stopping, reader} = createFixture();
     let isEnded = false;
--- a/packages/rollout/src/log/longPollReader.ts
+++ b/packages/rollout/src/log/longPollReader.ts
@@ -13,7 +13,12 @@
     private readonly health: StoreHealth,
     private readonly stopSignal: AbortSignal,
   ) {
-    health.onReconnect(() => this.current?.abort());
+    health.onReconnect(() => this.abort());
+  }
+
+  /** Aborts the read in flight, if any, so that it is sent again. */
+  abort(): void {
+    this.current?.abort();
   }
 
   /** Returns the outcome of a read; null if it was aborted. */
--- a/packages/rollout/src/log/streamTail.ts
+++ b/packages/rollout/src/log/streamTail.ts
@@ -80,6 +80,12 @@
     this.endPause();
   }
 
+  /** Reads anew, as a held read may be on a connection that went silent. */
+  restart(): void {
+    this.endPause();
+    this.longPoll.abort();
+  }
+
   /** Resolves after the first read that reached the end of the partition. */
   whenCaughtUp(): Promise<void> {
     if (this.confirmedAt !== null) return Promise.resolve();
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -286,7 +286,7 @@
       areStepsKnown: () => this.streams.isCaughtUp(),
       onLeaseTaken: () => {
         this.streams.followAll();
-        this.streams.hurry();
+        this.streams.restart();
       },
       getNeededVersion: model => this.registry.getNeededVersion(model),
       lease: this.lease,
@@ -455,7 +455,7 @@
       this.isAcquiring = false;
       if (this.isStopping) return;
       this.runner.setOwnedPartitions(this.assignedPartitions);
-      this.streams.hurry();
+      this.streams.restart();
     });
   }
 
--- a/packages/rollout/src/stepStreams.ts
+++ b/packages/rollout/src/stepStreams.ts
@@ -122,9 +122,9 @@
     return () => this.addWatchers(partition, -1);
   }
 
-  /** Ends the pauses between reads, after this process needs more partitions. */
-  hurry(): void {
-    for (const {tail} of this.partitions) tail.hurry();
+  /** Reads all partitions anew, after this process needs more of them. */
+  restart(): void {
+    for (const {tail} of this.partitions) tail.restart();
   }
 
   /** Returns the number of texts of a partition that are not yet stored. */
@@ -175,7 +175,8 @@
   }
 
   private getWaitMs(): number {
-    const isRunner = this.options.getOwnedPartitions().size > 0;
+    const {getOwnedPartitions, isLeaseHeld} = this.options;
+    const isRunner = getOwnedPartitions().size > 0 || isLeaseHeld();
     return isRunner ? STEP_LONG_POLL_MS.runner : STEP_LONG_POLL_MS.other;
   }
 
