--- /dev/null
+++ b/packages/rollout/src/control/membershipTask.test.ts
@@ -0,0 +1,59 @@
+import {ManualClock, createLogger, ok} from '@vanillacross/common';
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {setImmediate} from 'node:timers/promises';
+
+import type {SharedLog} from '../model/index.js';
+import {MembershipTask} from './membershipTask.js';
+
+const TICK_MS = 10;
+/** Time after which the store reports a new assignment, ms. */
+const CHANGE_AT_MS = 3_000;
+
+/** Plays a member; returns the times at which it joined, ms. */
+async function play(durationMs: number): Promise<number[]> {
+  const clock = new ManualClock();
+  const joins: number[] = [];
+  const log = {
+    join: () => {
+      joins.push(clock.now());
+      const generation = clock.now() < CHANGE_AT_MS ? 1 : 2;
+      return Promise.resolve(ok({generation, partitions: [0]}));
+    },
+  } as unknown as SharedLog;
+  const task = new MembershipTask({
+    log,
+    group: 'g',
+    member: 'm',
+    stream: 's',
+    minTtlMs: 1_000,
+    clock,
+    logger: createLogger('test', 'silent'),
+    onPartitions: () => {},
+  });
+  task.start();
+  for (let elapsed = 0; elapsed < durationMs; elapsed += TICK_MS) {
+    await setImmediate();
+    clock.advance(TICK_MS);
+  }
+  task.halt();
+  return joins;
+}
+
+describe('MembershipTask', () => {
+  it('joins rarely while the assignment is stable', async () => {
+    // Guards against store calls that grow with the number of processes.
+    const stable = (await play(CHANGE_AT_MS)).filter(at => at >= 2_000);
+    assert.ok(stable.length <= 2, `${stable.length} joins in a second`);
+  });
+
+  it('joins often while partitions move', async () => {
+    // Guards against samples that stand still between two owners.
+    const joins = await play(CHANGE_AT_MS + 1_500);
+    const noticedAt = joins.find(at => at >= CHANGE_AT_MS)!;
+    const moving = joins.filter(
+      at => at > noticedAt && at <= noticedAt + 1_000,
+    );
+    assert.ok(moving.length >= 8, `${moving.length} joins in a second`);
+  });
+});
--- a/packages/rollout/src/control/membershipTask.ts
+++ b/packages/rollout/src/control/membershipTask.ts
@@ -3,8 +3,15 @@
 
 import type {SharedLog} from '../model/index.js';
 
-/** Interval between join calls, ms. */
+/** Interval between join calls while the assignment is stable, ms. */
 const JOIN_INTERVAL_MS = 500;
+/**
+ * Interval between join calls after the assignment has changed, ms. The samples
+ * of a partition stand still from its release until its next owner has joined.
+ */
+const REBALANCING_JOIN_INTERVAL_MS = 100;
+/** Time after a change for which partitions may still move, ms. */
+const REBALANCING_MS = 1_500;
 /** A member that does not join for this long loses its partitions, ms. */
 const MEMBER_TTL_MS = 1_800;
 /**
@@ -29,6 +36,7 @@
 export class MembershipTask {
   private generation = 0;
   private confirmedAt: MonotonicMs | null = null;
+  private rebalancingUntil: MonotonicMs | null = null;
   private partitions: readonly number[] = [];
   private isStopped = false;
 
@@ -63,10 +71,17 @@
     const {clock} = this.options;
     while (!this.isStopped) {
       await this.join();
-      await clock.waitUntil(getDeadline(clock.now(), JOIN_INTERVAL_MS));
+      await clock.waitUntil(getDeadline(clock.now(), this.getIntervalMs()));
     }
   }
 
+  private getIntervalMs(): number {
+    const now = this.options.clock.now();
+    const isRebalancing =
+      this.rebalancingUntil !== null && now < this.rebalancingUntil;
+    return isRebalancing ? REBALANCING_JOIN_INTERVAL_MS : JOIN_INTERVAL_MS;
+  }
+
   private async join(): Promise<void> {
     const {log, group, member, stream, clock, logger} = this.options;
     const ttlMs = Math.max(MEMBER_TTL_MS, this.options.minTtlMs);
@@ -86,6 +101,9 @@
       return;
     }
     this.confirmedAt = sentAt;
+    if (outcome.value.generation !== this.generation) {
+      this.rebalancingUntil = getDeadline(clock.now(), REBALANCING_MS);
+    }
     this.generation = outcome.value.generation;
     this.assign(outcome.value.partitions);
   }
