Let the lease model's broken variants run until they are caught

Cause: with some seeds the variant with a long lease was not caught within 12 runs, because its holder was never paused or cut off for long enough; the invariants held with all seeds. Change: a broken variant runs up to 80 plays and has to be caught in one of them; the sound one plays 12 as before.

--- a/packages/rollout/src/control/leaseTask.test.ts
+++ b/packages/rollout/src/control/leaseTask.test.ts
@@ -26,6 +26,8 @@
 const PLAY_MS = 40_000;
 const PROCESSES = 4;
 const RUNS = 12;
+/** Runs within which a variant that is broken on purpose has to be caught. */
+const MAX_BROKEN_RUNS = 80;
 /** Turns of the event loop after which all due callbacks have run. */
 const TURNS = 4;
 
@@ -240,25 +242,35 @@
   return {faults, acts};
 }
 
-async function playRuns(variant: Omit<Play, 'seed'>) {
+async function playRuns() {
   const first = getFuzzSeed();
   const faults: string[] = [];
   let acts = 0;
   for (let run = 0; run < RUNS; run++) {
     const seed = first + run;
-    const played = await play({...variant, seed});
+    const played = await play({seed});
     acts += played.acts;
     faults.push(...played.faults.map(fault => `seed ${seed}, ${fault}`));
   }
   return {faults, acts};
 }
 
+/** Returns whether a run of a variant goes wrong. */
+async function isCaught(variant: Omit<Play, 'seed'>): Promise<boolean> {
+  const first = getFuzzSeed();
+  for (let run = 0; run < MAX_BROKEN_RUNS; run++) {
+    const {faults} = await play({...variant, seed: first + run});
+    if (faults.length > 0) return true;
+  }
+  return false;
+}
+
 describe('LeaseTask', () => {
   describe('with pauses, outages, lost and late appends', () => {
     // Guards against two processes that both send orders, and against a process
     // that acts after a pause on a lease that has run out.
     it('never lets two processes act in turns or with older tokens', async () => {
-      const {faults, acts} = await playRuns({});
+      const {faults, acts} = await playRuns();
       assert.deepEqual(faults, []);
       assert.ok(acts > 0, 'nobody held the lease');
     });
@@ -266,13 +278,11 @@
 
   describe('broken on purpose (shows that the model can fail)', () => {
     it('is caught if the store ignores the condition of an append', async () => {
-      const {faults} = await playRuns({ignoresConditions: true});
-      assert.notDeepEqual(faults, []);
+      assert.ok(await isCaught({ignoresConditions: true}));
     });
 
     it('is caught if a holder acts for longer than its successors wait', async () => {
-      const {faults} = await playRuns({firstLeaseMs: 4 * LEASE_MS});
-      assert.notDeepEqual(faults, []);
+      assert.ok(await isCaught({firstLeaseMs: 4 * LEASE_MS}));
     });
   });
 });
