--- a/packages/rollout/src/upstreams/responseEnd.ts
+++ b/packages/rollout/src/upstreams/responseEnd.ts
@@ -1,8 +1,8 @@
 import type {IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 
-const watched = new WeakSet<Socket>();
-const reset = new WeakSet<Socket>();
+const watchedSockets = new WeakSet<Socket>();
+const resetSockets = new WeakSet<Socket>();
 
 /**
  * Watches whether the peer resets a connection. libuv reports data and a reset
@@ -11,10 +11,10 @@
  * caches it.
  */
 export function watchForReset(socket: Socket): void {
-  if (watched.has(socket)) return;
-  watched.add(socket);
+  if (watchedSockets.has(socket)) return;
+  watchedSockets.add(socket);
   socket.prependOnceListener('end', () => {
-    if (socket.remoteAddress === undefined) reset.add(socket);
+    if (socket.remoteAddress === undefined) resetSockets.add(socket);
   });
 }
 
@@ -28,5 +28,5 @@
   const isDelimited =
     headers['content-length'] !== undefined ||
     headers['transfer-encoding'] !== undefined;
-  return response.complete && (isDelimited || !reset.has(socket));
+  return response.complete && (isDelimited || !resetSockets.has(socket));
 }
