--- a/packages/bench/src/routingModel.ts
+++ b/packages/bench/src/routingModel.ts
@@ -1,3 +1,4 @@
+import {createRandom} from '@vanillacross/common';
 import type {ChoicePolicy, UpstreamView} from '@vanillacross/domain';
 import {chooseUpstream} from '@vanillacross/domain';
 
@@ -60,17 +61,6 @@
 /** Share of the run that the results leave out because caches are filling. */
 const WARM_UP_SHARE = 0.2;
 
-/** Creates a seeded pseudo-random number generator (mulberry32). */
-function createRandom(seed: number): () => number {
-  let state = seed >>> 0;
-  return () => {
-    state = (state + 0x6d2b79f5) >>> 0;
-    let value = Math.imul(state ^ (state >>> 15), state | 1);
-    value ^= value + Math.imul(value ^ (value >>> 7), value | 61);
-    return ((value ^ (value >>> 14)) >>> 0) / 2 ** 32;
-  };
-}
-
 /** Priority queue of events by time, implemented as a binary heap. */
 class EventQueue {
   private readonly heap: SimulationEvent[] = [];
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -7,6 +7,7 @@
 export * from './logRateLimiter.js';
 export * from './logger.js';
 export * from './metrics.js';
+export * from './random.js';
 export * from './result.js';
 export * from './rpc.js';
 export * from './settings.js';
--- a/packages/domain/src/leaseModel.test.ts
+++ b/packages/domain/src/leaseModel.test.ts
@@ -1,3 +1,4 @@
+import {createRandom} from '@vanillacross/common';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
@@ -51,18 +52,10 @@
   hasArrived: boolean;
 }
 
-/**
- * Seeded pseudorandom number generator (mulberry32); returns integers below
- * `below`.
- */
-function createRandom(seed: number): (below: number) => number {
-  let value = seed;
-  return below => {
-    value = (value + 0x6d2b79f5) | 0;
-    let hash = Math.imul(value ^ (value >>> 15), 1 | value);
-    hash ^= hash + Math.imul(hash ^ (hash >>> 7), 61 | hash);
-    return ((hash ^ (hash >>> 14)) >>> 0) % below;
-  };
+/** Creates a seeded generator of integers below `below`. */
+function createRandomInteger(seed: number): (below: number) => number {
+  const random = createRandom(seed);
+  return below => (random() * 2 ** 32) % below;
 }
 
 /** One random interleaving of two or three entries. */
@@ -81,7 +74,7 @@
     seed: number,
     private readonly fault: Fault,
   ) {
-    this.random = createRandom(seed);
+    this.random = createRandomInteger(seed);
     this.processes = Array.from({length: 2 + (seed % 2)}, (_, index) =>
       this.createProcess(1 + (index - 1) * 0.04),
     );
--- a/packages/domain/src/startOrder.test.ts
+++ b/packages/domain/src/startOrder.test.ts
@@ -1,3 +1,4 @@
+import {createRandom} from '@vanillacross/common';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
@@ -36,17 +37,6 @@
   isRunning: boolean;
 }
 
-/** Mulberry32. */
-function createRandom(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
-    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
-  };
-}
-
 /** Lengths spread widely, with a tail; the estimates are off by half. */
 function createStep(
   acceptedAt: number,
--- a/packages/rollout/src/control/leaseTask.test.ts
+++ b/packages/rollout/src/control/leaseTask.test.ts
@@ -3,6 +3,7 @@
   ManualClock,
   Metrics,
   createLogger,
+  createRandom,
   fail,
   getFuzzSeed,
   ok,
@@ -33,17 +34,6 @@
 
 type Random = () => number;
 
-/** Mulberry32. */
-function createRandom(seed: number): Random {
-  let state = seed;
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
-    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
-  };
-}
-
 /** The clock of a process that may be paused: its callbacks wait meanwhile. */
 class PausableClock implements Clock {
   private isPaused = false;
