Let a tail know its watchers and whether it has started

StepStreams kept a set of followed partitions and a count of watchers beside the tails, and StepService got two callbacks to reach them although it holds the tails. StreamTail.start is idempotent now and StreamTail.watch counts; the set, the map and the callbacks go. Which partitions are near is asked of the rule that deals samples to owners (getRunnerPartitions) instead of a second formula, and ownsPartitions, which said the same as getOwnedPartitions, is gone. Behaviour is the same.

--- a/packages/rollout/src/log/streamTail.ts
+++ b/packages/rollout/src/log/streamTail.ts
@@ -42,6 +42,8 @@
   private readonly longPoll: LongPollReader;
   private caughtUpResolvers: Array<() => void> = [];
   private endPause: () => void = () => undefined;
+  private isStarted = false;
+  private watcherCount = 0;
 
   constructor(private readonly options: StreamTailOptions) {
     this.longPoll = new LongPollReader(
@@ -50,7 +52,10 @@
     );
   }
 
+  /** Follows the partition from now on; has no effect if it is followed. */
   start(): void {
+    if (this.isStarted) return;
+    this.isStarted = true;
     void this.run();
   }
 
@@ -75,6 +80,14 @@
     return false;
   }
 
+  /** Follows without pauses until the returned function is called. */
+  watch(): () => void {
+    this.start();
+    this.watcherCount++;
+    this.endPause();
+    return () => this.watcherCount--;
+  }
+
   /** Ends a pause between two reads. */
   hurry(): void {
     this.endPause();
@@ -108,7 +121,7 @@
       );
       if (this.stopController.signal.aborted) return;
       if (!outcome) continue;
-      let delayMs = this.options.getPauseMs();
+      let delayMs = this.watcherCount > 0 ? 0 : this.options.getPauseMs();
       if (outcome.ok) {
         health.recordSuccess();
         this.apply(outcome.value.records);
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -180,8 +180,6 @@
       texts,
       registry: this.registry,
       partitions,
-      followPartition: partition => this.streams.follow(partition),
-      watchPartition: partition => this.streams.watch(partition),
       logger: logger.child('steps'),
     });
     const ledger = new UsageLedger();
@@ -210,7 +208,7 @@
       partition: 0,
       getWaitMs: () => CONTROL_LONG_POLL_MS,
       getPauseMs: () =>
-        this.runner.ownsPartitions()
+        this.runner.getOwnedPartitions().size > 0
           ? CONTROL_READ_INTERVAL_MS.runner
           : CONTROL_READ_INTERVAL_MS.other,
       health,
--- a/packages/rollout/src/stepStreams.test.ts
+++ b/packages/rollout/src/stepStreams.test.ts
@@ -60,8 +60,9 @@
     logger,
     metrics: new Metrics(),
   });
-  streams.follow(PARTITION);
-  if (isWatched) streams.watch(PARTITION);
+  const {tail} = streams.partitions[PARTITION];
+  tail.start();
+  if (isWatched) tail.watch();
   for (let record = 0; record < RECORDS; record++) {
     end++;
     for (const answer of held) answer();
--- a/packages/rollout/src/stepStreams.ts
+++ b/packages/rollout/src/stepStreams.ts
@@ -5,7 +5,7 @@
 import {StreamTail, TextStore} from './log/index.js';
 import type {Deadline, SharedLog} from './model/index.js';
 import type {StepRegistry, StepPartition} from './steps/index.js';
-import {decodeStepRecord} from './steps/index.js';
+import {decodeStepRecord, getRunnerPartitions} from './steps/index.js';
 
 const STEP_STREAM = 'vc-steps';
 const TEXT_STREAM = 'vc-texts';
@@ -20,8 +20,6 @@
  * it for.
  */
 const READ_INTERVALS_MS = {
-  /** A caller waits here for results. */
-  watched: 0,
   /** This process runs samples of the partition's steps or plans for them. */
   near: 30,
   /** This process runs samples of very large steps of the partition only. */
@@ -29,8 +27,8 @@
   /** This process runs no samples, as most of a large deployment. */
   unneeded: 1_000,
 };
-/** Number of partitions after that of a step whose owners usually run it. */
-const NEAR_PARTITIONS = 4;
+/** Number of samples up to which a step is not very large. */
+const USUAL_STEP_SAMPLES = 160;
 const DRAIN_POLL_INTERVAL_MS = 10;
 
 export interface StepStreamsOptions {
@@ -55,9 +53,6 @@
   readonly partitions: readonly StepPartition[];
   readonly texts: TextStore;
   private readonly textQueues: readonly AppendQueue[];
-  private readonly followed = new Set<number>();
-  /** For each partition, the number of callers that wait for its results. */
-  private readonly watchers = new Map<number, number>();
 
   constructor(private readonly options: StepStreamsOptions) {
     const {log, clock, metrics, health, partitionCount, createQueue} = options;
@@ -81,19 +76,13 @@
   }
 
   /**
-   * Follows a partition from now on. A process follows only what it is asked
-   * for: when all processes of a deployment start at once, they would otherwise
-   * wait for each other at the store, which limits the bytes that all read.
+   * Follows all partitions, as processes with duties for all steps must. Others
+   * follow only what they are asked for: when all processes of a deployment
+   * start at once, they would otherwise wait for each other at the store, which
+   * limits the bytes that all read.
    */
-  follow(partition: number): void {
-    if (this.followed.has(partition)) return;
-    this.followed.add(partition);
-    this.partitions[partition].tail.start();
-  }
-
-  /** Follows all partitions, as processes with duties for all steps must. */
   followAll(): void {
-    this.partitions.forEach((_, partition) => this.follow(partition));
+    for (const {tail} of this.partitions) tail.start();
   }
 
   /** Whether every partition has been read to its end at least once. */
@@ -114,14 +103,6 @@
     );
   }
 
-  /** Reads a partition without pauses until the returned function is called. */
-  watch(partition: number): () => void {
-    this.follow(partition);
-    this.addWatchers(partition, 1);
-    this.partitions[partition].tail.hurry();
-    return () => this.addWatchers(partition, -1);
-  }
-
   /** Reads all partitions anew, after this process needs more of them. */
   restart(): void {
     for (const {tail} of this.partitions) tail.restart();
@@ -155,23 +136,17 @@
     for (const queue of this.textQueues) queue.close();
   }
 
-  private addWatchers(partition: number, count: number): void {
-    this.watchers.set(partition, (this.watchers.get(partition) ?? 0) + count);
-  }
-
   private getPauseMs(partition: number): number {
     const {getOwnedPartitions, isLeaseHeld, partitionCount} = this.options;
     const owned = getOwnedPartitions();
-    if ((this.watchers.get(partition) ?? 0) > 0) {
-      return READ_INTERVALS_MS.watched;
-    }
     if (isLeaseHeld()) return READ_INTERVALS_MS.near;
     if (owned.size === 0) return READ_INTERVALS_MS.unneeded;
-    for (let offset = 0; offset < NEAR_PARTITIONS; offset++) {
-      const runnerPartition = (partition + offset) % partitionCount;
-      if (owned.has(runnerPartition)) return READ_INTERVALS_MS.near;
-    }
-    return READ_INTERVALS_MS.far;
+    const isNear = getRunnerPartitions(
+      partition,
+      USUAL_STEP_SAMPLES,
+      partitionCount,
+    ).some(runnerPartition => owned.has(runnerPartition));
+    return isNear ? READ_INTERVALS_MS.near : READ_INTERVALS_MS.far;
   }
 
   private getWaitMs(): number {
--- a/packages/rollout/src/steps/index.ts
+++ b/packages/rollout/src/steps/index.ts
@@ -2,6 +2,7 @@
 export * from './generation.js';
 export * from './progress.js';
 export * from './records.js';
+export * from './runnerPartition.js';
 export * from './sampleTask.js';
 export * from './sampleText.js';
 export * from './stepRegistry.js';
--- a/packages/rollout/src/steps/runnerPartition.ts
+++ b/packages/rollout/src/steps/runnerPartition.ts
@@ -18,6 +18,21 @@
   return (stepPartition + partitionOffset) % partitionCount;
 }
 
+/** Returns the partitions whose owners run the samples of a step. */
+export function getRunnerPartitions(
+  stepPartition: number,
+  samples: number,
+  partitionCount: number,
+): number[] {
+  return Array.from({length: getRunnerPartitionCount(samples)}, (_, owner) =>
+    getRunnerPartition(
+      stepPartition,
+      owner * SAMPLES_PER_OWNER,
+      partitionCount,
+    ),
+  );
+}
+
 /**
  * Returns the number of partitions whose owners run the samples of a step. It
  * is an upper bound: for a large step it may exceed the partition count.
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -122,11 +122,6 @@
     return this.tasks.size;
   }
 
-  /** Whether this process runs the samples of any partition. */
-  ownsPartitions(): boolean {
-    return this.ownedPartitions.size > 0;
-  }
-
   /** Returns the partitions whose samples this process runs. */
   getOwnedPartitions(): ReadonlySet<number> {
     return this.ownedPartitions;
--- a/packages/rollout/src/steps/stepService.ts
+++ b/packages/rollout/src/steps/stepService.ts
@@ -73,10 +73,6 @@
   registry: StepRegistry;
   partitions: readonly StepPartition[];
   texts: TextStore;
-  /** Follows a partition from now on. */
-  followPartition: (partition: number) => void;
-  /** Reads a partition without pauses until the returned function is called. */
-  watchPartition: (partition: number) => () => void;
   clock: Clock;
   logger: Logger;
   metrics: Metrics;
@@ -176,12 +172,12 @@
     const partition = this.getPartitionIndex(id, account);
     const {tail} = partitions[partition];
     if (tail.confirmedAt === null) {
-      this.options.followPartition(partition);
+      tail.start();
       const deadline = getDeadline(clock.now(), FIRST_READ_TIMEOUT_MS);
       await Promise.race([tail.whenCaughtUp(), clock.waitUntil(deadline)]);
       if (tail.confirmedAt === null) return {tag: 'unsure'};
     }
-    const ageMs = clock.now() - (tail.confirmedAt ?? -Infinity);
+    const ageMs = clock.now() - tail.confirmedAt;
     if (ageMs > MAX_CATCH_UP_AGE_MS && !(await tail.catchUp())) {
       const known = registry.get(partition, id);
       return known?.step.account === account && known.results.length > position
@@ -236,14 +232,14 @@
     deadline: MonotonicMs,
     signal: AbortSignal,
   ): Promise<void> {
-    const {clock} = this.options;
+    const {clock, partitions} = this.options;
     const isDone = () =>
       signal.aborted ||
       tracked.results.length > after ||
       tracked.isEnded ||
       clock.now() >= deadline;
     if (isDone()) return;
-    const stopWatching = this.options.watchPartition(tracked.partition);
+    const stopWatching = partitions[tracked.partition].tail.watch();
     while (!isDone()) await this.waitForChange(tracked, deadline, signal);
     stopWatching();
   }
