Sort samples themselves instead of a copy of each

Each look for room, every 25 ms while samples wait, built a wrapper and a key for each queued sample. SampleTask has the fields that the order depends on, so the tasks are sorted directly. The order is the same.

--- a/packages/rollout/src/steps/sampleTask.ts
+++ b/packages/rollout/src/steps/sampleTask.ts
@@ -21,7 +21,7 @@
 }
 
 /** The execution of one sample of an open step by this process. */
-export class SampleTask {
+export class SampleTask implements QueuedSample {
   stage: SampleStage = 'queued';
   /**
    * Earlier result of this sample, whose text and versions are reused; null if
@@ -106,15 +106,16 @@
     this.storedEvents = 0;
   }
 
-  /** Returns what the order in which samples start depends on. */
-  getQueuedSample(): QueuedSample {
-    const {sample, position, trackedStep: tracked} = this;
-    return {
-      acceptedAt: tracked.step.acceptedAt,
-      unfinishedInGroup: tracked.unlistedByGroup.get(sample.group) ?? 0,
-      expectedTokens: sample.expectedTokens ?? sample.tokens,
-      position,
-    };
+  get acceptedAt(): number {
+    return this.trackedStep.step.acceptedAt;
+  }
+
+  get unfinishedInGroup(): number {
+    return this.trackedStep.unlistedByGroup.get(this.sample.group) ?? 0;
+  }
+
+  get expectedTokens(): number {
+    return this.sample.expectedTokens ?? this.sample.tokens;
   }
 
   /** Whether an unfinished sample may be abandoned. */
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -287,13 +287,11 @@
   /** Starts queued samples while engines have room. */
   startQueuedSamples(): void {
     if (this.isStopped) return;
-    const queued = [...this.tasks.values()]
-      .filter(({stage}) => stage === 'queued')
-      .map(task => ({task, sample: task.getQueuedSample()}));
+    const queued = [...this.tasks.values()].filter(t => t.stage === 'queued');
     if (queued.length === 0) return;
-    queued.sort((a, b) => compareQueuedSamples(a.sample, b.sample));
+    queued.sort(compareQueuedSamples);
     let hasRemaining = false;
-    for (const {task} of queued) {
+    for (const task of queued) {
       if (!this.tryStart(task)) hasRemaining = true;
     }
     if (hasRemaining) this.scheduleStart();
