Choose an upstream for a request in one place

The forwarder and the stream each built the same criteria and held the same text for a request that is no longer permitted; chooseForRequest and NOT_PERMITTED_REASON serve both. The shortest retry delay stood three times. Behaviour is the same.

--- a/packages/domain/src/capacityWait.ts
+++ b/packages/domain/src/capacityWait.ts
@@ -23,7 +23,8 @@
  * state of the pool.
  */
 const RETURN_SHARE = 0.25;
-const MIN_RETRY_AFTER_MS = 60;
+/** Shortest retry delay for a caller whose request was refused, ms. */
+export const MIN_RETRY_AFTER_MS = 60;
 
 /**
  * Decides whether a request waits for an upstream or is refused. It answers a
--- a/packages/rollout/src/callers/callerServer.ts
+++ b/packages/rollout/src/callers/callerServer.ts
@@ -7,6 +7,7 @@
   RequestId,
 } from '@vanillacross/common';
 import {readBody} from '@vanillacross/common';
+import {MIN_RETRY_AFTER_MS} from '@vanillacross/domain';
 import * as http from 'node:http';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
@@ -24,11 +25,7 @@
 import type {AdmittedRequest} from './admission.js';
 import {Admission} from './admission.js';
 import type {Refusal} from './refusal.js';
-import {
-  RETRY_AFTER_MS,
-  getQuarantineRefusal,
-  getStaleRefusal,
-} from './refusal.js';
+import {getQuarantineRefusal, getStaleRefusal} from './refusal.js';
 import {StepCallHandler} from './stepCallHandler.js';
 import {forwardStream} from './forwardStream.js';
 
@@ -217,7 +214,7 @@
       return {status: 413, reason: 'body is too large'};
     }
     if (body.error.tag === 'no_room') {
-      const retryAfterMs = RETRY_AFTER_MS;
+      const retryAfterMs = MIN_RETRY_AFTER_MS;
       return {status: 503, reason: 'no memory for the body', retryAfterMs};
     }
     return null;
@@ -274,7 +271,7 @@
       return this.refuse(head, response, {
         status: 503,
         reason: 'the route has no pool',
-        retryAfterMs: RETRY_AFTER_MS,
+        retryAfterMs: MIN_RETRY_AFTER_MS,
       });
     }
     const forwardRequest = {
@@ -387,7 +384,7 @@
     this.refuse(head, response, {
       status: 503,
       reason: accepted.reason,
-      retryAfterMs: RETRY_AFTER_MS,
+      retryAfterMs: MIN_RETRY_AFTER_MS,
     });
   }
 
--- a/packages/rollout/src/callers/forwardStream.ts
+++ b/packages/rollout/src/callers/forwardStream.ts
@@ -1,11 +1,13 @@
 import {getRequestFingerprint} from '@vanillacross/common';
+import {MIN_RETRY_AFTER_MS} from '@vanillacross/domain';
 import type {ServerResponse} from 'node:http';
 
 import type {ForwardContext, ForwardRequest} from '../forwarding/index.js';
+import {NOT_PERMITTED_REASON, chooseForRequest} from '../forwarding/index.js';
 import type {Exchange, ExchangeEvents, Upstream} from '../upstreams/index.js';
-import {chooseUpstream, startExchange} from '../upstreams/index.js';
+import {startExchange} from '../upstreams/index.js';
 import type {Refusal} from './refusal.js';
-import {RETRY_AFTER_MS, getQuarantineRefusal} from './refusal.js';
+import {getQuarantineRefusal} from './refusal.js';
 
 /**
  * Forwards an event stream to the caller as it arrives. Another upstream is
@@ -42,7 +44,7 @@
       finish({status: 504, reason: 'timeout'}),
     );
     const refuseNotExecuted = (reason: string) =>
-      finish({status: 503, reason, retryAfterMs: RETRY_AFTER_MS});
+      finish({status: 503, reason, retryAfterMs: MIN_RETRY_AFTER_MS});
     const getEvents = (): ExchangeEvents => {
       let isForwarding = false;
       return {
@@ -74,20 +76,10 @@
     const tryNext = () => {
       if (isDone) return;
       if (!request.isPermitted()) {
-        return refuseNotExecuted('the request is no longer permitted');
+        return refuseNotExecuted(NOT_PERMITTED_REASON);
       }
-      const upstream = chooseUpstream(
-        context.directory.getUsable(request.pool.id),
-        {
-          pool: request.pool,
-          coldShare: context.getColdShare(request.pool),
-          domain: context.domain,
-          tried,
-          weights: null,
-          maxInFlight: request.pool.maxConnections,
-          isBackground: request.isBackground,
-        },
-      );
+      const usable = context.directory.getUsable(request.pool.id);
+      const upstream = chooseForRequest(context, request, usable, tried);
       if (!upstream) return refuseNotExecuted('no upstream has room');
       tried.add(upstream);
       exchange = startExchange(
--- a/packages/rollout/src/callers/refusal.ts
+++ b/packages/rollout/src/callers/refusal.ts
@@ -1,7 +1,5 @@
 import type {RequestId} from '@vanillacross/common';
 
-/** Retry delay for a caller whose request was refused, ms. */
-export const RETRY_AFTER_MS = 60;
 /** Retry delay for a caller of a process whose state is stale, ms. */
 const STALE_RETRY_AFTER_MS = 150;
 
--- a/packages/rollout/src/callers/stepCallHandler.ts
+++ b/packages/rollout/src/callers/stepCallHandler.ts
@@ -1,10 +1,11 @@
 import type {AccountId, MonotonicMs, Result} from '@vanillacross/common';
 import {fail, getDeadline, ok} from '@vanillacross/common';
+import {MIN_RETRY_AFTER_MS} from '@vanillacross/domain';
 
 import type {CallerDialect, StepCall} from '../model/index.js';
 import type {TrackedStep, StepService} from '../steps/index.js';
 import type {Refusal} from './refusal.js';
-import {RETRY_AFTER_MS, getStaleRefusal} from './refusal.js';
+import {getStaleRefusal} from './refusal.js';
 
 type StepCallResult = Result<Buffer, Refusal>;
 
@@ -64,7 +65,7 @@
       return fail({
         status: ended.tag === 'unknown' ? 504 : 503,
         reason: 'the store has not acknowledged the end',
-        retryAfterMs: RETRY_AFTER_MS,
+        retryAfterMs: MIN_RETRY_AFTER_MS,
       });
     },
   };
--- a/packages/rollout/src/forwarding/index.ts
+++ b/packages/rollout/src/forwarding/index.ts
@@ -1,2 +1,4 @@
 /** Request forwarding to upstreams with retries and hedging. */
 export * from './requestForwarder.js';
+export * from './types.js';
+export * from './upstreamForRequest.js';
--- a/packages/rollout/src/forwarding/requestForwarder.ts
+++ b/packages/rollout/src/forwarding/requestForwarder.ts
@@ -1,30 +1,13 @@
-import type {
-  AccountId,
-  Clock,
-  DomainId,
-  Logger,
-  Metrics,
-  MonotonicMs,
-  RequestId,
-} from '@vanillacross/common';
+import type {MonotonicMs} from '@vanillacross/common';
 import {getDeadline, getRequestFingerprint} from '@vanillacross/common';
-import {decideCapacityWait} from '@vanillacross/domain';
+import {MIN_RETRY_AFTER_MS, decideCapacityWait} from '@vanillacross/domain';
 import type {IncomingHttpHeaders} from 'node:http';
 
-import type {
-  ResponseHead,
-  Pool,
-  Route,
-  UpstreamDialect,
-} from '../model/index.js';
-import type {
-  CrashTracker,
-  UpstreamDirectory,
-  Exchange,
-  ExchangeFailure,
-  Upstream,
-} from '../upstreams/index.js';
-import {chooseUpstream, startExchange} from '../upstreams/index.js';
+import type {ResponseHead} from '../model/index.js';
+import type {Exchange, ExchangeFailure, Upstream} from '../upstreams/index.js';
+import {startExchange} from '../upstreams/index.js';
+import type {ForwardContext, ForwardOutcome, ForwardRequest} from './types.js';
+import {NOT_PERMITTED_REASON, chooseForRequest} from './upstreamForRequest.js';
 
 /** Fraction of the target latency after which a hedged request is sent. */
 const HEDGE_DELAY_SHARE = 0.45;
@@ -33,73 +16,11 @@
  * executed.
  */
 const MAX_SENDS = 12;
-/** Retry delay for a caller whose request was sent but not run, ms. */
-const MIN_RETRY_AFTER_MS = 60;
 /** Minimum time that must remain for another attempt, ms. */
 const MIN_ATTEMPT_MS = 20;
 /** Maximum size of a buffered response, bytes. */
 const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 
-/** A request to forward to a pool of upstreams. */
-export interface ForwardRequest {
-  id: RequestId;
-  route: Route;
-  pool: Pool;
-  method: string;
-  target: string;
-  host: string;
-  headers: Readonly<Record<string, string | string[]>>;
-  body: Buffer;
-  account: AccountId | null;
-  deadline: MonotonicMs;
-  priority: number | null;
-  /**
-   * Whether this is a background request, which may take only some of an
-   * upstream's slots.
-   */
-  isBackground: boolean;
-  /**
-   * Whether the request may still run; asked before each attempt, because a key
-   * may be withdrawn while a request waits or this process is suspended.
-   */
-  isPermitted: () => boolean;
-}
-
-/** Outcome of a forwarded request. */
-export type ForwardOutcome =
-  | {
-      tag: 'answered';
-      head: ResponseHead;
-      headers: IncomingHttpHeaders;
-      body: Buffer;
-      /** Number of responses with status 500 so far, this one included. */
-      serverErrors: number;
-    }
-  /** No upstream executed it, and none will. */
-  | {tag: 'not_run'; reason: string; retryAfterMs: number}
-  /** It was not executed, as identical requests have crashed upstreams. */
-  | {tag: 'quarantined'}
-  /** It may have been executed, but there is no complete response. */
-  | {tag: 'failed'; reason: string}
-  /** The deadline passed, and an upstream may have executed it. */
-  | {tag: 'timed_out'}
-  /** The caller disconnected. */
-  | {tag: 'cancelled'};
-
-export interface ForwardContext {
-  directory: UpstreamDirectory;
-  dialect: UpstreamDialect;
-  crashes: CrashTracker;
-  clock: Clock;
-  logger: Logger;
-  metrics: Metrics;
-  domain: DomainId;
-  /** Returns the requests/s that this process may send to a cold upstream. */
-  getColdShare: (pool: Pool) => number;
-  /** Counts an attempt that an upstream executed or may have executed. */
-  onExecution: (account: AccountId | null) => void;
-}
-
 interface Attempt {
   exchange: Exchange;
   upstream: Upstream;
@@ -191,44 +112,29 @@
     if (this.sends >= MAX_SENDS) return this.giveUp();
     if (this.isQuarantined()) return this.giveUp();
     if (!this.request.isPermitted()) {
-      this.lastReason = 'the request is no longer permitted';
+      this.lastReason = NOT_PERMITTED_REASON;
       return this.giveUp();
     }
     if (this.getRemainingMs() < MIN_ATTEMPT_MS) return this.giveUp();
-    const upstream = this.choose();
-    if (!upstream) return this.waitForCapacity();
-    this.send(upstream);
-  }
-
-  private choose(): Upstream | null {
-    const {context, request} = this;
-    const criteria = {
-      pool: request.pool,
-      coldShare: context.getColdShare(request.pool),
-      domain: context.domain,
-      tried: this.tried,
-      weights: null,
-      maxInFlight: request.pool.maxConnections,
-      isBackground: request.isBackground,
-    };
+    const {context, request, tried} = this;
     const usable = context.directory.getUsable(request.pool.id);
-    return chooseUpstream(usable, criteria);
+    const upstream = chooseForRequest(context, request, usable, tried);
+    if (!upstream) return this.waitForCapacity(usable.length);
+    this.send(upstream);
   }
 
   /**
    * Tries again after a short delay if no attempt is open and the request may
    * still be sent; otherwise gives up.
    */
-  private waitForCapacity(): void {
+  private waitForCapacity(upstreamCount: number): void {
     if (this.attempts.size > 0) return;
     if (this.mayHaveRun && !this.isIdempotent) return this.giveUp();
-    const {directory, clock} = this.context;
-    const {pool, deadline} = this.request;
     const decision = decideCapacityWait({
-      now: clock.now(),
+      now: this.context.clock.now(),
       arrivedAt: this.startedAt,
-      deadline,
-      upstreamCount: directory.getUsable(pool.id).length,
+      deadline: this.request.deadline,
+      upstreamCount,
     });
     if (decision.tag === 'refuse') {
       this.retryAfterMs = decision.retryAfterMs;
--- /dev/null
+++ b/packages/rollout/src/forwarding/types.ts
@@ -0,0 +1,78 @@
+import type {
+  AccountId,
+  Clock,
+  DomainId,
+  Logger,
+  Metrics,
+  MonotonicMs,
+  RequestId,
+} from '@vanillacross/common';
+import type {IncomingHttpHeaders} from 'node:http';
+
+import type {
+  Pool,
+  ResponseHead,
+  Route,
+  UpstreamDialect,
+} from '../model/index.js';
+import type {CrashTracker, UpstreamDirectory} from '../upstreams/index.js';
+
+/** A request to forward to a pool of upstreams. */
+export interface ForwardRequest {
+  id: RequestId;
+  route: Route;
+  pool: Pool;
+  method: string;
+  target: string;
+  host: string;
+  headers: Readonly<Record<string, string | string[]>>;
+  body: Buffer;
+  account: AccountId | null;
+  deadline: MonotonicMs;
+  priority: number | null;
+  /**
+   * Whether this is a background request, which may take only some of an
+   * upstream's slots.
+   */
+  isBackground: boolean;
+  /**
+   * Whether the request may still run; asked before each attempt, because a key
+   * may be withdrawn while a request waits or this process is suspended.
+   */
+  isPermitted: () => boolean;
+}
+
+/** Outcome of a forwarded request. */
+export type ForwardOutcome =
+  | {
+      tag: 'answered';
+      head: ResponseHead;
+      headers: IncomingHttpHeaders;
+      body: Buffer;
+      /** Number of responses with status 500 so far, this one included. */
+      serverErrors: number;
+    }
+  /** No upstream executed it, and none will. */
+  | {tag: 'not_run'; reason: string; retryAfterMs: number}
+  /** It was not executed, as identical requests have crashed upstreams. */
+  | {tag: 'quarantined'}
+  /** It may have been executed, but there is no complete response. */
+  | {tag: 'failed'; reason: string}
+  /** The deadline passed, and an upstream may have executed it. */
+  | {tag: 'timed_out'}
+  /** The caller disconnected. */
+  | {tag: 'cancelled'};
+
+export interface ForwardContext {
+  directory: UpstreamDirectory;
+  dialect: UpstreamDialect;
+  crashes: CrashTracker;
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  domain: DomainId;
+  /** Returns the requests/s that this process may send to a cold upstream. */
+  getColdShare: (pool: Pool) => number;
+  /** Counts an attempt that an upstream executed or may have executed. */
+  onExecution: (account: AccountId | null) => void;
+}
