Watch connections for resets where they are created

Each exchange asked whether its connection was watched already, with a second set to know. The pool creates all connections, also those that a weight order opens and an exchange reuses, so it watches each once. The two error handlers of an exchange are one, and the failure tag that was never passed on is gone. Without the pool's watch the test of a reset body fails as before.

--- a/packages/rollout/src/upstreams/exchange.ts
+++ b/packages/rollout/src/upstreams/exchange.ts
@@ -7,7 +7,7 @@
   UpstreamCall,
   UpstreamDialect,
 } from '../model/index.js';
-import {isEndOfBodyProven, watchForReset} from './responseEnd.js';
+import {isEndOfBodyProven} from './responseEnd.js';
 import type {Upstream} from './upstream.js';
 
 /** Timeout for connecting to an upstream, ms. */
@@ -29,9 +29,7 @@
   /** The response belongs to another request. */
   | {tag: 'crossed'; detail: string}
   /** The bytes received are no usable response. */
-  | {tag: 'invalid'; detail: string}
-  /** This process aborted it; never passed to `onFailure`. */
-  | {tag: 'aborted'; detail: string};
+  | {tag: 'invalid'; detail: string};
 
 export interface ExchangeEvents {
   onHead(head: ResponseHead, headers: http.IncomingHttpHeaders): void;
@@ -95,13 +93,18 @@
     upstream.recordEnd();
     return true;
   };
-  const fail = (tag: 'lost' | 'crossed' | 'invalid', detail: string) => {
+  const fail = (
+    tag: Exclude<ExchangeFailure['tag'], 'not_sent'>,
+    detail: string,
+  ) => {
     if (!settle()) return;
     request.destroy();
     events.onFailure(
       mayHaveBeenSent ? {tag, detail} : {tag: 'not_sent', detail},
     );
   };
+  const handleError = (error: NodeJS.ErrnoException) =>
+    fail(isParseError(error) ? 'invalid' : 'lost', error.message);
   const startConnectTimer = (timeoutMs: number) => {
     const deadline = getDeadline(clock.now(), timeoutMs);
     cancelConnectTimer = clock.callAt(deadline, () => {
@@ -111,7 +114,6 @@
     });
   };
   request.on('socket', socket => {
-    watchForReset(socket);
     if (!socket.connecting) {
       mayHaveBeenSent = true;
       return;
@@ -122,9 +124,7 @@
       cancelConnectTimer();
     });
   });
-  request.on('error', (error: NodeJS.ErrnoException) =>
-    fail(isParseError(error) ? 'invalid' : 'lost', error.message),
-  );
+  request.on('error', handleError);
   let currentResponse: http.IncomingMessage | null = null;
   request.on('response', response => {
     currentResponse = response;
@@ -145,9 +145,7 @@
       if (settle()) events.onEnd();
     });
     response.on('aborted', () => fail('lost', 'answer was cut'));
-    response.on('error', (error: NodeJS.ErrnoException) =>
-      fail(isParseError(error) ? 'invalid' : 'lost', error.message),
-    );
+    response.on('error', handleError);
   });
   request.on('close', () => fail('lost', 'connection closed'));
   request.end(body);
--- a/packages/rollout/src/upstreams/responseEnd.ts
+++ b/packages/rollout/src/upstreams/responseEnd.ts
@@ -1,18 +1,15 @@
 import type {IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 
-const watchedSockets = new WeakSet<Socket>();
 const resetSockets = new WeakSet<Socket>();
 
 /**
- * Watches whether the peer resets a connection. libuv reports data and a reset
+ * Watches whether the peer resets a new connection. libuv reports data and a reset
  * that arrive together as data and an orderly end, but a reset connection has no
  * peer address any more. The address must not be read before, because Node
  * caches it.
  */
 export function watchForReset(socket: Socket): void {
-  if (watchedSockets.has(socket)) return;
-  watchedSockets.add(socket);
   socket.prependOnceListener('end', () => {
     if (socket.remoteAddress === undefined) resetSockets.add(socket);
   });
