Move the listener's shutdown and the partitions' assignment out of the node

WeightUpdater derived for itself when the lease was taken, up to 400 ms later; LeaseTask knows it and tells, so reading for it starts at once. Nothing else behaves differently.

--- a/packages/rollout/src/callers/callerServer.ts
+++ b/packages/rollout/src/callers/callerServer.ts
@@ -26,6 +26,7 @@
 import {Admission} from './admission.js';
 import type {Refusal} from './refusal.js';
 import {getQuarantineRefusal, getStaleRefusal} from './refusal.js';
+import {ListenerShutdown} from './listenerShutdown.js';
 import {StepCallHandler} from './stepCallHandler.js';
 import {forwardStream} from './forwardStream.js';
 
@@ -61,10 +62,9 @@
 /** HTTP server for callers and trainers. */
 export class CallerServer {
   readonly server: http.Server;
+  readonly shutdown: ListenerShutdown;
   private isDraining = false;
   private openRequests = 0;
-  private openConnections = 0;
-  private lastConnectionAt: MonotonicMs | null = null;
   private bufferedBytes = 0;
 
   private readonly admission: Admission;
@@ -81,11 +81,7 @@
       },
       (request, response) => void this.handle(request, response),
     );
-    this.server.on('connection', socket => {
-      this.openConnections++;
-      this.lastConnectionAt = options.clock.now();
-      socket.on('close', () => this.openConnections--);
-    });
+    this.shutdown = new ListenerShutdown(this.server, options.clock);
     this.server.on('checkContinue', (request, response) => {
       response.writeContinue();
       void this.handle(request, response);
@@ -98,17 +94,6 @@
     return this.openRequests;
   }
 
-  /** Number of connections, on which a request may be arriving. */
-  get openConnectionCount(): number {
-    return this.openConnections;
-  }
-
-  /** Whether no connection was accepted during the given time, ms. */
-  hasBeenQuietFor(spanMs: number): boolean {
-    if (this.lastConnectionAt === null) return true;
-    return this.options.clock.now() - this.lastConnectionAt >= spanMs;
-  }
-
   /** Lets open requests finish and closes connections after their responses. */
   drain(): void {
     this.isDraining = true;
--- a/packages/rollout/src/control/leaseTask.test.ts
+++ b/packages/rollout/src/control/leaseTask.test.ts
@@ -189,6 +189,7 @@
       metrics: new Metrics(),
       health: new StoreHealth(clock, logger),
       random,
+      onTaken: () => {},
     });
     task.start();
     return {index, clock, task, pausedUntil: 0, actedAt: -Infinity};
--- a/packages/rollout/src/control/leaseTask.ts
+++ b/packages/rollout/src/control/leaseTask.ts
@@ -50,6 +50,8 @@
   metrics: Metrics;
   health: StoreHealth;
   random: () => number;
+  /** Called when this process has taken the lease. */
+  onTaken: () => void;
 }
 
 /**
@@ -154,7 +156,7 @@
     await this.tail.whenCaughtUp();
     while (!this.isStopped) {
       const waitMs = await this.claimOrRenewIfDue();
-      this.logHeldChange();
+      this.handleHeldChange();
       await clock.waitUntil(getDeadline(clock.now(), waitMs));
     }
   }
@@ -206,13 +208,14 @@
     await this.tail.catchUp();
   }
 
-  private logHeldChange(): void {
+  private handleHeldChange(): void {
     const isHeld = this.isHeld();
     if (isHeld === this.wasHeld) return;
     this.wasHeld = isHeld;
     this.options.logger.info(isHeld ? 'lease taken' : 'lease lost', {
       fencingToken: this.view.fencingToken,
     });
+    if (isHeld) this.options.onTaken();
   }
 
   private async append(
--- a/packages/rollout/src/control/weightUpdater.ts
+++ b/packages/rollout/src/control/weightUpdater.ts
@@ -48,8 +48,6 @@
   dialect: UpstreamDialect;
   /** Whether all open steps are known. */
   areStepsKnown: () => boolean;
-  /** Called when this process has taken the lease. */
-  onLeaseTaken: () => void;
   /** Returns the oldest version of a model that all open steps can use. */
   getNeededVersion: (model: string) => number;
   clock: Clock;
@@ -75,12 +73,9 @@
   }
 
   private async run(): Promise<void> {
-    const {clock, lease, areStepsKnown, onLeaseTaken} = this.options;
-    let wasHeld = false;
+    const {clock, lease, areStepsKnown} = this.options;
     while (!this.isStopped) {
       const isHeld = lease.isHeld();
-      if (isHeld && !wasHeld) onLeaseTaken();
-      wasHeld = isHeld;
       if (isHeld && areStepsKnown()) this.planUpdates();
       const intervalMs = isHeld ? PLAN_INTERVAL_MS : LEASE_POLL_INTERVAL_MS;
       await clock.waitUntil(getDeadline(clock.now(), intervalMs));
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -1,6 +1,5 @@
 import type {Clock, Logger, Metrics} from '@vanillacross/common';
 import {getDeadline} from '@vanillacross/common';
-import {setImmediate} from 'node:timers/promises';
 
 import {CallerServer} from './callers/index.js';
 import {ConfigurationState} from './configuration/index.js';
@@ -16,7 +15,6 @@
 import type {ForwardContext} from './forwarding/index.js';
 import {AppendQueue, StoreHealth, StreamTail} from './log/index.js';
 import type {
-  Deadline,
   DeploymentLimits,
   CallerDialect,
   LeaseHolderClient,
@@ -28,6 +26,7 @@
 import type {PlatformTails} from './platformTails.js';
 import {createPlatformTails} from './platformTails.js';
 import type {ListenAddress} from './statusServers.js';
+import {PartitionAssignment} from './partitionAssignment.js';
 import {StatusServers, closeImmediately, listenOn} from './statusServers.js';
 import {StepStreams} from './stepStreams.js';
 import {StepRegistry, StepRunner, StepService} from './steps/index.js';
@@ -63,21 +62,11 @@
  * platform sends new connections until two of its checks have failed.
  */
 const LISTENER_CLOSE_DELAY_MS = 2_500;
-/**
- * Time without a new connection after which the listener closes, ms. Closing it
- * resets the connections that wait to be accepted.
- */
-const LISTENER_QUIET_MS = 300;
 /**
  * Part of the shutdown grace period that remains after the listener has closed
  * at the latest, ms.
  */
 const AFTER_LISTENER_MS = 3_000;
-/**
- * Time after the closing of the listener for which a stopping process waits for
- * the requests of connections that it has accepted, ms.
- */
-const ACCEPTED_CONNECTION_GRACE_MS = 1_500;
 const POLL_INTERVAL_MS = 50;
 /** Time for storing unfinished samples at shutdown, ms. */
 const HANDOVER_TIMEOUT_MS = 600;
@@ -130,12 +119,11 @@
   private readonly usage: UsageTask;
   private readonly weightUpdater: WeightUpdater;
   private readonly membership: MembershipTask;
+  private readonly assignment: PartitionAssignment;
   private readonly controlTail: StreamTail;
   private readonly controlQueue: AppendQueue;
   private readonly platformTails: PlatformTails;
   private readonly statusServers: StatusServers;
-  private assignedPartitions: readonly number[] = [];
-  private isAcquiring = false;
   private isReady = false;
   private isStopping = false;
   private readonly startedAt;
@@ -225,6 +213,10 @@
       metrics,
       health,
       random: Math.random,
+      onTaken: () => {
+        this.streams.followAll();
+        this.streams.restart();
+      },
     });
     this.usage = new UsageTask({
       processId,
@@ -282,10 +274,6 @@
     feed.onVersion(() => this.runner.startQueuedSamples());
     this.weightUpdater = new WeightUpdater({
       areStepsKnown: () => this.streams.isCaughtUp(),
-      onLeaseTaken: () => {
-        this.streams.followAll();
-        this.streams.restart();
-      },
       getNeededVersion: model => this.registry.getNeededVersion(model),
       lease: this.lease,
       feed,
@@ -296,6 +284,12 @@
       logger: logger.child('weights'),
       metrics,
     });
+    this.assignment = new PartitionAssignment({
+      partitionCount: options.stepPartitionCount,
+      runner: this.runner,
+      streams: this.streams,
+      onAcquiring: () => this.controlTail.hurry(),
+    });
     this.membership = new MembershipTask({
       log,
       group: STEP_GROUP,
@@ -304,7 +298,7 @@
       minTtlMs: options.minTtlMs,
       clock,
       logger: logger.child('membership'),
-      onPartitions: partitions => this.assignPartitions(partitions),
+      onPartitions: partitions => this.assignment.apply(partitions),
     });
     this.server = new CallerServer({
       dialect: options.callers,
@@ -367,6 +361,7 @@
     const deadline = getDeadline(startedAt, limits.graceMs - EXIT_MARGIN_MS);
     this.isStopping = true;
     this.isReady = false;
+    this.assignment.stop();
     logger.info('stopping', {open: this.server.openRequestCount});
     this.server.drain();
     this.weightUpdater.stop();
@@ -376,13 +371,10 @@
     this.runner.stop();
     await Promise.all([this.membership.stop(), this.lease.stop()]);
     await clock.waitUntil(getDeadline(startedAt, LISTENER_CLOSE_DELAY_MS));
-    await this.waitUntilQuiet(
+    await this.server.shutdown.close(
       getDeadline(startedAt, limits.graceMs - AFTER_LISTENER_MS),
     );
-    this.server.server.close();
-    this.server.server.closeIdleConnections();
-    const quietAt = getDeadline(clock.now(), ACCEPTED_CONNECTION_GRACE_MS);
-    while (clock.now() < deadline && !this.isDrained(quietAt)) {
+    while (clock.now() < deadline && !this.isDrained()) {
       await clock.waitUntil(getDeadline(clock.now(), POLL_INTERVAL_MS));
       this.server.server.closeIdleConnections();
     }
@@ -396,6 +388,7 @@
   kill(): void {
     this.isStopping = true;
     this.isReady = false;
+    this.assignment.stop();
     this.weightUpdater.stop();
     this.usage.halt();
     this.membership.halt();
@@ -410,51 +403,10 @@
     this.statusServers.close();
   }
 
-  /** Waits until no new connections arrive, at most until the deadline. */
-  private async waitUntilQuiet(deadline: Deadline): Promise<void> {
-    const {clock} = this.options;
-    while (
-      clock.now() < deadline &&
-      !this.server.hasBeenQuietFor(LISTENER_QUIET_MS)
-    ) {
-      await clock.waitUntil(getDeadline(clock.now(), POLL_INTERVAL_MS));
-    }
-    // Connections that arrived before this turn of the event loop are accepted
-    // in it, before an immediate runs.
-    await setImmediate();
-  }
-
-  /**
-   * Whether nothing is left to finish. A connection without a request counts
-   * until `quietAt`, because its request may be on the way.
-   */
-  private isDrained(quietAt: Deadline): boolean {
-    const {openRequestCount, openConnectionCount} = this.server;
-    if (openRequestCount > 0 || this.streams.hasPendingAppends()) return false;
-    return openConnectionCount === 0 || this.options.clock.now() >= quietAt;
-  }
-
-  /**
-   * Releases partitions at once and acquires others when the steps are known, so
-   * that samples that are done already are not started again.
-   */
-  private assignPartitions(assigned: readonly number[]): void {
-    const {stepPartitionCount} = this.options;
-    // The store may deal more partitions than there are for steps.
-    const partitions = assigned.filter(index => index < stepPartitionCount);
-    this.assignedPartitions = partitions;
-    const owned = this.runner.getOwnedPartitions();
-    const kept = partitions.filter(partition => owned.has(partition));
-    if (kept.length < owned.size) this.runner.setOwnedPartitions(kept);
-    if (kept.length === partitions.length || this.isAcquiring) return;
-    this.isAcquiring = true;
-    this.controlTail.hurry();
-    void this.streams.catchUpAll().then(() => {
-      this.isAcquiring = false;
-      if (this.isStopping) return;
-      this.runner.setOwnedPartitions(this.assignedPartitions);
-      this.streams.restart();
-    });
+  private isDrained(): boolean {
+    if (this.server.openRequestCount > 0) return false;
+    if (this.streams.hasPendingAppends()) return false;
+    return !this.server.shutdown.mayRequestArrive();
   }
 
   private isStarting(): boolean {
