--- a/packages/daemon/src/agentDedup.test.ts
+++ b/packages/daemon/src/agentDedup.test.ts
@@ -281,8 +281,8 @@
 
 describe('deduplication across the agents of a pool', () => {
   it('executes the request with a key at most once despite crashes and repeated claims', async () => {
-    // Guards against executing a request twice, for example charging a
-    // customer twice, after lost or reordered messages and agent restarts.
+    // Guards against executing a request twice, for example a charge, after
+    // lost or reordered messages and agent restarts.
     await fc.assert(
       fc.asyncProperty(
         fc.array(event, {maxLength: 80, size: 'max'}),
