--- a/packages/rollout/src/stepStreams.ts
+++ b/packages/rollout/src/stepStreams.ts
@@ -91,8 +91,9 @@
   }
 
   /**
-   * Follows all partitions and resolves when each has been read to its end, for
-   * those that were followed before as of now or if the store does not answer.
+   * Follows all partitions and resolves when each has been read to its end. A
+   * partition that was read before is read again once; if that fails, it stays
+   * as it is.
    */
   async catchUpAll(): Promise<void> {
     this.followAll();
