Log the software versions of streams and samples

The logs could not tell apart the hypotheses on joined streams: the start of a caller's stream was not logged, an upstream's software version was not decoded, and a take-up did not show which request it continues.

Logs the start and the end of each stream, and the software version of each upstream and of each start of a sample.

--- a/packages/common/src/brand.ts
+++ b/packages/common/src/brand.ts
@@ -18,6 +18,8 @@
 export type AttemptId = Brand<string, 'AttemptId'>;
 export type OrderId = Brand<string, 'OrderId'>;
 export type SampleId = Brand<string, 'SampleId'>;
+/** Version of an upstream's software, not of the weights that it serves. */
+export type SoftwareVersion = Brand<string, 'SoftwareVersion'>;
 /** Identifies one run of a process; a restart begins a new epoch. */
 export type Epoch = Brand<string, 'Epoch'>;
 /** Position of a record in a stream of the platform's log. */
--- a/packages/rollout/src/callers/callerServer.ts
+++ b/packages/rollout/src/callers/callerServer.ts
@@ -268,6 +268,7 @@
       host: head.host,
       headers: head.headers,
       body,
+      continuation: head.continuation,
       account: account?.id ?? null,
       deadline,
       priority: null,
--- a/packages/rollout/src/callers/forwardStream.ts
+++ b/packages/rollout/src/callers/forwardStream.ts
@@ -43,6 +43,7 @@
     const tried = new Set<Upstream>();
     let exchange: Exchange | null = null;
     let isDone = false;
+    const startedAt = context.clock.now();
     const fingerprint = getRequestFingerprint(
       request.method,
       request.target,
@@ -53,10 +54,27 @@
       isDone = true;
       cancelDeadline();
       exchange?.abort();
+      logEnd(refusal?.reason ?? 'closed');
       if (refusal && !response.headersSent) refuse(refusal);
       else if (refusal) response.destroy();
       resolve();
     };
+    const logStart = ({id, entry}: Upstream) =>
+      context.logger.info('stream starts', {
+        request: request.id,
+        resumes: request.continuation?.resumes,
+        after: request.continuation?.after ?? 0,
+        upstream: id,
+        software: entry.software,
+      });
+    const logEnd = (outcome: string) =>
+      context.logger.info('stream ended', {
+        request: request.id,
+        upstream: exchange?.upstream.id,
+        isStarted: response.headersSent,
+        outcome,
+        elapsedMs: Math.round(context.clock.now() - startedAt),
+      });
     const cancelDeadline = context.clock.callAt(request.deadline, () =>
       finish({status: 504, reason: 'timeout'}),
     );
@@ -108,6 +126,7 @@
       const upstream = chooseForRequest(context, request, usable, tried);
       if (!upstream) return refuseNotExecuted('no upstream has room');
       tried.add(upstream);
+      logStart(upstream);
       exchange = startExchange(
         upstream,
         context.dialect,
--- a/packages/rollout/src/forwarding/types.ts
+++ b/packages/rollout/src/forwarding/types.ts
@@ -13,6 +13,7 @@
   Pool,
   ResponseHead,
   Route,
+  StreamContinuation,
   UpstreamDialect,
 } from '../model/index.js';
 import type {CrashTracker, UpstreamDirectory} from '../upstreams/index.js';
@@ -28,6 +29,8 @@
   host: string;
   headers: Readonly<Record<string, string | string[]>>;
   body: Buffer;
+  /** Null if the request starts from the beginning. */
+  continuation: StreamContinuation | null;
   account: AccountId | null;
   deadline: MonotonicMs;
   priority: number | null;
--- a/packages/rollout/src/model/ports.ts
+++ b/packages/rollout/src/model/ports.ts
@@ -151,6 +151,14 @@
   readUpstream(key: string, value: Buffer): Result<UpstreamEntry, string>;
 }
 
+/** A caller's continuation of a stream that broke off. */
+export interface StreamContinuation {
+  /** Id of the last event that the caller has. */
+  after: number;
+  /** Request that brought the caller's first event; null if not stated. */
+  resumes: RequestId | null;
+}
+
 /** Decoded request line and headers of a caller's request. */
 export interface RequestHead {
   id: RequestId;
@@ -162,6 +170,8 @@
   apiKey: string | null;
   /** Time that the caller is willing to wait, ms; null if not stated. */
   budgetMs: number | null;
+  /** Null if the request starts from the beginning. */
+  continuation: StreamContinuation | null;
   /** Headers to forward to the upstream. */
   headers: Readonly<Record<string, string | string[]>>;
 }
--- a/packages/rollout/src/model/types.ts
+++ b/packages/rollout/src/model/types.ts
@@ -6,6 +6,7 @@
   PoolId,
   RequestId,
   SampleId,
+  SoftwareVersion,
   UpstreamId,
 } from '@vanillacross/common';
 
@@ -99,6 +100,7 @@
   /** `ip:port`. */
   address: string;
   domain: DomainId;
+  software: SoftwareVersion;
   slots: number;
   isDraining: boolean;
   /** Time for which it will still be cold, ms. */
--- a/packages/rollout/src/steps/sampleScoring.ts
+++ b/packages/rollout/src/steps/sampleScoring.ts
@@ -42,6 +42,7 @@
       host: call.host,
       headers: {},
       body: Buffer.from(call.body, 'base64'),
+      continuation: null,
       account: null,
       deadline: getDeadline(clock.now(), route.timeoutMs),
       priority: null,
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -334,6 +334,7 @@
       step: step.id,
       sample: task.id,
       upstream: upstream.id,
+      software: upstream.entry.software,
       after: task.text.lastEventId,
       minVersion: step.minVersion,
       version: step.model === null ? null : upstream.getVersion(step.model),
--- a/packages/rollout/src/testing/directoryFixture.ts
+++ b/packages/rollout/src/testing/directoryFixture.ts
@@ -1,4 +1,9 @@
-import type {DomainId, PoolId, UpstreamId} from '@vanillacross/common';
+import type {
+  DomainId,
+  PoolId,
+  SoftwareVersion,
+  UpstreamId,
+} from '@vanillacross/common';
 import {ManualClock, toBranded, createLogger, ok} from '@vanillacross/common';
 
 import {StoreHealth} from '../log/index.js';
@@ -65,6 +70,7 @@
         pool: POOL_ID,
         address: '127.0.0.1:1',
         domain: toBranded<DomainId>('a'),
+        software: toBranded<SoftwareVersion>('v1'),
         slots: 4,
         isDraining: false,
         coldLeftMs: 0,
--- a/packages/rollout/src/testing/forwardFixture.ts
+++ b/packages/rollout/src/testing/forwardFixture.ts
@@ -51,6 +51,7 @@
     host: 'h',
     headers: {},
     body: Buffer.alloc(0),
+    continuation: null,
     account: null,
     deadline: getDeadline(systemClock.now(), BUDGET_MS),
     priority: null,
--- a/packages/rollout/src/testing/rawUpstream.ts
+++ b/packages/rollout/src/testing/rawUpstream.ts
@@ -1,4 +1,4 @@
-import type {UpstreamId} from '@vanillacross/common';
+import type {SoftwareVersion, UpstreamId} from '@vanillacross/common';
 import {systemClock, toBranded} from '@vanillacross/common';
 import {once} from 'node:events';
 import type {IncomingHttpHeaders} from 'node:http';
@@ -72,6 +72,7 @@
   const entry = {
     id: toBranded<UpstreamId>('raw'),
     address: `127.0.0.1:${port}`,
+    software: toBranded<SoftwareVersion>('v1'),
     slots: 4,
     coldLeftMs: 0,
     versions: new Map(),
--- a/packages/rollout/src/upstreams/coldShares.test.ts
+++ b/packages/rollout/src/upstreams/coldShares.test.ts
@@ -1,4 +1,9 @@
-import type {DomainId, PoolId, UpstreamId} from '@vanillacross/common';
+import type {
+  DomainId,
+  PoolId,
+  SoftwareVersion,
+  UpstreamId,
+} from '@vanillacross/common';
 import {ManualClock, toBranded} from '@vanillacross/common';
 import fc from 'fast-check';
 import assert from 'node:assert/strict';
@@ -53,6 +58,7 @@
       pool: toBranded<PoolId>('p'),
       address: '127.0.0.1:1',
       domain: toBranded<DomainId>('a'),
+      software: toBranded<SoftwareVersion>('v1'),
       slots: 4,
       isDraining: false,
       coldLeftMs: 0,
--- a/packages/rollout/src/upstreams/upstreamDirectory.ts
+++ b/packages/rollout/src/upstreams/upstreamDirectory.ts
@@ -186,12 +186,13 @@
   }
 
   private log(upstream: Upstream, state: string): void {
-    const {id, pool, domain, address, bornAt} = upstream.entry;
+    const {id, pool, domain, software, address, bornAt} = upstream.entry;
     this.options.logger.info('upstream changed', {
       upstream: id,
       state,
       pool,
       domain,
+      software,
       address,
       bornAt,
     });
