--- a/packages/standins/src/platformEngine.ts
+++ b/packages/standins/src/platformEngine.ts
@@ -8,7 +8,9 @@
 export interface PlatformEngineOptions extends ServiceOptions {
   id: string;
   model: string;
-  /** Number of events in each sample. */
+  /** Version of its software; 'v1' by default. */
+  software?: string;
+  /** Number of events in each stream. */
   events?: number;
   /** Interval between two events, ms. */
   paceMs?: number;
@@ -16,12 +18,13 @@
   loadMs?: number;
 }
 
-/** A generation of a sample that the engine started. */
+/** A generation of a stream that the engine started. */
 export interface PlatformEngineRun {
   id: string;
   /** Id of the event after which generation resumes; 0 at the start. */
   after: number;
   version: number;
+  software: string;
   account: string | undefined;
   authorization: string | undefined;
 }
@@ -82,7 +85,7 @@
 export async function createPlatformEngine(
   options: PlatformEngineOptions,
 ): Promise<PlatformEngineStandIn> {
-  const {id, model} = options;
+  const {id, model, software = 'v1'} = options;
   const startedAtMs = Date.now();
   const eventsPerSample = options.events ?? 5;
   let paceMs = options.paceMs ?? 5;
@@ -148,6 +151,7 @@
       id: sample,
       after,
       version,
+      software,
       account: getHeader(context, 'tenant'),
       authorization: getHeader(context, 'authorization'),
     });
@@ -204,6 +208,7 @@
       })),
       createRoute('POST /vanillacross/order', receiveOrder),
       createRoute('POST /steps/*', generate),
+      createRoute('POST /chat/*', generate),
       createRoute('POST /usage', () => ({status: 200, body: {}})),
       createRoute('* /*', receiveCall),
     ],
@@ -222,7 +227,7 @@
       service: serviceName,
       address: service.address,
       zone,
-      version: 'v1',
+      version: software,
       slots: 8,
       state: 'ready',
       cold_left_ms: 0,
