Keep the text of a sample at the software version that began it

Trainers got samples whose first events came from one software version of an engine and whose rest came from another, with nothing to show it. Cause: the placement of a run knew no software version, so a text went on at any engine, after a break, after a migration, at another process and from stored progress.

Upstreams are now chosen with the origin of the text that they go on with; mayExtendText in the domain package is the only rule. A sample's text and its stored parts carry their software version; parts without one, which older releases wrote, are not resumed. A sample whose version has left, has no room for 1 s or breaks off twice without an event starts again from the beginning at another version.

--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -26,6 +26,7 @@
 export * from './sendLimit.js';
 export * from './settings.js';
 export * from './subset.js';
+export * from './softwareVersion.js';
 export * from './spans.js';
 export * from './startOrder.js';
 export * from './retryBudget.js';
--- a/packages/rollout/src/forwarding/upstreamForRequest.ts
+++ b/packages/rollout/src/forwarding/upstreamForRequest.ts
@@ -1,5 +1,5 @@
 import type {MonotonicMs} from '@vanillacross/common';
-import {getPermitTime} from '@vanillacross/domain';
+import {getPermitTime, noText} from '@vanillacross/domain';
 
 import type {Upstream} from '../upstreams/index.js';
 import {chooseUpstream} from '../upstreams/index.js';
@@ -23,6 +23,7 @@
     domain: context.domain,
     tried,
     weights: null,
+    origin: noText,
     maxInFlight: pool.maxConnections,
     isBackground,
   });
--- a/packages/rollout/src/steps/engineSelector.ts
+++ b/packages/rollout/src/steps/engineSelector.ts
@@ -1,4 +1,6 @@
 import type {DomainId} from '@vanillacross/common';
+import type {TextOrigin} from '@vanillacross/domain';
+import {mayExtendText} from '@vanillacross/domain';
 
 import type {ConfigurationState} from '../configuration/index.js';
 import {pickWeightedPool} from '../configuration/index.js';
@@ -28,8 +30,15 @@
     return routes?.getRoute(tracked.step.route) ?? null;
   }
 
-  /** Returns an engine with a free slot for a queued sample, or null. */
-  chooseForStart(task: SampleTask, route: Route): Upstream | null {
+  /**
+   * Returns an engine with a free slot for a queued sample whose text so far has
+   * this origin, or null.
+   */
+  chooseForStart(
+    task: SampleTask,
+    route: Route,
+    origin: TextOrigin,
+  ): Upstream | null {
     const poolId = pickWeightedPool(route, Math.random);
     const pool = poolId
       ? this.options.configuration.getPool(poolId as Pool['id'])
@@ -37,11 +46,19 @@
     if (!pool) return null;
     this.options.directory.recordDemand(pool.id);
     return (
-      this.choose(task, pool, upstream => upstream !== task.avoidedUpstream) ??
-      this.choose(task, pool, () => true)
+      this.choose(task, pool, origin, u => u !== task.avoidedUpstream) ??
+      this.choose(task, pool, origin, () => true)
     );
   }
 
+  /** Whether an engine in service may go on with the text of a sample. */
+  hasEngineForText(task: SampleTask, route: Route): boolean {
+    const {directory} = this.options;
+    return route.targets
+      .flatMap(({pool}) => directory.getUsable(pool))
+      .some(({entry}) => mayExtendText(task.text.origin, entry.software));
+  }
+
   /** Returns an engine that is known to be much faster than the current one. */
   chooseFaster(task: SampleTask, current: Upstream): Upstream | null {
     const currentIntervalMs = current.getEventIntervalMs();
@@ -50,12 +67,13 @@
     const isFaster = (upstream: Upstream) =>
       (upstream.getEventIntervalMs() ?? Infinity) * SLOW_FACTOR <=
       currentIntervalMs;
-    return this.choose(task, pool, isFaster);
+    return this.choose(task, pool, task.text.origin, isFaster);
   }
 
   private choose(
     task: SampleTask,
     pool: Pool,
+    origin: TextOrigin,
     isEligible: (upstream: Upstream) => boolean,
   ): Upstream | null {
     const {directory, domain, getColdShare} = this.options;
@@ -70,6 +88,7 @@
       domain,
       tried: new Set(),
       weights: model === null ? null : {model, minVersion},
+      origin,
       maxInFlight: pool.maxConnections,
       isBackground: false,
     });
--- a/packages/rollout/src/steps/generation.ts
+++ b/packages/rollout/src/steps/generation.ts
@@ -170,7 +170,8 @@
     }
     const {text, maxEvents, isSingleVersion, minVersion} = this.options;
     const isExpected = Number(id) <= maxEvents;
-    if (!isExpected || !text.append(Number(id), data, this.version)) {
+    const {software} = this.upstream.entry;
+    if (!isExpected || !text.append(Number(id), data, this.version, software)) {
       return this.settle({tag: 'broken', reason: `unexpected event ${id}`});
     }
     // Only an event is progress: an engine that sends single bytes is stalled.
--- a/packages/rollout/src/steps/progress.test.ts
+++ b/packages/rollout/src/steps/progress.test.ts
@@ -1,4 +1,4 @@
-import type {SampleId} from '@vanillacross/common';
+import type {SampleId, SoftwareVersion} from '@vanillacross/common';
 import {toBranded} from '@vanillacross/common';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -6,6 +6,8 @@
 import type {ProgressPart} from './progress.js';
 import {ProgressTracker} from './progress.js';
 
+const V1 = toBranded<SoftwareVersion>('v1');
+const V2 = toBranded<SoftwareVersion>('v2');
 const SAMPLE = toBranded<SampleId>('s1');
 /** Texts of all parts, by the offset of their location. */
 const TEXTS: string[] = [];
@@ -16,6 +18,7 @@
   after: number,
   events: string[],
   branch = after,
+  software: SoftwareVersion | null = V1,
 ): ProgressPart {
   // The offset of the location identifies the text of the part.
   const offset = TEXTS.push(events.join('\n')) - 1;
@@ -27,6 +30,7 @@
     after,
     events: events.length,
     versions: [1],
+    software,
     text: {partition: 0, offset, bytes: 0},
   };
 }
@@ -102,6 +106,38 @@
     ],
     text: '1\n2\n3',
   },
+  {
+    name: 'ignores a part of its chain by another software version',
+    parts: [
+      createPart('a', '', 0, ['1']),
+      createPart('a', '', 1, ['2'], 1, V2),
+    ],
+    text: '1',
+  },
+  {
+    name: 'ignores a chain that branched off at another software version',
+    parts: [
+      createPart('a', '', 0, ['1']),
+      createPart('b', 'a', 1, ['2b'], 1, V2),
+    ],
+    text: '1',
+  },
+  {
+    name: 'ignores a part that does not state the software version of its chain',
+    parts: [
+      createPart('a', '', 0, ['1']),
+      createPart('a', '', 1, ['2'], 1, null),
+    ],
+    text: '1',
+  },
+  {
+    name: 'replaces the text by a chain of another software version that starts from the beginning',
+    parts: [
+      createPart('a', '', 0, ['1', '2']),
+      createPart('b', '', 0, ['1b'], 0, V2),
+    ],
+    text: '1b',
+  },
 ];
 
 describe('ProgressTracker', () => {
--- a/packages/rollout/src/steps/progress.ts
+++ b/packages/rollout/src/steps/progress.ts
@@ -1,4 +1,4 @@
-import type {SampleId} from '@vanillacross/common';
+import type {SampleId, SoftwareVersion} from '@vanillacross/common';
 
 import type {TextLocation} from '../model/index.js';
 
@@ -23,6 +23,11 @@
    * part.
    */
   versions: readonly number[];
+  /**
+   * Software version of the engines that generated the chain; null in records of
+   * older releases, which do not state it.
+   */
+  software: SoftwareVersion | null;
   /** Location of the events' data, a JSON array. */
   text: TextLocation;
 }
@@ -32,6 +37,7 @@
   chain: string;
   events: number;
   versions: readonly number[];
+  software: SoftwareVersion | null;
   /** Locations of the pieces of the text, in order. */
   texts: readonly TextLocation[];
 }
@@ -39,7 +45,13 @@
 /** Maximum number of unfinished samples to track; the oldest are evicted. */
 const MAX_SAMPLES = 4_096;
 
-const emptyProgress: Progress = {chain: '', events: 0, versions: [], texts: []};
+const emptyProgress: Progress = {
+  chain: '',
+  events: 0,
+  versions: [],
+  software: null,
+  texts: [],
+};
 
 /**
  * Returns the progress that a part continues; null if the part does not fit. A
@@ -50,12 +62,13 @@
   part: ProgressPart,
   known: Progress | undefined,
 ): Progress | null {
+  const isOfOther = known !== undefined && known.software !== part.software;
   if (known?.chain === part.chain) {
-    return part.after === known.events ? known : null;
+    return part.after === known.events && !isOfOther ? known : null;
   }
   if (part.after !== part.branch) return null;
   if (part.branch === 0 && part.parent === '') return emptyProgress;
-  if (!known || part.parent !== known.chain) return null;
+  if (!known || isOfOther || part.parent !== known.chain) return null;
   return part.branch === known.events ? known : null;
 }
 
@@ -80,6 +93,7 @@
       chain: part.chain,
       events: part.after + part.events,
       versions: part.versions,
+      software: part.software,
       texts: [...base.texts, part.text],
     });
     for (const oldest of this.samples.keys()) {
--- a/packages/rollout/src/steps/records.ts
+++ b/packages/rollout/src/steps/records.ts
@@ -60,6 +60,7 @@
   after: z.number(),
   events: z.number(),
   versions: z.array(z.number()),
+  software: z.string().nullable().default(null),
   text: textLocationSchema,
 });
 
--- a/packages/rollout/src/steps/sampleRecovery.ts
+++ b/packages/rollout/src/steps/sampleRecovery.ts
@@ -44,17 +44,22 @@
     const {registry, texts, logger} = this.options;
     const progress = registry.getProgress(task.trackedStep.partition, task.id);
     if (!progress || !this.mayReuse(task, progress.versions)) return false;
+    const {software} = progress;
+    if (software === null) return false;
     task.stage = 'loading';
     const pieces = await Promise.all(progress.texts.map(t => texts.get(t)));
     if (task.isCancelled) return false;
     const data = decodeTextPieces(pieces);
-    if (data?.length === progress.events) task.resume(progress, data);
+    if (data?.length === progress.events) {
+      task.resume(progress, software, data);
+    }
     // `events` is 0 if the stored progress could not be read.
     logger.info('tried to resume sample from stored progress', {
       step: task.trackedStep.step.id,
       sample: task.id,
       stored: progress.events,
       events: task.text.lastEventId,
+      software,
     });
     task.stage = 'queued';
     return true;
--- a/packages/rollout/src/steps/sampleTask.ts
+++ b/packages/rollout/src/steps/sampleTask.ts
@@ -1,4 +1,8 @@
-import type {MonotonicMs, SampleId} from '@vanillacross/common';
+import type {
+  MonotonicMs,
+  SampleId,
+  SoftwareVersion,
+} from '@vanillacross/common';
 import type {QueuedSample} from '@vanillacross/domain';
 
 import type {Route, Sample, SampleResult} from '../model/index.js';
@@ -23,6 +27,10 @@
 /** The execution of one sample of an open step by this process. */
 export class SampleTask implements QueuedSample {
   stage: SampleStage = 'queued';
+  /** When the last run that added events to the text ended. */
+  advancedAt: MonotonicMs;
+  /** Number of runs since then that broke off without an event. */
+  fruitlessRuns = 0;
   /**
    * Earlier result of this sample, whose text and versions are reused; null if
    * there is none.
@@ -48,6 +56,7 @@
    * it.
    */
   storedEvents = 0;
+  private eventsAtRunEnd = 0;
   /** Chain that the text was resumed from; '' if from the beginning. */
   parent = '';
   /** Number of events that the chain takes over from its parent. */
@@ -63,12 +72,31 @@
     /** Id of the chain of events that this task generates. */
     public chain: string,
     readonly createdAt: MonotonicMs,
-  ) {}
+  ) {
+    this.advancedAt = createdAt;
+  }
+
+  /** Notes the end of a run that an engine has executed. */
+  recordRunEnd(now: MonotonicMs): void {
+    const {lastEventId} = this.text;
+    if (lastEventId <= this.eventsAtRunEnd) {
+      this.fruitlessRuns++;
+      return;
+    }
+    this.eventsAtRunEnd = lastEventId;
+    this.fruitlessRuns = 0;
+    this.advancedAt = now;
+  }
 
   /** Resumes from stored progress with the data of its events. */
-  resume(progress: Progress, eventData: readonly string[]): void {
-    this.text.extend(eventData, progress.versions);
+  resume(
+    progress: Progress,
+    software: SoftwareVersion,
+    eventData: readonly string[],
+  ): void {
+    this.text.restore(eventData, progress.versions, software);
     this.storedEvents = this.text.lastEventId;
+    this.eventsAtRunEnd = this.storedEvents;
     this.branch = this.storedEvents;
     this.parent = progress.chain;
   }
@@ -79,13 +107,23 @@
    */
   takeUnstored(): UnstoredPart | null {
     const after = this.storedEvents;
-    const {lastEventId, versions} = this.text;
+    const {lastEventId, versions, software} = this.text;
     if (lastEventId <= after) return null;
     this.storedEvents = lastEventId;
     const data = this.text.getEventsAfter(after);
     const {id, chain, parent, branch} = this;
     const events = data.length;
-    return {sample: id, chain, parent, branch, after, events, versions, data};
+    return {
+      sample: id,
+      chain,
+      parent,
+      branch,
+      after,
+      events,
+      versions,
+      software,
+      data,
+    };
   }
 
   get id(): SampleId {
@@ -95,6 +133,8 @@
   /** Discards the text and starts a new chain from the beginning. */
   restart(chain: string): void {
     this.text.clear();
+    this.eventsAtRunEnd = 0;
+    this.fruitlessRuns = 0;
     this.chain = chain;
     this.parent = '';
     this.branch = 0;
--- a/packages/rollout/src/steps/sampleText.ts
+++ b/packages/rollout/src/steps/sampleText.ts
@@ -1,4 +1,7 @@
+import type {SoftwareVersion} from '@vanillacross/common';
 import {parseJson} from '@vanillacross/common';
+import type {TextOrigin} from '@vanillacross/domain';
+import {createKnownOrigin, mayExtendText, noText} from '@vanillacross/domain';
 import {z} from 'zod';
 
 const eventsSchema = z.array(z.string());
@@ -17,6 +20,7 @@
 export class SampleText {
   private readonly events: string[] = [];
   private readonly versionSet = new Set<number>();
+  private softwareVersion: SoftwareVersion | null = null;
 
   /** Id of the last event; 0 before the first. */
   get lastEventId(): number {
@@ -28,16 +32,43 @@
     return [...this.versionSet].sort((a, b) => a - b);
   }
 
-  /** Appends an event; returns false if its id does not follow the last one. */
-  append(id: number, data: string, version: number): boolean {
+  /** Software version of the engines that generated it; null without events. */
+  get software(): SoftwareVersion | null {
+    return this.softwareVersion;
+  }
+
+  get origin(): TextOrigin {
+    return this.softwareVersion === null
+      ? noText
+      : createKnownOrigin(this.softwareVersion);
+  }
+
+  /**
+   * Appends an event; returns false if its id does not follow the last one or if
+   * an engine of another software version generated it.
+   */
+  append(
+    id: number,
+    data: string,
+    version: number,
+    software: SoftwareVersion,
+  ): boolean {
     if (id !== this.events.length + 1) return false;
+    if (!mayExtendText(this.origin, software)) return false;
+    this.softwareVersion = software;
     this.events.push(data);
     this.versionSet.add(version);
     return true;
   }
 
-  /** Appends events together with the versions that generated them. */
-  extend(events: readonly string[], versions: readonly number[]): void {
+  /** Sets the text to the events of an earlier run and what generated them. */
+  restore(
+    events: readonly string[],
+    versions: readonly number[],
+    software: SoftwareVersion,
+  ): void {
+    this.clear();
+    this.softwareVersion = software;
     this.events.push(...events);
     for (const version of versions) this.versionSet.add(version);
   }
@@ -55,6 +86,7 @@
   clear(): void {
     this.events.length = 0;
     this.versionSet.clear();
+    this.softwareVersion = null;
   }
 
   /** Returns the data of all events, separated by line feeds. */
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -6,7 +6,7 @@
   SampleId,
 } from '@vanillacross/common';
 import {getDeadline} from '@vanillacross/common';
-import {compareQueuedSamples} from '@vanillacross/domain';
+import {compareQueuedSamples, noText} from '@vanillacross/domain';
 
 import type {ConfigurationState} from '../configuration/index.js';
 import type {ForwardContext} from '../forwarding/index.js';
@@ -54,6 +54,16 @@
 const MAX_PENDING_TEXTS = 200;
 /** Minimum duration of a generation before it may migrate, ms. */
 const MIGRATE_AFTER_MS = 500;
+/**
+ * Time for which a sample waits for an engine of its text's software version
+ * before it starts again at another version, ms.
+ */
+const TEXT_WAIT_MS = 1_000;
+/**
+ * Number of runs without an event after which a sample no longer prefers engines
+ * of its text's software version.
+ */
+const MAX_FRUITLESS_RUNS = 2;
 /** Maximum number of migrations of one sample to faster engines. */
 const MAX_MIGRATIONS = 3;
 
@@ -317,7 +327,7 @@
       this.finish(task, 'dead', null);
       return true;
     }
-    const upstream = route && this.engineSelector.chooseForStart(task, route);
+    const upstream = route && this.chooseEngine(task, route);
     if (!route || !upstream) return false;
     this.generate(task, route, upstream);
     this.options.metrics.count('vc_samples_started', {
@@ -326,6 +336,37 @@
     return true;
   }
 
+  /**
+   * Returns an engine for a queued sample, or null. If its text can't go on at
+   * engines of its software version, the sample starts again from the beginning
+   * at another version.
+   */
+  private chooseEngine(task: SampleTask, route: Route): Upstream | null {
+    const {engineSelector} = this;
+    const {clock, logger} = this.options;
+    const {software, lastEventId} = task.text;
+    const next = engineSelector.chooseForStart(task, route, task.text.origin);
+    if (software === null) return next;
+    if (next && task.fruitlessRuns < MAX_FRUITLESS_RUNS) return next;
+    const waitedMs = clock.now() - task.advancedAt;
+    const mayWait = !next && waitedMs < TEXT_WAIT_MS;
+    if (mayWait && engineSelector.hasEngineForText(task, route)) return null;
+    const other = engineSelector.chooseForStart(task, route, noText);
+    if (!other || other.entry.software === software) return other;
+    logger.info('sample starts again at another software version', {
+      step: task.trackedStep.step.id,
+      sample: task.id,
+      events: lastEventId,
+      software,
+      other: other.entry.software,
+      waitedMs: Math.round(waitedMs),
+      fruitlessRuns: task.fruitlessRuns,
+    });
+    this.options.metrics.count('vc_samples_restarted');
+    task.restart(this.createChainId());
+    return other;
+  }
+
   private generate(task: SampleTask, route: Route, upstream: Upstream): void {
     const {dialect, clock, logger} = this.options;
     const {step} = task.trackedStep;
@@ -379,6 +420,7 @@
     }
     if (outcome.tag === 'wrong_version') task.restart(this.createChainId());
     if (outcome.tag === 'not_run') this.backOff(task, upstream);
+    else task.recordRunEnd(this.options.clock.now());
     task.stage = 'queued';
     this.scheduleStart();
   }
--- a/packages/rollout/src/upstreams/chooseUpstream.test.ts
+++ b/packages/rollout/src/upstreams/chooseUpstream.test.ts
@@ -1,5 +1,7 @@
-import type {DomainId} from '@vanillacross/common';
+import type {DomainId, SoftwareVersion} from '@vanillacross/common';
 import {toBranded} from '@vanillacross/common';
+import type {TextOrigin} from '@vanillacross/domain';
+import {createKnownOrigin, noText} from '@vanillacross/domain';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
@@ -11,12 +13,17 @@
 import type {UpstreamCriteria} from './chooseUpstream.js';
 import {chooseUpstream} from './chooseUpstream.js';
 
+const V1 = toBranded<SoftwareVersion>('v1');
+const V2 = toBranded<SoftwareVersion>('v2');
+const FULL = {running: 4, waiting: 9, slots: 4};
+
 const callerCriteria: UpstreamCriteria = {
   pool: testPool,
   coldShare: 10,
   domain: toBranded<DomainId>('a'),
   tried: new Set(),
   weights: null,
+  origin: noText,
   maxInFlight: 100,
   isBackground: false,
 };
@@ -26,6 +33,36 @@
 };
 
 describe('chooseUpstream', () => {
+  describe('with a text that has begun', () => {
+    const choose = (origin: TextOrigin) => {
+      const {directory, list, clock} = createDirectoryFixture();
+      list('old', {software: V1});
+      list('new', {software: V2});
+      // The other version is the better choice in all other respects.
+      directory.getUsable(POOL_ID)[0].recordLoad(FULL);
+      clock.advance(1);
+      const usable = directory.getUsable(POOL_ID);
+      return chooseUpstream(usable, {...callerCriteria, origin})?.id ?? null;
+    };
+
+    it('takes only an upstream of its software version', () => {
+      assert.equal(choose(createKnownOrigin(V1)), 'old');
+    });
+
+    it('takes none if its software version is gone', () => {
+      const v3 = toBranded<SoftwareVersion>('v3');
+      assert.equal(choose(createKnownOrigin(v3)), null);
+    });
+
+    it('takes none if its software version is unknown', () => {
+      assert.equal(choose({tag: 'unknown'}), null);
+    });
+
+    it('takes any without a text', () => {
+      assert.equal(choose(noText), 'new');
+    });
+  });
+
   it('reserves slots for callers (guards against slow lookups during a burst of background scoring)', () => {
     const {directory, list} = createDirectoryFixture();
     list('u', {slots: 6});
--- a/packages/rollout/src/upstreams/chooseUpstream.ts
+++ b/packages/rollout/src/upstreams/chooseUpstream.ts
@@ -1,4 +1,6 @@
 import type {DomainId} from '@vanillacross/common';
+import type {TextOrigin} from '@vanillacross/domain';
+import {mayExtendText} from '@vanillacross/domain';
 
 import type {Pool} from '../model/index.js';
 import type {Upstream} from './upstream.js';
@@ -14,6 +16,8 @@
   tried: ReadonlySet<Upstream>;
   /** Model and oldest version that the upstream must serve. */
   weights: {model: string; minVersion: number} | null;
+  /** Origin of the text that the upstream goes on with. */
+  origin: TextOrigin;
   /** Maximum requests of this process in flight at one upstream. */
   maxInFlight: number;
   /**
@@ -91,6 +95,7 @@
       upstream.inFlight < criteria.maxInFlight &&
       mayTakeSlot(upstream, criteria) &&
       servesVersion(upstream, criteria) &&
+      mayExtendText(criteria.origin, upstream.entry.software) &&
       upstream.notices.mayStart() &&
       upstream.isWithinColdLimit(criteria.pool, criteria.coldShare),
   );
