Answer held reads of the store stand-ins when their time is over

A test with streams failed in about one run of three: a node refused all keys, as its configuration was not confirmed for 1.9 s. The log of a node showed a read that the stand-in held for 0.8 s and never answered. AbortSignal.timeout within AbortSignal.any may be collected as garbage before it fires. Also keeps the newest values of keys that nodes append, not only of those that tests put.

--- a/packages/standins/src/log.ts
+++ b/packages/standins/src/log.ts
@@ -1,4 +1,4 @@
-import {EventEmitter, once} from 'node:events';
+import {EventEmitter} from 'node:events';
 import {z} from 'zod';
 
 import {
@@ -6,6 +6,7 @@
   DEFAULT_READ_RECORDS,
   MAX_LONG_POLL_MS,
 } from './constants.js';
+import {waitForEvent} from './longPoll.js';
 import type {RouteContext, Reply, Service, ServiceOptions} from './service.js';
 import {createRoute, createService} from './service.js';
 
@@ -129,9 +130,7 @@
     const waitMs = Math.min(getNumber('waitMs', 0), MAX_LONG_POLL_MS);
     const stream = getStream(context.params[0]);
     if (!isDown && from >= stream.nextOffset && waitMs > 0) {
-      const timeout = AbortSignal.timeout(waitMs);
-      const signal = AbortSignal.any([timeout, context.signal]);
-      await once(stream.changes, 'change', {signal}).catch(() => {});
+      await waitForEvent(stream.changes, 'change', waitMs, context.signal);
     }
     if (isDown) return UNAVAILABLE;
     getStream(context.params[0]);
--- a/packages/standins/src/metadataStore.ts
+++ b/packages/standins/src/metadataStore.ts
@@ -1,6 +1,7 @@
-import {EventEmitter, once} from 'node:events';
+import {EventEmitter} from 'node:events';
 import {z} from 'zod';
 
+import {waitForEvent} from './longPoll.js';
 import type {RouteContext, Reply, Service, ServiceOptions} from './service.js';
 import {createRoute, createService} from './service.js';
 
@@ -8,6 +9,8 @@
 /** Appends per producer whose responses are kept for retries. */
 const MAX_RETAINED_RESPONSES = 5;
 const MAX_WAIT_MS = 30_000;
+/** Topics with this prefix keep the newest value of each key. */
+const KEYED_PREFIX = 'keyed.';
 
 interface ProducerState {
   epoch: number;
@@ -84,6 +87,17 @@
   return Buffer.concat([Buffer.from([name.length]), name, value]);
 }
 
+/** Sets the newest values of the keys of appended records. */
+function applyKeyedRecords(partition: Partition, records: Buffer[]): void {
+  const end = getEnd(partition);
+  records.forEach((record, index) => {
+    const key = record.toString('utf8', 1, 1 + record[0]);
+    const value = record.subarray(1 + record[0]);
+    if (value.length === 0) partition.newest.delete(key);
+    else partition.newest.set(key, {value, offset: end + index});
+  });
+}
+
 function appendRecords(partition: Partition, records: Buffer[]): Reply {
   const offset = getEnd(partition);
   partition.records.push(...records);
@@ -161,7 +175,11 @@
     if (at !== null && Number(at) !== end) return {status: 412, body: {end}};
     const earlyReply = checkProducer(partition, query);
     if (earlyReply) return earlyReply;
-    const reply = appendRecords(partition, parseRecords(body));
+    const records = parseRecords(body);
+    if (query.get('topic')?.startsWith(KEYED_PREFIX)) {
+      applyKeyedRecords(partition, records);
+    }
+    const reply = appendRecords(partition, records);
     storeResponse(partition, query, reply);
     return reply;
   };
@@ -176,10 +194,7 @@
     }
     const waitMs = Math.min(Number(query.get('wait_ms') ?? 0), MAX_WAIT_MS);
     if (getEnd(partition) <= from && waitMs > 0) {
-      const timeout = AbortSignal.any([signal, AbortSignal.timeout(waitMs)]);
-      await once(partition.changes, 'append', {signal: timeout}).catch(
-        () => undefined,
-      );
+      await waitForEvent(partition.changes, 'append', waitMs, signal);
     }
     const head = Buffer.alloc(16);
     head.writeBigUInt64BE(BigInt(getEnd(partition)), 0);
@@ -271,9 +286,9 @@
       const partition = getPartition(topic, 0);
       const bytes =
         value === null ? Buffer.alloc(0) : Buffer.from(JSON.stringify(value));
-      if (value === null) partition.newest.delete(key);
-      else partition.newest.set(key, {value: bytes, offset: getEnd(partition)});
-      appendRecords(partition, [encodeKeyedRecord(key, bytes)]);
+      const records = [encodeKeyedRecord(key, bytes)];
+      applyKeyedRecords(partition, records);
+      appendRecords(partition, records);
     },
     dropHistory: topic => {
       const partition = getPartition(topic, 0);
