Stop a closed append queue

An append to a queue that was closed retried without a pause for ever, because a batch is not settled once the queue is closed; a test process with such an append did not exit. Appends after the close resolve as not stored.

--- a/packages/rollout/src/log/appendQueue.test.ts
+++ b/packages/rollout/src/log/appendQueue.test.ts
@@ -114,4 +114,12 @@
       assert.ok(entries.slice(0, -1).every(part => part === null));
     }
   });
+
+  it('ends after it was closed (guards against a process that does not exit because it retries without pause)', async () => {
+    const {queue, appends} = createQueue([]);
+    queue.close();
+    const outcome = await queue.append(Buffer.from('late'), null);
+    assert.deepEqual(outcome, {tag: 'not_stored'});
+    assert.equal(appends.length, 0);
+  });
 });
--- a/packages/rollout/src/log/appendQueue.ts
+++ b/packages/rollout/src/log/appendQueue.ts
@@ -72,6 +72,7 @@
    * as `unknown`, but its append is still retried.
    */
   append(entry: Buffer, deadline: MonotonicMs | null): Promise<AppendOutcome> {
+    if (this.isClosed) return Promise.resolve({tag: 'not_stored'});
     return new Promise(resolve => {
       const queued = {entry, deadline, mayBeStored: false, resolve};
       this.queue.push(queued);
