Let callers' streams go on only at the software version that began them

Cause: a take-up was placed like a new stream. Keeping versions in memory is not enough, because all processes may be killed and none has a disk.

A record in the store (keyed.vc-software) names the software versions at which streams of a pool may have begun. A stream begins at a new version only once every process has read the record or no longer relies on its view, so a process with a current view decides alone. While only one version can have begun a stream, that one goes on. Otherwise processes publish the ids of their streams in the control stream, together and after the first event. A take-up whose version is unknown, or not in service, is rejected at once with 503; nothing has run.

--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -24,6 +24,7 @@
 export * from './sampleScheduler.js';
 export * from './rollout.js';
 export * from './sendLimit.js';
+export * from './servedVersions.js';
 export * from './settings.js';
 export * from './subset.js';
 export * from './softwareVersion.js';
--- a/packages/rollout/src/callers/forwardStream.ts
+++ b/packages/rollout/src/callers/forwardStream.ts
@@ -1,14 +1,25 @@
+import type {MonotonicMs} from '@vanillacross/common';
 import {getRequestFingerprint} from '@vanillacross/common';
-import {MIN_RETRY_AFTER_MS} from '@vanillacross/domain';
+import type {TextOrigin} from '@vanillacross/domain';
+import {MIN_RETRY_AFTER_MS, mayExtendText, noText} from '@vanillacross/domain';
 import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
 
 import type {ForwardContext, ForwardRequest} from '../forwarding/index.js';
 import {NOT_PERMITTED_REASON, chooseForRequest} from '../forwarding/index.js';
 import type {ResponseHead} from '../model/index.js';
-import type {Exchange, ExchangeEvents, Upstream} from '../upstreams/index.js';
+import type {
+  Exchange,
+  ExchangeEvents,
+  ExchangeFailure,
+  Upstream,
+} from '../upstreams/index.js';
 import {EventBoundary, startExchange} from '../upstreams/index.js';
 import type {Refusal} from './refusal.js';
-import {getQuarantineRefusal} from './refusal.js';
+import {
+  getLeftVersionRefusal,
+  getQuarantineRefusal,
+  getUnknownVersionRefusal,
+} from './refusal.js';
 
 const EVENT_STREAM_TYPE = 'text/event-stream';
 
@@ -40,112 +51,191 @@
   refuse: (refusal: Refusal) => void,
 ): Promise<void> {
   return new Promise(resolve => {
-    const tried = new Set<Upstream>();
-    let exchange: Exchange | null = null;
-    let isDone = false;
-    const startedAt = context.clock.now();
-    const fingerprint = getRequestFingerprint(
-      request.method,
-      request.target,
+    new StreamForwarder(context, request, response, refuse, resolve).start();
+  });
+}
+
+class StreamForwarder {
+  private readonly tried = new Set<Upstream>();
+  private readonly startedAt: MonotonicMs;
+  private readonly fingerprint: string;
+  /** Origin of the events that the caller has. */
+  private origin: TextOrigin = noText;
+  private exchange: Exchange | null = null;
+  private isDone = false;
+  private cancelDeadline: () => void = () => undefined;
+
+  constructor(
+    private readonly context: ForwardContext,
+    private readonly request: ForwardRequest,
+    private readonly response: ServerResponse,
+    private readonly refuse: (refusal: Refusal) => void,
+    private readonly resolve: () => void,
+  ) {
+    this.startedAt = context.clock.now();
+    const {method, target, body} = request;
+    this.fingerprint = getRequestFingerprint(method, target, body);
+  }
+
+  start(): void {
+    const {context, request, response} = this;
+    this.cancelDeadline = context.clock.callAt(request.deadline, () =>
+      this.fail({status: 504, reason: 'timeout'}),
+    );
+    response.on('drain', () => this.exchange?.resume());
+    response.on('close', () => this.finish('connection closed'));
+    if (context.crashes.isQuarantined(this.fingerprint)) {
+      return this.fail(getQuarantineRefusal());
+    }
+    const {continuation, pool} = request;
+    if (continuation) {
+      this.origin = context.streams.getOrigin(pool.id, continuation.resumes);
+    }
+    if (this.origin.tag === 'unknown') {
+      return this.fail(getUnknownVersionRefusal());
+    }
+    this.sendNext();
+  }
+
+  private finish(outcome: string): void {
+    if (this.isDone) return;
+    this.isDone = true;
+    this.cancelDeadline();
+    this.exchange?.abort();
+    const {clock, logger} = this.context;
+    logger.info('stream ended', {
+      request: this.request.id,
+      upstream: this.exchange?.upstream.id,
+      isStarted: this.response.headersSent,
+      outcome,
+      elapsedMs: Math.round(clock.now() - this.startedAt),
+    });
+    this.resolve();
+  }
+
+  /** Refuses the request, or resets the connection of a stream that began. */
+  private fail(refusal: Refusal): void {
+    if (this.isDone) return;
+    this.finish(refusal.reason);
+    if (!this.response.headersSent) this.refuse(refusal);
+    else this.response.destroy();
+  }
+
+  private failNotRun(reason: string): void {
+    this.fail({status: 503, reason, retryAfterMs: MIN_RETRY_AFTER_MS});
+  }
+
+  private sendNext(): void {
+    if (this.isDone) return;
+    const {context, request, tried, origin} = this;
+    if (!request.isPermitted()) return this.failNotRun(NOT_PERMITTED_REASON);
+    const usable = this.getUsable();
+    const upstream = chooseForRequest(context, request, usable, tried, origin);
+    if (!upstream) return this.failWithoutUpstream(usable);
+    tried.add(upstream);
+    this.logStart(upstream);
+    this.exchange = startExchange(
+      upstream,
+      context.dialect,
+      context.clock,
+      {
+        ...request,
+        upstream: upstream.id,
+        budgetMs: request.deadline - context.clock.now(),
+        lastEventId: 0,
+      },
       request.body,
+      this.getEvents(upstream),
     );
-    const finish = (refusal?: Refusal) => {
-      if (isDone) return;
-      isDone = true;
-      cancelDeadline();
-      exchange?.abort();
-      logEnd(refusal?.reason ?? 'closed');
-      if (refusal && !response.headersSent) refuse(refusal);
-      else if (refusal) response.destroy();
-      resolve();
-    };
-    const logStart = ({id, entry}: Upstream) =>
-      context.logger.info('stream starts', {
-        request: request.id,
-        resumes: request.continuation?.resumes,
-        after: request.continuation?.after ?? 0,
-        upstream: id,
-        software: entry.software,
-      });
-    const logEnd = (outcome: string) =>
-      context.logger.info('stream ended', {
-        request: request.id,
-        upstream: exchange?.upstream.id,
-        isStarted: response.headersSent,
-        outcome,
-        elapsedMs: Math.round(context.clock.now() - startedAt),
-      });
-    const cancelDeadline = context.clock.callAt(request.deadline, () =>
-      finish({status: 504, reason: 'timeout'}),
+  }
+
+  /**
+   * Returns the upstreams in service, without those at which no stream may begin
+   * yet if this one begins and may be taken up.
+   */
+  private getUsable(): Upstream[] {
+    const {directory, streams} = this.context;
+    const {pool, route, continuation} = this.request;
+    const usable = directory.getUsable(pool.id);
+    if (continuation || !route.isResumable) return usable;
+    return usable.filter(({entry}) =>
+      streams.mayBegin(pool.id, entry.software),
     );
-    const refuseNotExecuted = (reason: string) =>
-      finish({status: 503, reason, retryAfterMs: MIN_RETRY_AFTER_MS});
-    const getEvents = (): ExchangeEvents => {
-      let isForwarding = false;
-      let boundary: EventBoundary | null = null;
-      return {
-        onHead: (head, headers) => {
-          if (head.isNotRun || head.isMisdirected) return;
-          isForwarding = true;
-          if (isUnframedEventStream(head, headers)) {
-            boundary = new EventBoundary();
-          }
-          context.onExecution(request.account);
-          const callerHeaders = context.dialect.getCallerHeaders(headers);
-          response.writeHead(head.status, callerHeaders);
-        },
-        onData: chunk => {
-          boundary?.add(chunk);
-          if (isForwarding && !response.write(chunk)) exchange?.pause();
-        },
-        onEnd: () => {
-          if (!isForwarding) return tryNext();
-          if (boundary && !boundary.isBetweenEvents()) {
-            exchange?.upstream.recordFailure();
-            return finish({status: 502, reason: 'cut off in an event'});
-          }
-          response.end();
-          finish();
-        },
-        onFailure: failure => {
-          exchange?.upstream.recordFailure();
-          if (failure.tag === 'lost' && exchange) {
-            context.crashes.reportCrash(fingerprint, exchange.upstream.id);
-          }
-          if (failure.tag === 'not_sent') return tryNext();
-          finish({status: 502, reason: `${failure.tag}: ${failure.detail}`});
-        },
-      };
-    };
-    const tryNext = () => {
-      if (isDone) return;
-      if (!request.isPermitted()) {
-        return refuseNotExecuted(NOT_PERMITTED_REASON);
-      }
-      const usable = context.directory.getUsable(request.pool.id);
-      const upstream = chooseForRequest(context, request, usable, tried);
-      if (!upstream) return refuseNotExecuted('no upstream has room');
-      tried.add(upstream);
-      logStart(upstream);
-      exchange = startExchange(
-        upstream,
-        context.dialect,
-        context.clock,
-        {
-          ...request,
-          upstream: upstream.id,
-          budgetMs: request.deadline - context.clock.now(),
-          lastEventId: 0,
-        },
-        request.body,
-        getEvents(),
-      );
+  }
+
+  private failWithoutUpstream(usable: readonly Upstream[]): void {
+    const hasVersion = usable.some(({entry}) =>
+      mayExtendText(this.origin, entry.software),
+    );
+    if (this.origin.tag === 'known' && !hasVersion) {
+      return this.fail(getLeftVersionRefusal());
+    }
+    this.failNotRun('no upstream has room');
+  }
+
+  private logStart({id, entry}: Upstream): void {
+    const {request, origin} = this;
+    this.context.logger.info('stream starts', {
+      request: request.id,
+      resumes: request.continuation?.resumes,
+      after: request.continuation?.after ?? 0,
+      origin: origin.tag,
+      upstream: id,
+      software: entry.software,
+    });
+  }
+
+  private getEvents(upstream: Upstream): ExchangeEvents {
+    let isForwarding = false;
+    let boundary: EventBoundary | null = null;
+    return {
+      onHead: (head, headers) => {
+        if (head.isNotRun || head.isMisdirected) return;
+        isForwarding = true;
+        if (isUnframedEventStream(head, headers)) {
+          boundary = new EventBoundary();
+        }
+        this.forwardHead(upstream, head, headers);
+      },
+      onData: chunk => {
+        boundary?.add(chunk);
+        if (isForwarding && !this.response.write(chunk)) {
+          this.exchange?.pause();
+        }
+      },
+      onEnd: () => {
+        if (!isForwarding) return this.sendNext();
+        if (boundary && !boundary.isBetweenEvents()) {
+          upstream.recordFailure();
+          return this.fail({status: 502, reason: 'cut off in an event'});
+        }
+        this.response.end();
+        this.finish('complete');
+      },
+      onFailure: failure => this.handleFailure(upstream, failure),
     };
-    response.on('drain', () => exchange?.resume());
-    response.on('close', () => finish());
-    if (context.crashes.isQuarantined(fingerprint)) {
-      return finish(getQuarantineRefusal());
+  }
+
+  private forwardHead(
+    upstream: Upstream,
+    head: ResponseHead,
+    headers: IncomingHttpHeaders,
+  ): void {
+    const {dialect, onExecution, streams} = this.context;
+    const {account, pool, route, id} = this.request;
+    onExecution(account);
+    if (head.status === 200 && route.isResumable) {
+      streams.recordStream(pool.id, id, upstream.entry.software);
     }
-    tryNext();
-  });
+    this.response.writeHead(head.status, dialect.getCallerHeaders(headers));
+  }
+
+  private handleFailure(upstream: Upstream, failure: ExchangeFailure): void {
+    upstream.recordFailure();
+    if (failure.tag === 'lost') {
+      this.context.crashes.reportCrash(this.fingerprint, upstream.id);
+    }
+    if (failure.tag === 'not_sent') return this.sendNext();
+    this.fail({status: 502, reason: `${failure.tag}: ${failure.detail}`});
+  }
 }
--- a/packages/rollout/src/configuration/configurationState.ts
+++ b/packages/rollout/src/configuration/configurationState.ts
@@ -1,6 +1,6 @@
 import type {Clock, Logger, MonotonicMs, PoolId} from '@vanillacross/common';
-import {getClockOffset} from '@vanillacross/common';
 
+import {Confirmation} from '../log/index.js';
 import type {Configuration, Pool} from '../model/index.js';
 import {RouteTable} from './routes.js';
 
@@ -9,8 +9,6 @@
  * subtracted from the time within which a revoked key must be refused.
  */
 const IN_FLIGHT_MARGIN_MS = 600;
-/** Tolerated drift between the wall clock and the monotonic clock, ms. */
-const CLOCK_TOLERANCE_MS = 250;
 
 /** A model version that a trainer has announced. */
 export interface AnnouncedVersion {
@@ -25,8 +23,7 @@
  */
 export class ConfigurationState {
   private current: RouteTable | null = null;
-  private confirmedAt: MonotonicMs | null = null;
-  private confirmedOffsetMs = 0;
+  private readonly confirmation: Confirmation;
   private readonly announcedVersions = new Map<string, AnnouncedVersion>();
   private readonly listeners: Array<() => void> = [];
 
@@ -34,7 +31,9 @@
     private readonly clock: Clock,
     private readonly logger: Logger,
     private readonly revocationMs: number,
-  ) {}
+  ) {
+    this.confirmation = new Confirmation(clock);
+  }
 
   onChange(listener: () => void): void {
     this.listeners.push(listener);
@@ -85,28 +84,20 @@
    * that time, ms.
    */
   confirm(at: MonotonicMs, clockOffsetMs: number): void {
-    if (this.confirmedAt !== null && at <= this.confirmedAt) return;
-    this.confirmedAt = at;
-    this.confirmedOffsetMs = clockOffsetMs;
+    this.confirmation.record(at, clockOffsetMs);
   }
 
   /** Returns the age of the newest confirmation, ms; infinite without one. */
   getAgeMs(): number {
-    return this.confirmedAt === null
-      ? Infinity
-      : this.clock.now() - this.confirmedAt;
+    return this.confirmation.getAgeMs();
   }
 
   /**
-   * Whether keys may be accepted. The monotonic clock stops while the process
-   * is suspended. If it has drifted from the wall clock, the true age of the
+   * Whether keys may be accepted. After a suspension, the true age of the
    * confirmation is unknown, and a new one is required.
    */
   areKeysFresh(): boolean {
-    const driftMs = Math.abs(
-      getClockOffset(this.clock) - this.confirmedOffsetMs,
-    );
-    if (driftMs > CLOCK_TOLERANCE_MS) return false;
+    if (this.confirmation.getSuspensionMs() > 0) return false;
     return this.getAgeMs() < this.revocationMs - IN_FLIGHT_MARGIN_MS;
   }
 
--- a/packages/rollout/src/control/controlFeed.ts
+++ b/packages/rollout/src/control/controlFeed.ts
@@ -1,7 +1,15 @@
-import type {Clock, Logger, PoolId, UpstreamId} from '@vanillacross/common';
+import type {
+  Clock,
+  Logger,
+  PoolId,
+  RequestId,
+  SoftwareVersion,
+  UpstreamId,
+} from '@vanillacross/common';
 import {toBranded, getDeadline} from '@vanillacross/common';
 
 import type {AppendQueue} from '../log/index.js';
+import type {StreamOrigins, StreamPublisher} from '../streams/index.js';
 import type {
   CrashTracker,
   Incarnation,
@@ -24,10 +32,14 @@
 /** Time after which an unsent notice record is dropped as outdated, ms. */
 const NOTICE_APPEND_TIMEOUT_MS = 2_000;
 
+/** Time after which an unsent record of streams is dropped, ms. */
+const STREAMS_APPEND_TIMEOUT_MS = 5_000;
+
 export interface ControlFeedOptions {
   /** Name of this process in the records of demand. */
   process: string;
   notices: NoticeRegistry;
+  streams: StreamOrigins;
   queue: AppendQueue;
   directory: UpstreamDirectory;
   ledger: UsageLedger;
@@ -59,7 +71,7 @@
 }
 
 /** Reads and writes the control stream, which all processes follow. */
-export class ControlFeed implements NoticePublisher {
+export class ControlFeed implements NoticePublisher, StreamPublisher {
   private readonly listeners: Array<() => void> = [];
 
   constructor(private readonly options: ControlFeedOptions) {}
@@ -96,19 +108,15 @@
     version: number,
     loadingMs: number,
   ): void {
-    const {clock, queue} = this.options;
-    const entry = encodeControlRecord({
+    const record = {
       type: 'version',
       upstream: engine.id,
       bornAt: engine.entry.bornAt,
       model,
       version,
       loadingMs,
-    });
-    void queue.append(
-      entry,
-      getDeadline(clock.now(), VERSION_APPEND_TIMEOUT_MS),
-    );
+    } as const;
+    this.append(record, VERSION_APPEND_TIMEOUT_MS);
   }
 
   /**
@@ -116,9 +124,8 @@
    * connection broke.
    */
   publishCrash(fingerprint: string, upstream: UpstreamId): void {
-    const {clock, queue} = this.options;
-    const entry = encodeControlRecord({type: 'crash', fingerprint, upstream});
-    void queue.append(entry, getDeadline(clock.now(), CRASH_APPEND_TIMEOUT_MS));
+    const record = {type: 'crash', fingerprint, upstream} as const;
+    this.append(record, CRASH_APPEND_TIMEOUT_MS);
   }
 
   publishLimit(incarnation: Incarnation, perSecond: number | null): void {
@@ -136,12 +143,25 @@
     this.appendNotice({type: 'demand', process, pool});
   }
 
+  publishStreams(
+    pool: PoolId,
+    software: SoftwareVersion,
+    ids: readonly RequestId[],
+  ): void {
+    this.append(
+      {type: 'streams', pool, software, ids: [...ids]},
+      STREAMS_APPEND_TIMEOUT_MS,
+    );
+  }
+
   private appendNotice(record: ControlRecord): void {
+    this.append(record, NOTICE_APPEND_TIMEOUT_MS);
+  }
+
+  private append(record: ControlRecord, timeoutMs: number): void {
     const {clock, queue} = this.options;
-    void queue.append(
-      encodeControlRecord(record),
-      getDeadline(clock.now(), NOTICE_APPEND_TIMEOUT_MS),
-    );
+    const deadline = getDeadline(clock.now(), timeoutMs);
+    void queue.append(encodeControlRecord(record), deadline);
   }
 
   private readonly handlers: {
@@ -181,5 +201,11 @@
       if (!isCaughtUp()) return;
       notices.applyDemand(toBranded<PoolId>(record.pool), record.process);
     },
+    streams: record =>
+      this.options.streams.applyStreams(
+        toBranded<PoolId>(record.pool),
+        toBranded<SoftwareVersion>(record.software),
+        record.ids.map(toBranded<RequestId>),
+      ),
   };
 }
--- a/packages/rollout/src/control/controlRecords.ts
+++ b/packages/rollout/src/control/controlRecords.ts
@@ -71,6 +71,15 @@
   pool: z.string(),
 });
 
+const streamsSchema = z.object({
+  type: z.literal('streams'),
+  pool: z.string(),
+  /** Software version of the upstreams at which the streams began. */
+  software: z.string(),
+  /** Ids of the requests that began them. */
+  ids: z.array(z.string()),
+});
+
 const controlRecordSchema = z.discriminatedUnion('type', [
   versionSchema,
   usageSchema,
@@ -80,6 +89,7 @@
   limitSchema,
   leavingSchema,
   demandSchema,
+  streamsSchema,
 ]);
 
 /** A record of the control stream. */
--- a/packages/rollout/src/forwarding/types.ts
+++ b/packages/rollout/src/forwarding/types.ts
@@ -17,6 +17,7 @@
   UpstreamDialect,
 } from '../model/index.js';
 import type {CrashTracker, UpstreamDirectory} from '../upstreams/index.js';
+import type {StreamOrigins} from '../streams/index.js';
 import type {WaitingRequests} from './waitingRequests.js';
 
 /** A request to forward to a pool of upstreams. */
@@ -76,6 +77,7 @@
   directory: UpstreamDirectory;
   dialect: UpstreamDialect;
   crashes: CrashTracker;
+  streams: StreamOrigins;
   clock: Clock;
   logger: Logger;
   metrics: Metrics;
--- a/packages/rollout/src/forwarding/upstreamForRequest.ts
+++ b/packages/rollout/src/forwarding/upstreamForRequest.ts
@@ -1,4 +1,5 @@
 import type {MonotonicMs} from '@vanillacross/common';
+import type {TextOrigin} from '@vanillacross/domain';
 import {getPermitTime, noText} from '@vanillacross/domain';
 
 import type {Upstream} from '../upstreams/index.js';
@@ -8,12 +9,16 @@
 /** Reason of a request that ends because it may not be sent any more. */
 export const NOT_PERMITTED_REASON = 'the request is no longer permitted';
 
-/** Chooses among the usable upstreams for the next attempt of a request. */
+/**
+ * Chooses among the usable upstreams for the next attempt of a request whose
+ * text so far has this origin.
+ */
 export function chooseForRequest(
   context: ForwardContext,
   request: ForwardRequest,
   usable: readonly Upstream[],
   tried: ReadonlySet<Upstream>,
+  origin: TextOrigin = noText,
 ): Upstream | null {
   const {pool, isBackground} = request;
   context.directory.recordDemand(pool.id);
@@ -23,7 +28,7 @@
     domain: context.domain,
     tried,
     weights: null,
-    origin: noText,
+    origin,
     maxInFlight: pool.maxConnections,
     isBackground,
   });
--- a/packages/rollout/src/log/keyedTail.ts
+++ b/packages/rollout/src/log/keyedTail.ts
@@ -58,6 +58,11 @@
     );
   }
 
+  /** Offset up to which the stream has been read; 0 before the first read. */
+  get end(): number {
+    return this.next ?? 0;
+  }
+
   start(): void {
     void this.run();
   }
--- a/packages/rollout/src/model/ports.ts
+++ b/packages/rollout/src/model/ports.ts
@@ -56,6 +56,16 @@
   timeoutMs: number;
 }
 
+export interface KeyedAppendRequest {
+  stream: string;
+  key: string;
+  value: Buffer;
+  /** Appends only if the stream ends at this offset. */
+  expectedEnd: number;
+  /** Timeout of the call, ms. */
+  timeoutMs: number;
+}
+
 export interface ReadRequest {
   stream: string;
   partition: number;
@@ -116,6 +126,10 @@
   readKeyed(
     read: ReadRequest,
   ): Promise<Result<RecordPage<KeyedRecord>, LogFailure>>;
+  /** Sets the value of a key in a keyed stream. */
+  appendKeyed(
+    append: KeyedAppendRequest,
+  ): Promise<Result<AppendedRange, LogFailure>>;
   /** Reads the newest value of each key. */
   readNewest(
     stream: string,
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -27,6 +27,7 @@
 import type {PlatformTails} from './platformTails.js';
 import {createPlatformTails} from './platformTails.js';
 import type {ListenAddress} from './statusServers.js';
+import {ServedVersionsTask, StreamOrigins} from './streams/index.js';
 import {PartitionAssignment} from './partitionAssignment.js';
 import {StatusServers, closeImmediately, listenOn} from './statusServers.js';
 import {StepStreams} from './stepStreams.js';
@@ -42,6 +43,7 @@
 const STREAMS = {
   control: 'vc-control',
   lease: 'vc-lease',
+  servedVersions: 'keyed.vc-software',
 };
 const STEP_GROUP = 'vc-steps';
 /** Long-poll time of reads of the control stream, ms. */
@@ -120,6 +122,8 @@
   private readonly server: CallerServer;
   private readonly lease: LeaseTask;
   private readonly usage: UsageTask;
+  private readonly servedVersions: ServedVersionsTask;
+  private readonly streamOrigins: StreamOrigins;
   private readonly weightUpdater: WeightUpdater;
   private readonly membership: MembershipTask;
   private readonly assignment: PartitionAssignment;
@@ -201,9 +205,32 @@
       logger.child('crashes'),
       (fingerprint, upstream) => feed.publishCrash(fingerprint, upstream),
     );
+    this.servedVersions = new ServedVersionsTask({
+      ...shared,
+      log,
+      stream: STREAMS.servedVersions,
+      configuration: this.configuration,
+      directory: this.directory,
+      health,
+      isLeaseHeld: () => this.lease.isHeld(),
+      isFirstStart: options.isFirstStart,
+      logger: logger.child('streams'),
+      getWallMs: () => time.now(),
+      random: Math.random,
+    });
+    this.streamOrigins = new StreamOrigins({
+      clock,
+      metrics,
+      served: this.servedVersions,
+      publisher: {
+        publishStreams: (pool, software, ids) =>
+          feed.publishStreams(pool, software, ids),
+      },
+    });
     const feed: ControlFeed = new ControlFeed({
       process: self.id,
       notices: this.notices,
+      streams: this.streamOrigins,
       queue: controlQueue,
       directory: this.directory,
       ledger,
@@ -267,6 +294,7 @@
       directory: this.directory,
       dialect: options.upstreams,
       crashes,
+      streams: this.streamOrigins,
       clock,
       logger: logger.child('forward'),
       metrics,
@@ -364,7 +392,7 @@
     void this.sweep();
     await this.controlTail.whenCaughtUp();
     const {upstreams} = this.platformTails;
-    while (!this.configuration.getRoutes() || !upstreams.confirmedAt) {
+    while (!upstreams.confirmedAt || !this.isConfigurationKnown()) {
       await clock.waitUntil(getDeadline(clock.now(), POLL_INTERVAL_MS));
     }
     if (this.isStopping) return;
@@ -422,12 +450,18 @@
     this.platformTails.operator.stop();
     this.platformTails.upstreams.stop();
     this.controlTail.stop();
+    this.servedVersions.stop();
     this.streams.close();
     this.controlQueue.close();
     closeImmediately(this.server.server);
     this.statusServers.close();
   }
 
+  private isConfigurationKnown(): boolean {
+    if (!this.configuration.getRoutes()) return false;
+    return this.servedVersions.isCaughtUp();
+  }
+
   private isDrained(): boolean {
     if (this.server.openRequestCount > 0) return false;
     if (this.streams.hasPendingAppends()) return false;
@@ -460,6 +494,8 @@
       await clock.waitUntil(getDeadline(clock.now(), SWEEP_INTERVAL_MS));
       this.directory.sweep();
       this.notices.update();
+      this.servedVersions.update();
+      this.streamOrigins.removeExpired();
       this.registry.removeExpired();
       this.runner.startQueuedSamples();
     }
--- /dev/null
+++ b/packages/rollout/src/streams/index.ts
@@ -0,0 +1,3 @@
+/** The software versions at which callers' streams began. */
+export * from './servedVersionsTask.js';
+export * from './streamOrigins.js';
--- a/packages/rollout/src/testing/forwardFixture.ts
+++ b/packages/rollout/src/testing/forwardFixture.ts
@@ -27,6 +27,7 @@
     directory: {getUsable: () => upstreams, recordDemand: () => {}},
     dialect: rawDialect,
     crashes: new CrashTracker(systemClock, logger, () => {}),
+    streams: {mayBegin: () => true, recordStream: () => {}},
     clock: systemClock,
     logger,
     metrics: new Metrics(),
