Mark a software version as active in the record

After a restart of all processes in a release, each waited again until a version that it had just read was known to all, by a margin for clock skew, and refused new streams for up to 2 s. The record now states that a version is active once a process has waited, so that later starts use it at once; wall clocks no longer decide it. Views count for 1.2 s instead of 1.5 s.

--- a/packages/domain/src/servedVersions.ts
+++ b/packages/domain/src/servedVersions.ts
@@ -16,6 +16,11 @@
   software: z.string().transform(toBranded<SoftwareVersion>),
   /** Wall-clock time at which it was recorded, ms. */
   addedAt: z.number(),
+  /**
+   * Whether no process relies any more on the record before it was added, so that
+   * streams may begin at it.
+   */
+  isActive: z.boolean(),
   /** Wall-clock time since which no stream begins at it, ms; null if they do. */
   retiredAt: z.number().nullable(),
 });
@@ -45,6 +50,8 @@
    * record may retire them.
    */
   unlisted: ReadonlySet<SoftwareVersion>;
+  /** Versions that no process can have missed in the record. */
+  readByAll: ReadonlySet<SoftwareVersion>;
   wallMs: number;
   /** Whether the whole deployment starts for the first time. */
   isFirstStart: boolean;
@@ -67,22 +74,31 @@
   const versions = [...view.listed].map(software => ({
     software,
     addedAt: completeSince,
+    // Without a record, no process decides alone.
+    isActive: true,
     retiredAt: null,
   }));
   return {schema: 1, completeSince, versions};
 }
 
-function retire(version: ServedVersion, view: ServedVersionsView) {
-  if (version.retiredAt !== null) return version;
-  const isGone = view.unlisted.has(version.software);
-  return isGone ? {...version, retiredAt: view.wallMs} : version;
+function updateVersion(
+  version: ServedVersion,
+  view: ServedVersionsView,
+): ServedVersion {
+  const {software, isActive, retiredAt} = version;
+  if (retiredAt !== null) return version;
+  if (view.listed.size > 0 && view.unlisted.has(software)) {
+    return {...version, retiredAt: view.wallMs};
+  }
+  const isNowActive = !isActive && view.readByAll.has(software);
+  return isNowActive ? {...version, isActive: true} : version;
 }
 
 /**
  * Returns the record that a pool should have, or null if the known one is up to
- * date. Listed versions are added, those that are gone are retired, and retired
- * ones are dropped once none of their streams can be taken up any more. The
- * last version is kept, however long it is gone.
+ * date. Listed versions are added, and active once all processes know them.
+ * Those that are gone are retired, and dropped once none of their streams can be
+ * taken up any more. The last version is kept, however long it is gone.
  */
 export function planServedVersions(
   known: ServedVersions | null,
@@ -95,9 +111,14 @@
   );
   const added = [...listed]
     .filter(software => !kept.some(version => version.software === software))
-    .map(software => ({software, addedAt: wallMs, retiredAt: null}));
+    .map(software => ({
+      software,
+      addedAt: wallMs,
+      isActive: false,
+      retiredAt: null,
+    }));
   const versions = [...kept, ...added]
-    .map(version => (listed.size > 0 ? retire(version, view) : version))
+    .map(version => updateVersion(version, view))
     .filter(
       ({retiredAt}) =>
         retiredAt === null || !isPast(wallMs, retiredAt, streamLifeMs),
@@ -125,23 +146,3 @@
   );
   return possible.length === 1 ? possible[0].software : null;
 }
-
-/**
- * Whether every process that relies on its record has read that this version is
- * in it: it is in it from the beginning, or for longer than clocks may be apart.
- *
- * @param readAgeMs Time since this process read that the version is recorded,
- * ms.
- * @param maxViewAgeMs Age up to which a process relies on its record, ms.
- */
-export function isVersionKnownToAll(
-  served: ServedVersions,
-  version: ServedVersion,
-  wallMs: number,
-  readAgeMs: number,
-  maxViewAgeMs: number,
-): boolean {
-  if (version.addedAt === served.completeSince) return true;
-  if (readAgeMs > maxViewAgeMs) return true;
-  return isPast(wallMs, version.addedAt, maxViewAgeMs);
-}
--- a/packages/rollout/src/streams/servedVersionsTask.ts
+++ b/packages/rollout/src/streams/servedVersionsTask.ts
@@ -11,7 +11,6 @@
 import {
   getSoleVersion,
   getStreamLifeMs,
-  isVersionKnownToAll,
   planServedVersions,
   servedVersionsSchema,
 } from '@vanillacross/domain';
@@ -23,17 +22,17 @@
 import type {UpstreamDirectory} from '../upstreams/index.js';
 
 /** Long-poll time of reads of the records, ms. */
-const LONG_POLL_MS = 500;
+const LONG_POLL_MS = 400;
 /**
  * Age of the newest confirmation up to which this process relies on a record to
  * be the newest, ms.
  */
-const MAX_VIEW_AGE_MS = 1_500;
+const MAX_VIEW_AGE_MS = 1_200;
 /**
  * Time after reading a new version for which no stream begins at it, ms. By
  * then, no process relies on the record before.
  */
-const ACTIVATION_MS = 1_750;
+const ACTIVATION_MS = 1_300;
 /** Age of the newest confirmation up to which streams begin, ms. */
 const MAX_BEGIN_VIEW_AGE_MS = 30_000;
 /** Time without a listed upstream after which a version is retired, ms. */
@@ -137,14 +136,19 @@
     const version = known?.served.versions.find(v => v.software === software);
     if (!known || !version || version.retiredAt !== null) return false;
     if (this.confirmation.getMaxAgeMs() > MAX_BEGIN_VIEW_AGE_MS) return false;
-    const {clock, getWallMs} = this.options;
-    const readAt = known.readAt.get(software) ?? clock.now();
-    return isVersionKnownToAll(
-      known.served,
-      version,
-      getWallMs(),
-      clock.now() - readAt,
-      ACTIVATION_MS,
+    return version.isActive || this.isReadByAll(known, software);
+  }
+
+  /** Whether no process can rely any more on a record without this version. */
+  private isReadByAll({readAt}: KnownPool, software: SoftwareVersion): boolean {
+    const now = this.options.clock.now();
+    return now - (readAt.get(software) ?? now) >= ACTIVATION_MS;
+  }
+
+  private getReadByAll(known: KnownPool | undefined): Set<SoftwareVersion> {
+    const versions = [...(known?.readAt.keys() ?? [])];
+    return new Set(
+      versions.filter(software => known && this.isReadByAll(known, software)),
     );
   }
 
@@ -194,10 +198,11 @@
     for (const software of listed) {
       this.listedAt.set(`${pool}/${software}`, clock.now());
     }
-    const known = this.pools.get(pool)?.served ?? null;
-    const planned = planServedVersions(known, {
+    const known = this.pools.get(pool);
+    const planned = planServedVersions(known?.served ?? null, {
       listed,
       unlisted: this.getUnlisted(pool, known),
+      readByAll: this.getReadByAll(known),
       wallMs: getWallMs(),
       isFirstStart,
       streamLifeMs: getStreamLifeMs(timeoutMs),
@@ -209,12 +214,12 @@
   /** Only the holder of the lease retires versions. */
   private getUnlisted(
     pool: PoolId,
-    known: ServedVersions | null,
+    known: KnownPool | undefined,
   ): Set<SoftwareVersion> {
     const {clock, isLeaseHeld} = this.options;
     const unlisted = new Set<SoftwareVersion>();
     if (!known || !isLeaseHeld()) return unlisted;
-    for (const {software} of known.versions) {
+    for (const {software} of known.served.versions) {
       const key = `${pool}/${software}`;
       const listedAt = this.listedAt.get(key);
       if (listedAt === undefined) this.listedAt.set(key, clock.now());
