Log which upstream answered a request and whether it is leaving

The line of an answered request named no upstream, so the logs could not show whether requests went to an upstream after an answer of it that stated that it was leaving, nor which entry hid that.

--- a/packages/rollout/src/callers/callerServer.ts
+++ b/packages/rollout/src/callers/callerServer.ts
@@ -338,6 +338,8 @@
     logger.info('request was answered', {
       request: admitted.head.id,
       route: admitted.route.name,
+      upstream: outcome.upstream,
+      isLeaving: outcome.head.notice?.isLeaving ?? false,
       status: outcome.head.status,
       elapsedMs: Math.round(clock.now() - admitted.arrivedAt),
     });
--- a/packages/rollout/src/forwarding/requestForwarder.ts
+++ b/packages/rollout/src/forwarding/requestForwarder.ts
@@ -259,6 +259,7 @@
     if (head.status === 500) this.serverErrors++;
     const outcome: ForwardOutcome = {
       tag: 'answered',
+      upstream: upstream.id,
       head,
       headers: attempt.headers,
       body: Buffer.concat(attempt.chunks),
--- a/packages/rollout/src/forwarding/types.ts
+++ b/packages/rollout/src/forwarding/types.ts
@@ -6,6 +6,7 @@
   Metrics,
   MonotonicMs,
   RequestId,
+  UpstreamId,
 } from '@vanillacross/common';
 import type {IncomingHttpHeaders} from 'node:http';
 
@@ -56,6 +57,7 @@
 export type ForwardOutcome =
   | {
       tag: 'answered';
+      upstream: UpstreamId;
       head: ResponseHead;
       headers: IncomingHttpHeaders;
       body: Buffer;
