Send nothing to a leaving upstream whose entry names another start

Requests reached an upstream that had stated in an answer that it was leaving (DRAIN). Cause: the statement was kept with the start that the upstream's entry named; a late entry of an earlier start, or one without a start, made the same upstream look like another one.

An upstream counts as leaving if this start or a later one of its id has stated so, however long its entry is away. The directory ignores an entry of an earlier start while the later one is renewed; after 4 s without a renewal it counts, as the upstream's clock may have been set back.

--- a/packages/rollout/src/upstreams/noticeRegistry.ts
+++ b/packages/rollout/src/upstreams/noticeRegistry.ts
@@ -58,6 +58,9 @@
 /** Time for which notices of an unlisted incarnation are kept, ms. */
 const RETENTION_MS = 120_000;
 
+/** Maximum number of leaving upstreams to remember; the oldest are dropped. */
+const MAX_LEAVING = 10_000;
+
 function getKey({id, bornAt}: Incarnation): string {
   return `${id}/${bornAt}`;
 }
@@ -92,6 +95,8 @@
  */
 export class NoticeRegistry {
   private readonly incarnations = new Map<string, KnownIncarnation>();
+  /** Latest start of each upstream that has stated that it is leaving. */
+  private readonly leavingBornAt = new Map<UpstreamId, number>();
   private readonly demand = new Map<PoolId, Demand>();
   private readonly ownDemandAt = new Map<PoolId, MonotonicMs>();
   private readonly demandPublishedAt = new Map<PoolId, MonotonicMs>();
@@ -102,6 +107,15 @@
     return this.getKnown(incarnation).notices;
   }
 
+  /**
+   * Whether an upstream is leaving: this start of it has stated so, or a later one
+   * whose entry a late one of an earlier start has replaced.
+   */
+  isLeaving({id, bornAt}: Incarnation): boolean {
+    const leavingBornAt = this.leavingBornAt.get(id);
+    return leavingBornAt !== undefined && bornAt <= leavingBornAt;
+  }
+
   /** Notes that this process has a request for a pool. */
   recordDemand(pool: PoolId): void {
     this.ownDemandAt.set(pool, this.options.clock.now());
@@ -207,6 +221,7 @@
 
   private handleLeaving(known: KnownIncarnation): void {
     const {logger, metrics, publisher} = this.options;
+    this.recordLeaving(known);
     metrics.count('vc_upstreams_leaving');
     logger.info('upstream is leaving', {upstream: known.id});
     if (known.isLeavingPublished) return;
@@ -214,6 +229,17 @@
     publisher.publishLeaving(known);
   }
 
+  /** Remembers a leaving upstream, also while its entry is away for long. */
+  private recordLeaving({id, bornAt}: Incarnation): void {
+    const before = this.leavingBornAt.get(id) ?? -Infinity;
+    this.leavingBornAt.delete(id);
+    this.leavingBornAt.set(id, Math.max(before, bornAt));
+    for (const oldest of this.leavingBornAt.keys()) {
+      if (this.leavingBornAt.size <= MAX_LEAVING) return;
+      this.leavingBornAt.delete(oldest);
+    }
+  }
+
   private publishLimit(
     known: KnownIncarnation,
     perSecond: number | null,
--- a/packages/rollout/src/upstreams/upstream.ts
+++ b/packages/rollout/src/upstreams/upstream.ts
@@ -44,6 +44,8 @@
   private readonly seenVersions = new Map<string, number>();
   private eventInterval: {ms: number; at: MonotonicMs} | null = null;
   private recentStarts: MonotonicMs[] = [];
+  /** When this process read the newest entry. */
+  listedAt: MonotonicMs;
   /** When the entry was removed; null while it is listed. */
   removedAt: MonotonicMs | null = null;
 
@@ -54,6 +56,7 @@
     readonly notices: IncarnationNotices = new IncarnationNotices(clock),
   ) {
     this.id = entry.id;
+    this.listedAt = clock.now();
     this.coldUntil = clock.now();
     if (coldMs > 0) this.markCold(coldMs);
   }
@@ -62,6 +65,7 @@
   update(entry: UpstreamEntry): void {
     if (entry.coldLeftMs > 0) this.markCold(entry.coldLeftMs);
     this.entry = entry;
+    this.listedAt = this.clock.now();
   }
 
   /** Returns the version of a model that it serves, 0 if unknown. */
--- a/packages/rollout/src/upstreams/upstreamDirectory.test.ts
+++ b/packages/rollout/src/upstreams/upstreamDirectory.test.ts
@@ -71,4 +71,23 @@
       assert.deepEqual(directory.getUsable(POOL_ID), []);
     });
   });
+
+  describe('an entry of an earlier start', () => {
+    const listTwice = (renewalMs: number) => {
+      const {directory, list, clock} = createDirectoryFixture();
+      const bornAt = clock.wallNow();
+      list('u1', {bornAt});
+      clock.advance(renewalMs);
+      list('u1', {bornAt: bornAt - 1});
+      return directory.get(ID)!.entry.bornAt - bornAt;
+    };
+
+    it('is ignored while the later one is renewed (guards against requests to a leaving upstream)', () => {
+      assert.equal(listTwice(1_000), 0);
+    });
+
+    it('counts once the later one is no longer renewed (guards against an upstream that is never used because its clock was set back)', () => {
+      assert.equal(listTwice(10_000), -1);
+    });
+  });
 });
--- a/packages/rollout/src/upstreams/upstreamDirectory.ts
+++ b/packages/rollout/src/upstreams/upstreamDirectory.ts
@@ -24,6 +24,8 @@
  * missing afterwards is removed.
  */
 const RELIST_GRACE_MS = 2_200;
+/** Time within which an upstream that lives has renewed its entry, ms. */
+const RENEWAL_MS = 4_000;
 /** Cold time that is used until the configuration is known, ms. */
 const DEFAULT_COLD_MS = 3_000;
 /** Assumed maximum skew between wall clocks of upstreams and processes, ms. */
@@ -75,7 +77,7 @@
   isUsable(upstream: Upstream): boolean {
     if (this.upstreams.get(upstream.id) !== upstream) return false;
     if (upstream.entry.isDraining) return false;
-    if (upstream.notices.isLeaving) return false;
+    if (this.options.notices.isLeaving(upstream.entry)) return false;
     if (this.evacuated.has(upstream.entry.domain)) return false;
     return upstream.removedAt === null || this.isKeptDespiteRemoval(upstream);
   }
@@ -93,6 +95,9 @@
       return this.remove(id);
     }
     const known = this.upstreams.get(id);
+    if (known && this.isOutdated(entry.value, known)) {
+      return this.log(known, 'ignored an entry of an earlier start');
+    }
     const isSame =
       known !== undefined &&
       known.entry.bornAt === entry.value.bornAt &&
@@ -149,6 +154,17 @@
     );
   }
 
+  /**
+   * Whether an entry that arrives late describes an earlier start of an upstream.
+   * Once the newer entry is no longer renewed, the other one counts, as the clock
+   * of the upstream may have been set back.
+   */
+  private isOutdated(entry: UpstreamEntry, known: Upstream): boolean {
+    if (entry.bornAt >= known.entry.bornAt) return false;
+    const ageMs = this.options.clock.now() - known.listedAt;
+    return known.removedAt === null && ageMs < RENEWAL_MS;
+  }
+
   /** Marks a domain's upstreams as cold, as they may be after an evacuation. */
   private markDomainCold(domain: DomainId): void {
     for (const upstream of this.upstreams.values()) {
