--- a/packages/rollout/src/upstreams/exchange.test.ts
+++ b/packages/rollout/src/upstreams/exchange.test.ts
@@ -37,7 +37,7 @@
   });
 
   /** Sends one request and resolves with how the exchange ended. */
-  const exchange = async (respond: RawResponder, id = 'r1') => {
+  const exchange = async (respond: RawResponder, id = 'r1', target = '/') => {
     raw ??= await startRawUpstream(respond);
     const {upstream} = raw;
     return new Promise<{outcome: string; body: string}>(resolve => {
@@ -49,7 +49,7 @@
         {
           id: toBranded<RequestId>(id),
           method: 'GET',
-          target: '/',
+          target,
           host: 'h',
           headers: {},
           account: null,
@@ -190,4 +190,20 @@
       });
     }
   });
+
+  describe('a request that can not be created', () => {
+    it('fails as not sent (guards against processes that end)', async () => {
+      const {outcome} = await exchange(() => {}, 'r1', '/a b');
+      assert.equal(outcome, 'not_sent');
+      assert.equal(raw?.upstream.inFlight, 0);
+    });
+
+    it('fails as not sent if the port is out of range', async () => {
+      raw = await startRawUpstream(() => {});
+      const {entry} = raw.upstream;
+      raw.upstream.update({...entry, address: '127.0.0.1:99999'});
+      const {outcome} = await exchange(() => {});
+      assert.equal(outcome, 'not_sent');
+    });
+  });
 });
--- a/packages/rollout/src/upstreams/exchange.ts
+++ b/packages/rollout/src/upstreams/exchange.ts
@@ -1,5 +1,5 @@
-import type {Clock, MonotonicMs} from '@vanillacross/common';
-import {getDeadline} from '@vanillacross/common';
+import type {Clock, MonotonicMs, Result} from '@vanillacross/common';
+import {fail, getDeadline, ok} from '@vanillacross/common';
 import * as http from 'node:http';
 
 import type {
@@ -64,6 +64,41 @@
   return error.code?.startsWith('HPE_') ?? false;
 }
 
+/** Returns an exchange whose request could not be created. */
+function createUnsentExchange(
+  upstream: Upstream,
+  startedAt: MonotonicMs,
+  detail: string,
+  events: ExchangeEvents,
+): Exchange {
+  let isAborted = false;
+  queueMicrotask(() => {
+    if (!isAborted) events.onFailure({tag: 'not_sent', detail});
+  });
+  return {
+    upstream,
+    startedAt,
+    pause: () => undefined,
+    resume: () => undefined,
+    abort: () => (isAborted = true),
+  };
+}
+
+function createRequest(
+  upstream: Upstream,
+  call: UpstreamCall,
+  headers: http.OutgoingHttpHeaders,
+): Result<http.ClientRequest, string> {
+  try {
+    const {method, target: path} = call;
+    const address = splitAddress(upstream.entry.address);
+    const {agent} = upstream;
+    return ok(http.request({...address, method, path, headers, agent}));
+  } catch (error) {
+    return fail((error as Error).message);
+  }
+}
+
 /** Sends a request to an upstream and emits events for the response. */
 export function startExchange(
   upstream: Upstream,
@@ -75,14 +110,12 @@
 ): Exchange {
   const headers = dialect.getHeaders(call);
   headers['content-length'] = body.length;
-  const request = http.request({
-    ...splitAddress(upstream.entry.address),
-    method: call.method,
-    path: call.target,
-    headers,
-    agent: upstream.agent,
-  });
   const startedAt = clock.now();
+  const created = createRequest(upstream, call, headers);
+  if (!created.ok) {
+    return createUnsentExchange(upstream, startedAt, created.error, events);
+  }
+  const request = created.value;
   let isSettled = false;
   let mayHaveBeenSent = false;
   let cancelConnectTimer: () => void = () => undefined;
@@ -94,7 +127,7 @@
     upstream.recordEnd();
     return true;
   };
-  const fail = (
+  const failWith = (
     tag: Exclude<ExchangeFailure['tag'], 'not_sent'>,
     detail: string,
   ) => {
@@ -105,13 +138,13 @@
     );
   };
   const handleError = (error: NodeJS.ErrnoException) =>
-    fail(isParseError(error) ? 'invalid' : 'lost', error.message);
+    failWith(isParseError(error) ? 'invalid' : 'lost', error.message);
   const startConnectTimer = (timeoutMs: number) => {
     const deadline = getDeadline(clock.now(), timeoutMs);
     cancelConnectTimer = clock.callAt(deadline, () => {
       const wasBlocked = clock.now() - deadline > LATE_TIMER_MS;
       if (wasBlocked) return startConnectTimer(BLOCKED_LOOP_GRACE_MS);
-      fail('lost', 'connect timeout');
+      failWith('lost', 'connect timeout');
     });
   };
   request.on('socket', socket => {
@@ -131,7 +164,7 @@
     currentResponse = response;
     const head = dialect.readHead(response.statusCode ?? 0, response.headers);
     if (head.id !== null && head.id !== call.id) {
-      return fail('crossed', `answer to ${head.id}`);
+      return failWith('crossed', `answer to ${head.id}`);
     }
     if (head.load) upstream.recordLoad(head.load);
     if (head.notice) upstream.notices.record(head.notice, startedAt);
@@ -142,14 +175,14 @@
     });
     response.on('end', () => {
       if (!isEndOfBodyProven(response)) {
-        return fail('lost', 'answer was cut');
+        return failWith('lost', 'answer was cut');
       }
       if (settle()) events.onEnd();
     });
-    response.on('aborted', () => fail('lost', 'answer was cut'));
+    response.on('aborted', () => failWith('lost', 'answer was cut'));
     response.on('error', handleError);
   });
-  request.on('close', () => fail('lost', 'connection closed'));
+  request.on('close', () => failWith('lost', 'connection closed'));
   request.end(body);
   return {
     upstream,
--- a/packages/standins/src/metadataStore.ts
+++ b/packages/standins/src/metadataStore.ts
@@ -40,6 +40,8 @@
 export interface MetadataStoreStandIn extends Service {
   /** Writes a key as an operator or upstream would; null deletes it. */
   put(topic: string, key: string, value: unknown): void;
+  /** Writes any text as the value of a key. */
+  putText(topic: string, key: string, text: string): void;
   /** Drops the records of a topic but keeps the newest value of each key. */
   dropHistory(topic: string): void;
   /** Reassigns all partitions of all groups. */
@@ -280,16 +282,18 @@
     ],
     options,
   );
+  const putText = (topic: string, key: string, text: string) => {
+    const partition = getPartition(topic, 0);
+    const records = [encodeKeyedRecord(key, Buffer.from(text))];
+    applyKeyedRecords(partition, records);
+    appendRecords(partition, records);
+  };
+
   return {
     ...service,
-    put: (topic, key, value) => {
-      const partition = getPartition(topic, 0);
-      const bytes =
-        value === null ? Buffer.alloc(0) : Buffer.from(JSON.stringify(value));
-      const records = [encodeKeyedRecord(key, bytes)];
-      applyKeyedRecords(partition, records);
-      appendRecords(partition, records);
-    },
+    put: (topic, key, value) =>
+      putText(topic, key, value === null ? '' : JSON.stringify(value)),
+    putText,
     dropHistory: topic => {
       const partition = getPartition(topic, 0);
       partition.firstOffset = getEnd(partition);
