Cut no late request in a planned stop

A request that arrived late in the grace period kept its full time limit and was passed on, though the process exits before; callers got a closed connection, also for requests that may run only once (LOST). Cause: the deadline of a request did not know of the exit.

A process that stops ends repeatable requests by 700 ms before the end of the grace period, with an answer. It refuses at once, as not run, what may run only once or be a step and can't be expected to end by then (three target latencies), and streams whose full time does not fit. Reads of results wait no longer than the process lives. The process waits 200 ms longer for answers to be sent.

--- a/packages/rollout/src/callers/callerServer.ts
+++ b/packages/rollout/src/callers/callerServer.ts
@@ -24,6 +24,7 @@
 import type {StepService} from '../steps/index.js';
 import type {AdmittedRequest} from './admission.js';
 import {Admission} from './admission.js';
+import {limitToExit} from './drainLimit.js';
 import type {Refusal} from './refusal.js';
 import {getQuarantineRefusal, getStaleRefusal} from './refusal.js';
 import {ListenerShutdown} from './listenerShutdown.js';
@@ -63,7 +64,8 @@
 export class CallerServer {
   readonly server: http.Server;
   readonly shutdown: ListenerShutdown;
-  private isDraining = false;
+  /** When the process exits; null unless it stops. */
+  private exitAt: MonotonicMs | null = null;
   private openRequests = 0;
   private bufferedBytes = 0;
 
@@ -94,9 +96,12 @@
     return this.openRequests;
   }
 
-  /** Lets open requests finish and closes connections after their responses. */
-  drain(): void {
-    this.isDraining = true;
+  /**
+   * Lets open requests finish and closes connections after their responses.
+   * Requests that arrive from now on end by the given time or are refused.
+   */
+  drain(exitAt: MonotonicMs): void {
+    this.exitAt = exitAt;
   }
 
   private applyLimits(): void {
@@ -114,7 +119,7 @@
     const arrivedAt = clock.now();
     this.openRequests++;
     response.on('close', () => this.openRequests--);
-    if (this.isDraining) response.setHeader('connection', 'close');
+    if (this.exitAt !== null) response.setHeader('connection', 'close');
     const head = dialect.readHead(
       request.method ?? 'GET',
       request.url ?? '/',
@@ -149,7 +154,7 @@
       request.resume();
       return this.handleStepCall(head, call.value, arrivedAt, response);
     }
-    const admitted = this.admission.admit(head, arrivedAt);
+    const admitted = this.admit(head, arrivedAt);
     if ('status' in admitted) {
       request.resume();
       return this.refuse(head, response, admitted);
@@ -170,6 +175,15 @@
     await this.serve(admitted, body, response);
   }
 
+  private admit(
+    head: RequestHead,
+    arrivedAt: MonotonicMs,
+  ): AdmittedRequest | Refusal {
+    const admitted = this.admission.admit(head, arrivedAt);
+    if ('status' in admitted || this.exitAt === null) return admitted;
+    return limitToExit(admitted, arrivedAt, this.exitAt);
+  }
+
   private serve(
     admitted: AdmittedRequest,
     body: Buffer,
@@ -390,7 +404,7 @@
     const disconnect = new AbortController();
     response.on('close', () => disconnect.abort());
     const result = await this.stepCalls.handle(
-      call,
+      this.limitWait(call, arrivedAt),
       account?.id ?? null,
       arrivedAt,
       disconnect.signal,
@@ -399,6 +413,13 @@
     this.refuse(head, response, {...result.error, step: call.step});
   }
 
+  /** Lets a read of results wait no longer than this process lives. */
+  private limitWait(call: StepCall, arrivedAt: MonotonicMs): StepCall {
+    if (call.tag !== 'read' || this.exitAt === null) return call;
+    const leftMs = Math.max(0, this.exitAt - arrivedAt);
+    return {...call, waitMs: Math.min(call.waitMs, leftMs)};
+  }
+
   private sendJson(
     head: RequestHead,
     response: ServerResponse,
--- a/packages/rollout/src/callers/refusal.ts
+++ b/packages/rollout/src/callers/refusal.ts
@@ -18,6 +18,9 @@
  */
 const LEFT_VERSION_RETRY_AFTER_MS = 1_000;
 
+/** Retry delay for the caller of a process that stops, ms. */
+const STOPPING_RETRY_AFTER_MS = 50;
+
 /** An error response that is sent instead of forwarding a request. */
 export interface Refusal {
   status: number;
@@ -65,3 +68,12 @@
     retryAfterMs: LEFT_VERSION_RETRY_AFTER_MS,
   };
 }
+
+/** Creates the refusal of a process that exits before it could answer. */
+export function getStoppingRefusal(): Refusal {
+  return {
+    status: 503,
+    reason: 'not run: the process stops',
+    retryAfterMs: STOPPING_RETRY_AFTER_MS,
+  };
+}
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -75,7 +75,13 @@
 /** Time for storing unfinished samples at shutdown, ms. */
 const HANDOVER_TIMEOUT_MS = 600;
 /** Part of the shutdown grace period that is reserved for the exit, ms. */
-const EXIT_MARGIN_MS = 700;
+const EXIT_MARGIN_MS = 500;
+/**
+ * Part of the shutdown grace period at whose beginning requests that arrived
+ * after the stop signal have ended, so that their answers are sent before the
+ * exit, ms.
+ */
+const ANSWER_MARGIN_MS = 700;
 /**
  * Time after the first start of a deployment during which an upstream's own
  * report decides whether it is cold, ms. All upstreams are new then, because
@@ -416,7 +422,9 @@
     this.isReady = false;
     this.assignment.stop();
     logger.info('stopping', {open: this.server.openRequestCount});
-    this.server.drain();
+    this.server.drain(
+      getDeadline(startedAt, limits.graceMs - ANSWER_MARGIN_MS),
+    );
     this.weightUpdater.stop();
     this.usage.stop();
     this.runner.storeAllProgress();
--- a/packages/standins/src/platformEngine.ts
+++ b/packages/standins/src/platformEngine.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {z} from 'zod';
 
@@ -61,6 +62,8 @@
   arrivals: number[];
   setNotice(notice: PlatformEngineNotice): void;
   setPace(paceMs: number): void;
+  /** Leaves calls outside those routes without an answer. */
+  setSilent(isSilent: boolean): void;
   /** Resets each stream after this number of events; null disables this. */
   setCutAfterEvents(count: number | null): void;
   getServiceRecord(service: string, zone: string): Record<string, unknown>;
@@ -90,6 +93,7 @@
   const eventsPerSample = options.events ?? 5;
   let paceMs = options.paceMs ?? 5;
   let cutAfterEvents: number | null = null;
+  let isSilent = false;
   let version = 1;
   let orderCount = 0;
   let loadingUntil = 0;
@@ -181,9 +185,10 @@
     return undefined;
   };
 
-  const receiveCall = (context: RouteContext): Reply => {
+  const receiveCall = async (context: RouteContext): Promise<Reply> => {
     const request = getHeader(context, 'request-id') ?? '';
     calls.push(request);
+    if (isSilent) await once(context.signal, 'abort');
     return {
       status: 200,
       body: {id: request, from: id},
@@ -221,6 +226,7 @@
     calls,
     arrivals,
     setNotice: stated => (notice = stated),
+    setSilent: silent => (isSilent = silent),
     setPace: pace => (paceMs = pace),
     setCutAfterEvents: count => (cutAfterEvents = count),
     getServiceRecord: (serviceName, zone) => ({
