--- a/packages/rollout/src/streams/servedVersionsTask.ts
+++ b/packages/rollout/src/streams/servedVersionsTask.ts
@@ -73,6 +73,8 @@
  * knows of versions that have left.
  */
 export class ServedVersionsTask {
+  /** Longest timeout of the routes with streams of each pool, ms. */
+  private streamPools: ReadonlyMap<PoolId, number> = new Map();
   private readonly pools = new Map<PoolId, KnownPool>();
   /** Pools whose record this process can't read and leaves as it is. */
   private readonly unreadable = new Set<PoolId>();
@@ -87,6 +89,7 @@
 
   constructor(private readonly options: ServedVersionsTaskOptions) {
     this.confirmation = new Confirmation(options.clock);
+    options.configuration.onChange(() => this.updateStreamPools());
     this.tail = new KeyedTail({
       ...options,
       waitMs: LONG_POLL_MS,
@@ -107,7 +110,7 @@
 
   /** Whether all records that streams need have been read. */
   isCaughtUp(): boolean {
-    return this.getStreamPools().size === 0 || this.tail.confirmedAt !== null;
+    return this.streamPools.size === 0 || this.tail.confirmedAt !== null;
   }
 
   /**
@@ -154,7 +157,7 @@
 
   /** Brings the records of all pools with streams up to date. */
   update(): void {
-    const pools = this.getStreamPools();
+    const pools = this.streamPools;
     if (pools.size === 0) return;
     if (!this.isStarted) {
       this.isStarted = true;
@@ -164,8 +167,7 @@
     for (const [pool, timeoutMs] of pools) this.updatePool(pool, timeoutMs);
   }
 
-  /** Returns the pools with streams and the longest timeout of their routes. */
-  private getStreamPools(): Map<PoolId, number> {
+  private updateStreamPools(): void {
     const routes = this.options.configuration.getRoutes();
     const pools = new Map<PoolId, number>();
     for (const route of routes?.configuration.routes ?? []) {
@@ -174,11 +176,11 @@
         pools.set(pool, Math.max(route.timeoutMs, pools.get(pool) ?? 0));
       }
     }
-    return pools;
+    this.streamPools = pools;
   }
 
   private getStreamLifeMs(pool: PoolId): number {
-    return getStreamLifeMs(this.getStreamPools().get(pool) ?? 0);
+    return getStreamLifeMs(this.streamPools.get(pool) ?? 0);
   }
 
   private getRecordedSoleVersion(
