Bound the appends of streams for all processes together

Each process published its streams every 100 ms while versions are mixed: 880 appends a second at 88 processes, over the store's 800. The delay now grows with the processes, for 200 appends a second in all.

--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -228,6 +228,7 @@
       clock,
       metrics,
       served: this.servedVersions,
+      getProcessCount: () => time.processCount,
       publisher: {
         publishStreams: (pool, software, ids) =>
           feed.publishStreams(pool, software, ids),
--- a/packages/rollout/src/streams/streamOrigins.ts
+++ b/packages/rollout/src/streams/streamOrigins.ts
@@ -14,8 +14,13 @@
 
 /** Maximum number of streams whose software version is remembered. */
 const MAX_STREAMS = 100_000;
-/** Delay within which the streams that began are published together, ms. */
-const PUBLISH_DELAY_MS = 100;
+/** Minimum delay within which streams that began are published together, ms. */
+const MIN_PUBLISH_DELAY_MS = 100;
+/**
+ * Delay per process of the deployment, ms, so that all processes together append
+ * 200 records a second at most.
+ */
+const PUBLISH_DELAY_PER_PROCESS_MS = 5;
 /** Maximum number of streams in one record. */
 const MAX_PUBLISHED_IDS = 500;
 
@@ -39,6 +44,7 @@
 export interface StreamOriginsOptions {
   served: ServedVersionsTask;
   publisher: StreamPublisher;
+  getProcessCount: () => number;
   clock: Clock;
   metrics: Metrics;
 }
@@ -112,8 +118,12 @@
     this.unpublished.add(id);
     if (this.isPublishScheduled) return;
     this.isPublishScheduled = true;
-    const {clock} = this.options;
-    clock.callAt(getDeadline(clock.now(), PUBLISH_DELAY_MS), () => {
+    const {clock, getProcessCount} = this.options;
+    const delayMs = Math.max(
+      MIN_PUBLISH_DELAY_MS,
+      getProcessCount() * PUBLISH_DELAY_PER_PROCESS_MS,
+    );
+    clock.callAt(getDeadline(clock.now(), delayMs), () => {
       this.isPublishScheduled = false;
       this.publish();
     });
