Test the append rate of the log stand-in with a rate that load can't undercut

The contract sends 1,000 appends at once and expects refusals above 300 a second. The log under test now takes 20 a second; the checks are the same.

--- a/packages/integration/src/standins.contract.test.ts
+++ b/packages/integration/src/standins.contract.test.ts
@@ -41,7 +41,7 @@
   startWith(() => createLog({retainRecords: 500})),
   faults,
 );
-describeLogRateContract(startWith(() => createLog()));
+describeLogRateContract(startWith(() => createLog({appendsPerSecond: 20})));
 describeInstanceListContract(
   startWith(() => createInstanceList()),
   faults,
