--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -10,6 +10,7 @@
 import * as os from 'node:os';
 import * as path from 'node:path';
 import {performance} from 'node:perf_hooks';
+import {setTimeout} from 'node:timers';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 
@@ -40,6 +41,9 @@
 /** Delay after which the platform starts a process again, ms. */
 const RESTART_DELAY_MS = 1_000;
 
+/** Time after which a script gives up, ms. */
+const MAX_PLAY_MS = 115_000;
+
 /** Whether the disruption of the case is played; TROUBLE=0 leaves it out. */
 export const hasTrouble = process.env.TROUBLE !== '0';
 
@@ -429,12 +433,17 @@
 
 /** Ends the script: 1 if the rule was broken, 0 if it held, 2 if it failed. */
 export async function runCase(play) {
+  const fail = error => {
+    console.error(error);
+    process.exit(2);
+  };
+  process.on('uncaughtException', fail);
+  setTimeout(() => fail(new Error('took too long')), MAX_PLAY_MS).unref();
   try {
     const isBroken = await play();
     console.log(isBroken ? 'rule broken' : 'rule held');
     process.exit(isBroken ? 1 : 0);
   } catch (error) {
-    console.error(error);
-    process.exit(2);
+    fail(error);
   }
 }
