Keep the spoiled streams of the review within the dose of the sites

Cause: the faulty server was the only one of its service, more than half of it.

Change: a second server of streams; streams last 80 ms, so that both get some. Callers pause after 503.

--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -26,7 +26,9 @@
 const GARBLE_MS = {from: 5_000, to: 10_000};
 /** One in so many answers of the faulty server is spoiled. */
 const SPOIL_EVERY = 50;
-const STREAM_INTERVAL_MS = 25;
+const STREAM_INTERVAL_MS = 12;
+/** Time for which a server works on a stream, ms. */
+const STREAM_MS = 80;
 const NODES = 3;
 const KEPT_CALLERS = 6;
 /** Time for which a sound server works on a request, ms. */
@@ -57,19 +59,21 @@
   });
 }
 
-function startStreamServer() {
+/** Starts a server of streams; a faulty one spoils some heads. */
+function startStreamServer(name, isFaulty) {
   const events = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
-  return startRawServer(({id, socket}) => {
-    record(`stream server runs ${id}`);
+  return startRawServer(async ({id, socket}) => {
+    record(`${name} runs ${id}`);
+    await sleep(STREAM_MS);
     const headers = {
       'Request-Id': id,
       'Response-Stamp': `stamp.${id}`,
       'Content-Type': 'text/event-stream',
     };
     let answer = formatAnswer('200 OK', headers, events);
-    if (isGarbling && ++streams % SPOIL_EVERY === 0) {
+    if (isFaulty && isGarbling && ++streams % SPOIL_EVERY === 0) {
       spoiled++;
-      record(`stream server spoils a byte of its answer to ${id}`);
+      record(`${name} spoils a byte of its answer to ${id}`);
       answer = answer.replace('Response-Stamp', 'Response Stamp');
     }
     socket.write(answer);
@@ -93,7 +97,8 @@
 
 await runCase(async () => {
   const sound = await startSoundServer();
-  const stream = await startStreamServer();
+  const faulty = await startStreamServer('s-2', true);
+  const other = await startStreamServer('s-3', false);
   const limits = {timeout_ms: 4_000, max_attempts: 2};
   const configuration = getConfiguration(1, {
     routes: [
@@ -120,7 +125,8 @@
   });
   const deployment = await startDeployment(record, configuration, [
     ['s-1', getEntry('board', sound.address, {slots: 50})],
-    ['s-2', getEntry('chat', stream.address, {slots: 50})],
+    ['s-2', getEntry('chat', faulty.address, {slots: 50})],
+    ['s-3', getEntry('chat', other.address, {slots: 50})],
   ]);
   const {nodes} = deployment;
   for (let index = 0; index < NODES; index++) {
@@ -147,7 +153,7 @@
   await Promise.all(stops.map(stop => stop()));
   const ownEnds = nodes.map(node => node.ownEnds);
   await deployment.close();
-  for (const server of [sound, stream]) server.close();
+  for (const server of [sound, faulty, other]) server.close();
   const summary = {spoiled, ownEnds, closed};
   record(JSON.stringify(summary));
   console.log(JSON.stringify(summary));
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -421,7 +421,7 @@
       const channel = isKept ? 'kept' : 'new';
       record(`${name} gets ${how} for ${id} on a ${channel} channel`);
       onEnd({id, isKept, how});
-      if (how === 'ECONNREFUSED') await sleep(200);
+      if (how === 'ECONNREFUSED' || how === 503) await sleep(200);
     }
   };
   const done = run().finally(() => agent.destroy());
