--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,4 +1,4 @@
-// Servers are replaced one after the other. They don't report that they drain:
+// Half of the servers are replaced, one after the other. They don't report that they drain:
 // their entries are removed, and they serve on for a while. The node resets all
 // its channels to a server as soon as its entry is gone, so that streams which
 // the server would have finished are cut at the caller.
@@ -21,8 +21,10 @@
   startRawServer,
 } from '../lib/deployment.mjs';
 
-const SERVERS = 3;
-const KEPT_CALLERS = 12;
+const SERVERS = 4;
+/** Number of servers that are replaced, one after the other. */
+const REPLACED = 2;
+const KEPT_CALLERS = 24;
 const EVENTS = 10;
 const EVENT_INTERVAL_MS = 120;
 /** Time for which a server serves on after its entry was removed, ms. */
@@ -143,7 +145,7 @@
     stops.push(stop);
   }
   await sleep(5_000);
-  for (let index = 0; index < SERVERS; index++) {
+  for (let index = 0; index < REPLACED; index++) {
     if (hasTrouble) {
       const [old, fresh] = [`s-${index}`, `s-${index + SERVERS}`];
       deployment.store.put('keyed.servers', fresh, await addServer(fresh));
