Keep the harness of the review beside its cases

Cause: each folder under review/ is read as a case, and the harness had one of its own.

Change: review/lib/deployment.mjs is review/deployment.mjs; imports follow.

--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -19,7 +19,7 @@
   send,
   startDeployment,
   startRawServer,
-} from '../lib/deployment.mjs';
+} from '../deployment.mjs';
 
 const PLAY_MS = 60_000;
 /** Periods of the disruption, ms from the start. */
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -19,7 +19,7 @@
   startDeployment,
   startKeptCaller,
   startRawServer,
-} from '../lib/deployment.mjs';
+} from '../deployment.mjs';
 
 const PLAY_MS = 30_000;
 /** When the faulty server spoils answers, ms from the start of the callers. */
--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -19,7 +19,7 @@
   startDeployment,
   startKeptCaller,
   startRawServer,
-} from '../lib/deployment.mjs';
+} from '../deployment.mjs';
 
 const SERVERS = 4;
 /** Number of servers that are replaced, one after the other. */
--- a/review/lib/deployment.mjs
+++ b/review/deployment.mjs
@@ -14,9 +14,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 
-import {createMetadataStore} from '../../packages/standins/dist/index.js';
+import {createMetadataStore} from '../packages/standins/dist/index.js';
 
-const ROOT = path.resolve(fileURLToPath(import.meta.url), '../../..');
+const ROOT = path.resolve(fileURLToPath(import.meta.url), '../..');
 export const HOST = 'desk.example';
 export const KEY = 'key-of-desk';
 export const MODEL = 'prices';
