Run a refused request once though its refusal is repeated late

Cause: an upstream that is full refuses a request. The node sends it again under the same id, at times on the connection that carried the refusal. A copy of the refusal that arrives late there has the id that is expected of the next response, so it passes for the response to the second attempt, and the request is sent a third time while the upstream runs it.

A connection now keeps the id of its last request. Before a request is sent, idle connections whose last request had the same id are closed, so no connection carries two attempts of one request. A copy that reaches another request is recognised by its id, as before.

--- a/packages/rollout/src/forwarding/requestForwarder.test.ts
+++ b/packages/rollout/src/forwarding/requestForwarder.test.ts
@@ -61,4 +61,34 @@
       assert.ok(outcome.retryAfterMs > 2_000 && outcome.retryAfterMs < 3_334);
     });
   });
+
+  describe('with a full upstream that repeats a refusal late', () => {
+    it('runs a request that is not idempotent once', async () => {
+      // Guards against the copy of a refusal that passes for the response to
+      // the next attempt, so that the request runs twice.
+      const refusal =
+        'HTTP/1.1 503 Busy\r\nid: r1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n';
+      const success =
+        'HTTP/1.1 200 OK\r\nid: r1\r\nproof: p\r\ncontent-length: 0\r\n\r\n';
+      let received = 0;
+      let runs = 0;
+      const raw = await startRawUpstream((socket, requests) => {
+        if (requests > 1) socket.write(refusal);
+        received++;
+        if (received === 1) {
+          socket.write(refusal);
+          return;
+        }
+        runs++;
+        setTimeout(() => socket.write(success), 30);
+      });
+      const forwarder = new RequestForwarder(
+        createForwardContext([raw.upstream]),
+        createForwardRequest('non_idempotent'),
+      );
+      const outcome = await forwarder.run();
+      await raw.close();
+      assert.deepEqual({tag: outcome.tag, runs}, {tag: 'answered', runs: 1});
+    });
+  });
 });
--- a/packages/rollout/src/upstreams/connectionPool.ts
+++ b/packages/rollout/src/upstreams/connectionPool.ts
@@ -1,3 +1,4 @@
+import type {RequestId} from '@vanillacross/common';
 import * as http from 'node:http';
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
@@ -14,6 +15,8 @@
  * its connections for resets, which decide whether a response is whole.
  */
 export class ConnectionPool extends http.Agent {
+  private readonly lastRequests = new WeakMap<Duplex, RequestId>();
+
   override createConnection(
     ...args: Parameters<http.Agent['createConnection']>
   ): Duplex | null | undefined {
@@ -23,6 +26,25 @@
     return socket;
   }
 
+  /** Notes the request that is sent on a connection. */
+  recordRequest(socket: Duplex, id: RequestId): void {
+    this.lastRequests.set(socket, id);
+  }
+
+  /**
+   * Closes the idle connections whose last request has this id, before a request
+   * is sent again under it. A late copy of the earlier response would have the
+   * id that is expected of the next one.
+   */
+  closeAfter(id: RequestId): void {
+    for (const socket of Object.values(this.freeSockets).flat()) {
+      if (!socket || this.lastRequests.get(socket) !== id) continue;
+      // The agent removes the connection at once, so that it is not chosen.
+      socket.emit('agentRemove');
+      socket.destroy();
+    }
+  }
+
   override keepSocketAlive(socket: Duplex): boolean {
     // Older type packages declare `keepSocketAlive` as returning void.
     const isKept = super.keepSocketAlive(socket) as unknown as boolean;
--- a/packages/rollout/src/upstreams/exchange.ts
+++ b/packages/rollout/src/upstreams/exchange.ts
@@ -93,6 +93,7 @@
     const {method, target: path} = call;
     const address = splitAddress(upstream.entry.address);
     const {agent} = upstream;
+    agent.closeAfter(call.id);
     return ok(http.request({...address, method, path, headers, agent}));
   } catch (error) {
     return fail((error as Error).message);
@@ -148,6 +149,7 @@
     });
   };
   request.on('socket', socket => {
+    upstream.agent.recordRequest(socket, call.id);
     if (!socket.connecting) {
       mayHaveBeenSent = true;
       return;
