Let requests in flight end at an upstream whose entry is removed

Cause: the removal of an entry, or an entry with another start or address, closed the upstream with `http.Agent.destroy`, which destroys the sockets in use as well as idle ones. The upstream serves on for a while after its entry is gone, and its responses were thrown away. Each of them also counted as a crash of the upstream.

A retired connection pool now closes idle connections at once and the others when their requests have ended. Requests to an upstream that is really gone end as before: by the reset of the connection, by their deadline or, for samples, by the time without an event.

--- a/packages/rollout/src/upstreams/connectionPool.ts
+++ b/packages/rollout/src/upstreams/connectionPool.ts
@@ -16,6 +16,7 @@
  */
 export class ConnectionPool extends http.Agent {
   private readonly lastRequests = new WeakMap<Duplex, RequestId>();
+  private isRetired = false;
 
   override createConnection(
     ...args: Parameters<http.Agent['createConnection']>
@@ -26,6 +27,14 @@
     return socket;
   }
 
+  /** Closes idle connections at once and the others after their responses. */
+  retire(): void {
+    this.isRetired = true;
+    for (const socket of Object.values(this.freeSockets).flat()) {
+      socket?.destroy();
+    }
+  }
+
   /** Notes the request that is sent on a connection. */
   recordRequest(socket: Duplex, id: RequestId): void {
     this.lastRequests.set(socket, id);
@@ -46,6 +55,7 @@
   }
 
   override keepSocketAlive(socket: Duplex): boolean {
+    if (this.isRetired) return false;
     // Older type packages declare `keepSocketAlive` as returning void.
     const isKept = super.keepSocketAlive(socket) as unknown as boolean;
     if (isKept) socket.on('data', closeOnData);
--- a/packages/rollout/src/upstreams/exchange.test.ts
+++ b/packages/rollout/src/upstreams/exchange.test.ts
@@ -191,6 +191,43 @@
     }
   });
 
+  describe('when the upstream leaves the instance list', () => {
+    const response = getFramedResponse('length');
+
+    it('receives the whole response of a request in flight', async () => {
+      // Guards against streams and answers that are cut although the upstream
+      // finishes them.
+      const {outcome, body} = await exchange(socket => {
+        raw!.upstream.close();
+        setTimeout(() => socket.write(response), 20);
+      });
+      assert.deepEqual({outcome, body}, {outcome: 'end', body: BODY});
+    });
+
+    it('closes the connection after the response', async () => {
+      // Guards against connections that stay open at an upstream that leaves.
+      const closed = new Promise<void>(resolve => {
+        void exchange(socket => {
+          socket.on('close', () => resolve());
+          raw!.upstream.close();
+          socket.write(response);
+        });
+      });
+      await closed;
+    });
+
+    it('closes an idle connection at once', async () => {
+      let closed: Promise<void> | null = null;
+      await exchange(socket => {
+        closed = new Promise(resolve => socket.on('close', () => resolve()));
+        socket.write(response);
+      });
+      await new Promise(resolve => setImmediate(resolve));
+      raw!.upstream.close();
+      await closed;
+    });
+  });
+
   describe('a request that can not be created', () => {
     it('fails as not sent (guards against processes that end)', async () => {
       const {outcome} = await exchange(() => {}, 'r1', '/a b');
--- a/packages/rollout/src/upstreams/upstream.ts
+++ b/packages/rollout/src/upstreams/upstream.ts
@@ -176,7 +176,11 @@
     return until !== undefined && this.clock.now() < until;
   }
 
+  /**
+   * Closes its connections once their requests have ended. An upstream that has
+   * left the instance list may still finish what it runs.
+   */
   close(): void {
-    this.agent.destroy();
+    this.agent.retire();
   }
 }
