Place samples and calls by fill level, home engines and slot shares

The engines of a model changed with each version, so every process connected to all of them.

Change, only where the settings state that no failure domain has to be borne: - placement.ts: up to the level that the waiting requests reach anyway a place costs nothing, so idle connections decide; the stated pace of a machine counts and is expected to return to the usual one. - modelHomes.ts: each model loads its versions at the same home engines. - slotShare.ts: processes divide the slots of engines by the open steps, which they all know. - An attempt that is not needed any more may end within as long again as it has taken, and connections to engines stay open for 30 s.

--- a/packages/rollout/src/control/weightPlan.test.ts
+++ b/packages/rollout/src/control/weightPlan.test.ts
@@ -3,7 +3,8 @@
 import {describe, it} from 'node:test';
 
 import type {AnnouncedModel, PlannedUpstream} from './weightPlan.js';
-import {planWeightUpdates} from './weightPlan.js';
+import type {WeightPlanInput} from './weightPlan.js';
+import {planWeightUpdates as planWithHomes} from './weightPlan.js';
 
 function getUpstream(
   id: string,
@@ -31,6 +32,11 @@
   );
 }
 
+/** Plans for a pool whose models have no home engines. */
+function planWeightUpdates(input: Omit<WeightPlanInput, 'homes'>) {
+  return planWithHomes({...input, homes: null});
+}
+
 describe('planWeightUpdates', () => {
   describe('a pool with one model', () => {
     const two = [getUpstream('a', {m: 1}), getUpstream('b', {m: 1})];
--- a/packages/rollout/src/control/weightPlan.ts
+++ b/packages/rollout/src/control/weightPlan.ts
@@ -36,6 +36,11 @@
   announced: ReadonlyMap<string, AnnouncedModel>;
   /** The pool's upstreams. */
   upstreams: readonly PlannedUpstream[];
+  /**
+   * Ids of the home engines of each model, which load its versions first; null
+   * if any engine may load any model.
+   */
+  homes: ReadonlyMap<string, ReadonlySet<string>> | null;
 }
 
 /**
@@ -141,8 +146,8 @@
 }
 
 /**
- * Sorts upstreams by preference: first those that serve the newest version of
- * the fewest other models, then those in failure domains without the newest
+ * Sorts upstreams by preference: first the model's home engines, then those that
+ * serve the newest version of the fewest other models, then those in failure domains without the newest
  * version, then those with the oldest version.
  */
 function rankUpstreams(
@@ -150,7 +155,10 @@
   model: string,
   upstreams: readonly PlannedUpstream[],
 ): PlannedUpstream[] {
-  const {announced} = input;
+  const {announced, homes} = input;
+  const home = homes?.get(model);
+  const isAway = (upstream: PlannedUpstream) =>
+    home !== undefined && !home.has(upstream.id);
   const {version} = announced.get(model)!;
   const upToDate = new Set(
     input.upstreams
@@ -165,6 +173,7 @@
           getVersion(upstream, other) >= newest),
     ).length;
   const compare = (a: PlannedUpstream, b: PlannedUpstream) =>
+    Number(isAway(a)) - Number(isAway(b)) ||
     countOtherModels(a) - countOtherModels(b) ||
     Number(upToDate.has(a.domain)) - Number(upToDate.has(b.domain)) ||
     getVersion(a, model) - getVersion(b, model) ||
--- a/packages/rollout/src/control/weightUpdater.ts
+++ b/packages/rollout/src/control/weightUpdater.ts
@@ -6,12 +6,14 @@
   Result,
 } from '@vanillacross/common';
 import {fail, getDeadline, requestJson} from '@vanillacross/common';
+import {getModelHomes} from '@vanillacross/domain';
 
 import type {ConfigurationState} from '../configuration/index.js';
 import type {
   EngineReport,
   JsonCall,
   Pool,
+  SchedulingPolicy,
   UpstreamDialect,
   WeightOrder,
 } from '../model/index.js';
@@ -52,6 +54,7 @@
   areStepsKnown: () => boolean;
   /** Returns the oldest version of a model that all open steps can use. */
   getNeededVersion: (model: string) => number;
+  policy: SchedulingPolicy;
   clock: Clock;
   logger: Logger;
   metrics: Metrics;
@@ -104,6 +107,10 @@
       upstreams: engines.map(engine =>
         this.getPlannedUpstream(engine, announced),
       ),
+      homes:
+        this.options.policy.placement === 'concentrated'
+          ? getModelHomes(pool.models, [...byId.keys()])
+          : null,
     });
     for (const {upstream, model, version} of updates) {
       const engine = byId.get(upstream)!;
--- a/packages/rollout/src/forwarding/requestForwarder.ts
+++ b/packages/rollout/src/forwarding/requestForwarder.ts
@@ -235,6 +235,7 @@
   }
 
   private appendChunk(attempt: Attempt, chunk: Buffer): void {
+    if (this.isDone) return;
     attempt.size += chunk.length;
     if (attempt.size <= MAX_RESPONSE_BYTES) {
       attempt.chunks.push(chunk);
@@ -247,6 +248,7 @@
 
   private handleEnd(attempt: Attempt): void {
     this.attempts.delete(attempt);
+    if (this.isDone) return;
     const {head, upstream} = attempt;
     if (!head) return this.retry(upstream, 'answer without a head');
     if (head.isNotRun || head.isMisdirected) {
@@ -327,11 +329,24 @@
     this.context.waiting.leave(this.request.pool.id, this);
     for (const cancel of this.timers) cancel();
     for (const attempt of this.attempts) {
-      attempt.exchange.abort();
       if (outcome.tag === 'answered') {
         this.context.onExecution(this.request.account);
+        this.release(attempt);
+      } else {
+        attempt.exchange.abort();
       }
     }
     this.resolve(outcome);
   }
+
+  /** Ends an attempt whose response is no longer needed. */
+  private release({exchange}: Attempt): void {
+    const {policy, clock} = this.context;
+    if (policy.placement === 'spread') return exchange.abort();
+    // It may take as long again as it has taken, so that its connection can be
+    // used again.
+    const now = clock.now();
+    const until = getDeadline(now, now - exchange.startedAt);
+    clock.callAt(until, () => exchange.abort());
+  }
 }
--- a/packages/rollout/src/forwarding/types.ts
+++ b/packages/rollout/src/forwarding/types.ts
@@ -14,6 +14,7 @@
   Pool,
   ResponseHead,
   Route,
+  SchedulingPolicy,
   StreamContinuation,
   UpstreamDialect,
 } from '../model/index.js';
@@ -85,6 +86,7 @@
   metrics: Metrics;
   domain: DomainId;
   waiting: WaitingRequests;
+  policy: SchedulingPolicy;
   /** Returns the requests/s that this process may send to a cold upstream. */
   getColdShare: (pool: Pool) => number;
   /** Counts an attempt that an upstream executed or may have executed. */
--- a/packages/rollout/src/forwarding/upstreamForRequest.ts
+++ b/packages/rollout/src/forwarding/upstreamForRequest.ts
@@ -2,10 +2,19 @@
 import type {TextOrigin} from '@vanillacross/domain';
 import {getPermitTime, noText} from '@vanillacross/domain';
 
-import type {Upstream} from '../upstreams/index.js';
+import type {SchedulingPolicy} from '../model/index.js';
+import type {PlacementCriteria, Upstream} from '../upstreams/index.js';
 import {chooseUpstream} from '../upstreams/index.js';
 import type {ForwardContext, ForwardRequest} from './types.js';
 
+/** Requests come one by one, and this process knows no others that wait. */
+const placements: Readonly<
+  Record<SchedulingPolicy['placement'], PlacementCriteria | null>
+> = {
+  spread: null,
+  concentrated: {waitingCount: 1, getSavedWork: () => 0},
+};
+
 /** Reason of a request that ends because it may not be sent any more. */
 export const NOT_PERMITTED_REASON = 'the request is no longer permitted';
 
@@ -31,6 +40,7 @@
     origin,
     maxInFlight: pool.maxConnections,
     isBackground,
+    placement: placements[context.policy.placement],
   });
 }
 
--- a/packages/rollout/src/model/index.ts
+++ b/packages/rollout/src/model/index.ts
@@ -3,4 +3,5 @@
  * implements.
  */
 export * from './ports.js';
+export * from './schedulingPolicy.js';
 export * from './types.js';
--- a/packages/rollout/src/model/ports.ts
+++ b/packages/rollout/src/model/ports.ts
@@ -252,6 +252,11 @@
   running: number;
   waiting: number;
   slots: number;
+  /**
+   * Time that work takes on the upstream's machine now, relative to the usual
+   * time; null if not stated.
+   */
+  pace: number | null;
 }
 
 /** What an upstream states about itself with every response. */
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -21,6 +21,7 @@
   LeaseHolderClient,
   RecordDialect,
   ProcessIdentity,
+  SchedulingPolicy,
   SharedLog,
   UpstreamDialect,
 } from './model/index.js';
@@ -100,6 +101,7 @@
   minTtlMs: number;
   /** Whether the whole deployment starts for the first time. */
   isFirstStart: boolean;
+  policy: SchedulingPolicy;
   callerAddress: ListenAddress;
   readyAddress: ListenAddress;
   /** No metrics are served if null. */
@@ -177,6 +179,7 @@
       health,
       getPool: id => this.configuration.getPool(id),
       isStarting: () => this.isStarting(),
+      policy: options.policy,
     });
     this.registry = new StepRegistry(
       clock,
@@ -307,6 +310,7 @@
       metrics,
       domain: self.domain,
       waiting: new WaitingRequests(),
+      policy: options.policy,
       getColdShare: pool => coldShares.getCallerShare(pool),
       onExecution: account => this.usage.countRequest(account),
     };
@@ -322,6 +326,7 @@
       metrics,
       domain: self.domain,
       getColdShare: pool => coldShares.getSampleShare(pool),
+      policy: options.policy,
       processId,
       texts,
       storeProgress: (partition, part) =>
@@ -335,6 +340,7 @@
     this.weightUpdater = new WeightUpdater({
       areStepsKnown: () => this.streams.isCaughtUp(),
       getNeededVersion: model => this.registry.getNeededVersion(model),
+      policy: options.policy,
       lease: this.lease,
       feed,
       configuration: this.configuration,
--- a/packages/rollout/src/steps/engineSelector.test.ts
+++ b/packages/rollout/src/steps/engineSelector.test.ts
@@ -9,6 +9,7 @@
 import {describe, it} from 'node:test';
 
 import {ConfigurationState} from '../configuration/index.js';
+import {defaultSchedulingPolicy} from '../model/index.js';
 import {
   MODEL,
   POOL_ID,
@@ -45,6 +46,8 @@
     configuration,
     directory,
     domain: toBranded<DomainId>('a'),
+    policy: defaultSchedulingPolicy,
+    hasShare: () => true,
     getColdShare: () => 1,
   });
   const sample = {
--- a/packages/rollout/src/steps/engineSelector.ts
+++ b/packages/rollout/src/steps/engineSelector.ts
@@ -4,7 +4,7 @@
 
 import type {ConfigurationState} from '../configuration/index.js';
 import {pickWeightedPool} from '../configuration/index.js';
-import type {Pool, Route} from '../model/index.js';
+import type {Pool, Route, SchedulingPolicy} from '../model/index.js';
 import type {UpstreamDirectory, Upstream} from '../upstreams/index.js';
 import {chooseUpstream} from '../upstreams/index.js';
 import type {SampleTask} from './sampleTask.js';
@@ -19,6 +19,9 @@
   domain: DomainId;
   /** Requests per second that this process may send to one cold engine. */
   getColdShare: (pool: Pool) => number;
+  policy: SchedulingPolicy;
+  /** Whether an engine may take a queued sample as far as shares decide. */
+  hasShare: (task: SampleTask, engine: Upstream) => boolean;
 }
 
 /** Selects the engines that samples run on. */
@@ -33,21 +36,30 @@
   /**
    * Returns an engine with a free slot for a queued sample whose text so far has
    * this origin, or null.
+   *
+   * @param waitingCount Number of queued samples of its model, this one included.
    */
   chooseForStart(
     task: SampleTask,
     route: Route,
     origin: TextOrigin,
+    waitingCount: number,
   ): Upstream | null {
     const poolId = pickWeightedPool(route, Math.random);
     const pool = poolId
       ? this.options.configuration.getPool(poolId as Pool['id'])
       : undefined;
     if (!pool) return null;
-    this.options.directory.recordDemand(pool.id);
+    const {directory, hasShare} = this.options;
+    directory.recordDemand(pool.id);
     return (
-      this.choose(task, pool, origin, u => u !== task.avoidedUpstream) ??
-      this.choose(task, pool, origin, () => true)
+      this.choose(
+        task,
+        pool,
+        origin,
+        waitingCount,
+        u => u !== task.avoidedUpstream && hasShare(task, u),
+      ) ?? this.choose(task, pool, origin, waitingCount, u => hasShare(task, u))
     );
   }
 
@@ -67,16 +79,17 @@
     const isFaster = (upstream: Upstream) =>
       (upstream.getEventIntervalMs() ?? Infinity) * SLOW_FACTOR <=
       currentIntervalMs;
-    return this.choose(task, pool, task.text.origin, isFaster);
+    return this.choose(task, pool, task.text.origin, 1, isFaster);
   }
 
   private choose(
     task: SampleTask,
     pool: Pool,
     origin: TextOrigin,
+    waitingCount: number,
     isEligible: (upstream: Upstream) => boolean,
   ): Upstream | null {
-    const {directory, domain, getColdShare} = this.options;
+    const {directory, domain, getColdShare, policy} = this.options;
     const {model, minVersion} = task.trackedStep.step;
     const available = directory
       .getUsable(pool.id)
@@ -91,6 +104,10 @@
       origin,
       maxInFlight: pool.maxConnections,
       isBackground: false,
+      placement:
+        policy.placement === 'concentrated'
+          ? {waitingCount, getSavedWork: () => 0}
+          : null,
     });
   }
 }
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -15,6 +15,7 @@
   Route,
   Sample,
   SampleResult,
+  SchedulingPolicy,
   UpstreamDialect,
 } from '../model/index.js';
 import type {TextStore} from '../log/index.js';
@@ -25,6 +26,7 @@
 import {getRunnerPartition} from './runnerPartition.js';
 import {getSampleCall} from './sampleCall.js';
 import {SampleScoring} from './sampleScoring.js';
+import {SlotShares} from './slotShares.js';
 import type {UnstoredPart} from './sampleTask.js';
 import {SampleTask} from './sampleTask.js';
 import type {TrackedStep, StepRegistry, StepChange} from './stepRegistry.js';
@@ -81,6 +83,7 @@
   domain: DomainId;
   /** Requests per second that this process may send to one cold engine. */
   getColdShare: (pool: Pool) => number;
+  policy: SchedulingPolicy;
   /** Id of this process; unique for each start of the process. */
   processId: string;
   /** Stores new events of an unfinished sample. */
@@ -99,6 +102,18 @@
   ) => Promise<void>;
 }
 
+/** Returns the number of queued samples of each model. */
+function countByModel(
+  queued: readonly SampleTask[],
+): Map<string | null, number> {
+  const counts = new Map<string | null, number>();
+  for (const {trackedStep} of queued) {
+    const {model} = trackedStep.step;
+    counts.set(model, (counts.get(model) ?? 0) + 1);
+  }
+  return counts;
+}
+
 /** Runs the samples that are assigned to the partitions of this process. */
 export class StepRunner {
   private readonly ownedPartitions = new Set<number>();
@@ -106,6 +121,7 @@
   private readonly scoring: SampleScoring;
   private readonly engineSelector: EngineSelector;
   private readonly recovery: SampleRecovery;
+  private readonly slotShares: SlotShares;
   private chainCount = 0;
   private isStartScheduled = false;
   private isStopped = false;
@@ -114,7 +130,14 @@
     options.registry.onChange(change => this.handleChange(change));
     options.directory.onChange(() => this.startQueuedSamples());
     options.configuration.onChange(() => this.startQueuedSamples());
-    this.engineSelector = new EngineSelector(options);
+    this.engineSelector = new EngineSelector({
+      ...options,
+      hasShare: (task, engine) => this.hasShare(task, engine),
+    });
+    this.slotShares = new SlotShares({
+      ...options,
+      getRoute: tracked => this.engineSelector.getRoute(tracked),
+    });
     this.recovery = new SampleRecovery({
       ...options,
       getRoute: tracked => this.engineSelector.getRoute(tracked),
@@ -300,13 +323,29 @@
     const queued = [...this.tasks.values()].filter(t => t.stage === 'queued');
     if (queued.length === 0) return;
     queued.sort(compareQueuedSamples);
+    if (this.isConcentrated) this.slotShares.refresh(this.tasks.values());
+    const waitingByModel = countByModel(queued);
     let hasRemaining = false;
     for (const task of queued) {
-      if (!this.tryStart(task)) hasRemaining = true;
+      const {model} = task.trackedStep.step;
+      const waitingCount = waitingByModel.get(model) ?? 1;
+      if (this.tryStart(task, waitingCount)) {
+        waitingByModel.set(model, waitingCount - 1);
+      } else {
+        hasRemaining = true;
+      }
     }
     if (hasRemaining) this.scheduleStart();
   }
 
+  private get isConcentrated(): boolean {
+    return this.options.policy.placement === 'concentrated';
+  }
+
+  private hasShare(task: SampleTask, engine: Upstream): boolean {
+    return !this.isConcentrated || this.slotShares.mayStart(task, engine);
+  }
+
   private scheduleStart(): void {
     if (this.isStartScheduled) return;
     this.isStartScheduled = true;
@@ -320,16 +359,17 @@
   /**
    * Starts or abandons a queued sample. Returns false if the sample remains queued.
    */
-  private tryStart(task: SampleTask): boolean {
+  private tryStart(task: SampleTask, waitingCount: number): boolean {
     const {step} = task.trackedStep;
     const route = this.engineSelector.getRoute(task.trackedStep);
     if (route && task.isPastRetention(route, this.options.clock.wallNow())) {
       this.finish(task, 'dead', null);
       return true;
     }
-    const upstream = route && this.chooseEngine(task, route);
+    const upstream = route && this.chooseEngine(task, route, waitingCount);
     if (!route || !upstream) return false;
     this.generate(task, route, upstream);
+    this.slotShares.recordStart(task, upstream);
     this.options.metrics.count('vc_samples_started', {
       model: step.model ?? '',
     });
@@ -341,17 +381,32 @@
    * engines of its software version, the sample starts again from the beginning
    * at another version.
    */
-  private chooseEngine(task: SampleTask, route: Route): Upstream | null {
+  private chooseEngine(
+    task: SampleTask,
+    route: Route,
+    waitingCount: number,
+  ): Upstream | null {
     const {engineSelector} = this;
     const {clock, logger} = this.options;
     const {software, lastEventId} = task.text;
-    const next = engineSelector.chooseForStart(task, route, task.text.origin);
+    const {origin} = task.text;
+    const next = engineSelector.chooseForStart(
+      task,
+      route,
+      origin,
+      waitingCount,
+    );
     if (software === null) return next;
     if (next && task.fruitlessRuns < MAX_FRUITLESS_RUNS) return next;
     const waitedMs = clock.now() - task.advancedAt;
     const mayWait = !next && waitedMs < TEXT_WAIT_MS;
     if (mayWait && engineSelector.hasEngineForText(task, route)) return null;
-    const other = engineSelector.chooseForStart(task, route, noText);
+    const other = engineSelector.chooseForStart(
+      task,
+      route,
+      noText,
+      waitingCount,
+    );
     if (!other || other.entry.software === software) return other;
     logger.info('sample starts again at another software version', {
       step: task.trackedStep.step.id,
--- a/packages/rollout/src/testing/directoryFixture.ts
+++ b/packages/rollout/src/testing/directoryFixture.ts
@@ -8,6 +8,7 @@
 
 import {StoreHealth} from '../log/index.js';
 import type {Pool, RecordDialect, UpstreamEntry} from '../model/index.js';
+import {defaultSchedulingPolicy} from '../model/index.js';
 import {UpstreamDirectory} from '../upstreams/index.js';
 import {createNoticeRegistry} from './noticeFixture.js';
 
@@ -59,6 +60,7 @@
     health,
     getPool: () => testPool,
     isStarting: () => isStarting,
+    policy: defaultSchedulingPolicy,
   });
   return {
     clock,
--- a/packages/rollout/src/testing/forwardFixture.ts
+++ b/packages/rollout/src/testing/forwardFixture.ts
@@ -10,6 +10,7 @@
 import type {ForwardContext, ForwardRequest} from '../forwarding/index.js';
 import {WaitingRequests} from '../forwarding/index.js';
 import type {Route} from '../model/index.js';
+import {defaultSchedulingPolicy} from '../model/index.js';
 import type {Upstream} from '../upstreams/index.js';
 import {CrashTracker} from '../upstreams/index.js';
 import {testPool} from './directoryFixture.js';
@@ -33,6 +34,7 @@
     metrics: new Metrics(),
     domain: toBranded<DomainId>('a'),
     waiting: new WaitingRequests(),
+    policy: defaultSchedulingPolicy,
     getColdShare: () => 1,
     onExecution: () => {},
   } as unknown as ForwardContext;
--- a/packages/rollout/src/upstreams/chooseUpstream.test.ts
+++ b/packages/rollout/src/upstreams/chooseUpstream.test.ts
@@ -15,7 +15,7 @@
 
 const V1 = toBranded<SoftwareVersion>('v1');
 const V2 = toBranded<SoftwareVersion>('v2');
-const FULL = {running: 4, waiting: 9, slots: 4};
+const FULL = {running: 4, waiting: 9, slots: 4, pace: null};
 
 const callerCriteria: UpstreamCriteria = {
   pool: testPool,
@@ -26,6 +26,7 @@
   origin: noText,
   maxInFlight: 100,
   isBackground: false,
+  placement: null,
 };
 const backgroundCriteria: UpstreamCriteria = {
   ...callerCriteria,
--- a/packages/rollout/src/upstreams/chooseUpstream.ts
+++ b/packages/rollout/src/upstreams/chooseUpstream.ts
@@ -1,10 +1,22 @@
 import type {DomainId} from '@vanillacross/common';
 import type {TextOrigin} from '@vanillacross/domain';
-import {mayExtendText} from '@vanillacross/domain';
+import {
+  getFillLevel,
+  getPlacementCost,
+  mayExtendText,
+} from '@vanillacross/domain';
 
-import type {Pool} from '../model/index.js';
+import type {Pool, SchedulingPolicy} from '../model/index.js';
 import type {Upstream} from './upstream.js';
 
+/** What a concentrated placement weighs against the wait. */
+export interface PlacementCriteria {
+  /** Number of requests that wait for a place, this one included. */
+  waitingCount: number;
+  /** Returns the fraction of the work that a cached prompt saves. */
+  getSavedWork: (upstream: Upstream) => number;
+}
+
 /** Requirements and preferences for choosing an upstream. */
 export interface UpstreamCriteria {
   pool: Pool;
@@ -25,6 +37,8 @@
    * upstream's slots.
    */
   isBackground: boolean;
+  /** Null for a spread placement. */
+  placement: PlacementCriteria | null;
 }
 
 /** Cost of another failure domain, in requests at the upstream. */
@@ -35,6 +49,11 @@
  * although a few would carry its requests.
  */
 const NEW_CONNECTION_COST = 0.75;
+/**
+ * Fraction of the slots of an upstream without models below which a request
+ * there waits for no other one.
+ */
+const FREE_SHARE = 0.5;
 /** Fraction of the slots that background requests may take. */
 const BACKGROUND_SHARE = 0.7;
 
@@ -57,21 +76,69 @@
   return upstream.getVersion(model) >= minVersion;
 }
 
-function getCost(
+function getSlowness(upstream: Upstream, shortestIntervalMs: number): number {
+  const intervalMs = upstream.getEventIntervalMs() ?? shortestIntervalMs;
+  return Math.max(1, intervalMs / shortestIntervalMs);
+}
+
+function getConcentratedCost(
   upstream: Upstream,
   criteria: UpstreamCriteria,
-  shortestIntervalMs: number,
+  {shortestIntervalMs, fillLevel}: CandidateSummary,
+): number {
+  const isFree =
+    criteria.weights === null &&
+    upstream.getOccupancy() < upstream.entry.slots * FREE_SHARE;
+  const candidate = {
+    occupancy: isFree ? 0 : upstream.getOccupancy(),
+    pace: Math.max(
+      upstream.getPace(),
+      getSlowness(upstream, shortestIntervalMs),
+    ),
+    isOtherDomain: upstream.entry.domain !== criteria.domain,
+    hasIdleConnection: upstream.hasIdleConnection(),
+    savedWork: criteria.placement?.getSavedWork(upstream) ?? 0,
+  };
+  return getPlacementCost(candidate, Math.max(1, fillLevel)).total;
+}
+
+function getSpreadCost(
+  upstream: Upstream,
+  criteria: UpstreamCriteria,
+  {shortestIntervalMs}: CandidateSummary,
 ): number {
   const slots = Math.max(1, upstream.entry.slots);
   const isSameDomain = upstream.entry.domain === criteria.domain;
-  const slowness =
-    (upstream.getEventIntervalMs() ?? shortestIntervalMs) / shortestIntervalMs;
+  const slowness = getSlowness(upstream, shortestIntervalMs);
   const occupancy =
     upstream.getOccupancy() +
     1 +
     (isSameDomain ? 0 : OTHER_DOMAIN_COST) +
     (upstream.hasIdleConnection() ? 0 : NEW_CONNECTION_COST);
-  return (occupancy * Math.max(1, slowness)) / slots;
+  return (occupancy * slowness) / slots;
+}
+
+/** What the cost of a candidate is relative to. */
+interface CandidateSummary {
+  shortestIntervalMs: number;
+  /** Number of requests of the least loaded candidates after all are placed. */
+  fillLevel: number;
+}
+
+const costs: Readonly<
+  Record<SchedulingPolicy['placement'], typeof getSpreadCost>
+> = {spread: getSpreadCost, concentrated: getConcentratedCost};
+
+function summarize(
+  candidates: readonly Upstream[],
+  criteria: UpstreamCriteria,
+): CandidateSummary {
+  const waitingCount = criteria.placement?.waitingCount ?? 0;
+  const occupancies = candidates.map(upstream => upstream.getOccupancy());
+  return {
+    shortestIntervalMs: getShortestEventIntervalMs(candidates),
+    fillLevel: getFillLevel(occupancies, waitingCount),
+  };
 }
 
 /** Returns the shortest known event interval, ms; 1 if none is known. */
@@ -84,7 +151,7 @@
   return Math.max(1, intervals.length === 0 ? 1 : Math.min(...intervals));
 }
 
-/** Returns the least loaded upstream that meets the criteria, or null. */
+/** Returns the cheapest upstream that meets the criteria, or null. */
 export function chooseUpstream(
   upstreams: readonly Upstream[],
   criteria: UpstreamCriteria,
@@ -102,12 +169,12 @@
   const healthy = eligible.filter(upstream => !upstream.isEjected());
   // If all upstreams are ejected, use them anyway instead of refusing requests.
   const candidates = healthy.length > 0 ? healthy : eligible;
-  const shortestIntervalMs = getShortestEventIntervalMs(candidates);
+  const summary = summarize(candidates, criteria);
+  const getCost = costs[criteria.placement ? 'concentrated' : 'spread'];
   let best: Upstream | null = null;
   let lowestCost = Infinity;
   for (const upstream of candidates) {
-    const cost =
-      getCost(upstream, criteria, shortestIntervalMs) + Math.random() * 1e-3;
+    const cost = getCost(upstream, criteria, summary) + Math.random() * 1e-3;
     if (cost >= lowestCost) continue;
     best = upstream;
     lowestCost = cost;
--- a/packages/rollout/src/upstreams/upstream.ts
+++ b/packages/rollout/src/upstreams/upstream.ts
@@ -2,6 +2,7 @@
 import type {UpstreamHealth} from '@vanillacross/domain';
 import {
   addUpstreamFailure,
+  getExpectedPace,
   healthyUpstream,
   isUpstreamEjected,
 } from '@vanillacross/domain';
@@ -11,8 +12,8 @@
 import {IncarnationNotices} from './incarnationNotices.js';
 
 /**
- * Idle timeout of connections, ms. It is shorter than that of upstreams, so
- * that this process closes them first.
+ * Default idle timeout of connections, ms. It is shorter than that of upstreams,
+ * so that this process closes them first.
  */
 const IDLE_CONNECTION_TIMEOUT_MS = 10_000;
 /** Age at which a reported load is ignored, ms. */
@@ -30,11 +31,7 @@
 /** This process's view of one incarnation of an upstream. */
 export class Upstream {
   readonly id: UpstreamId;
-  readonly agent = new ConnectionPool({
-    keepAlive: true,
-    maxFreeSockets: 16,
-    timeout: IDLE_CONNECTION_TIMEOUT_MS,
-  });
+  readonly agent: ConnectionPool;
   inFlight = 0;
   /** Time until which it refuses work while it loads a version, by model. */
   readonly loadingUntil = new Map<string, MonotonicMs>();
@@ -54,8 +51,14 @@
     private readonly clock: Clock,
     coldMs: number,
     readonly notices: IncarnationNotices = new IncarnationNotices(clock),
+    idleTimeoutMs = IDLE_CONNECTION_TIMEOUT_MS,
   ) {
     this.id = entry.id;
+    this.agent = new ConnectionPool({
+      keepAlive: true,
+      maxFreeSockets: 16,
+      timeout: idleTimeoutMs,
+    });
     this.listedAt = clock.now();
     this.coldUntil = clock.now();
     if (coldMs > 0) this.markCold(coldMs);
@@ -109,6 +112,13 @@
     return Math.max(this.inFlight, running + waiting);
   }
 
+  /** Returns the expected pace of its machine; 1 is the usual one. */
+  getPace(): number {
+    if (!this.load || this.load.value.pace === null) return 1;
+    const ageMs = this.clock.now() - this.load.at;
+    return getExpectedPace(this.load.value.pace, ageMs);
+  }
+
   /** Whether a request could be sent without opening a connection. */
   hasIdleConnection(): boolean {
     return Object.values(this.agent.freeSockets).some(
--- a/packages/rollout/src/upstreams/upstreamDirectory.ts
+++ b/packages/rollout/src/upstreams/upstreamDirectory.ts
@@ -13,6 +13,7 @@
   KeyedRecord,
   Pool,
   RecordDialect,
+  SchedulingPolicy,
   UpstreamEntry,
 } from '../model/index.js';
 import type {NoticeRegistry} from './noticeRegistry.js';
@@ -28,6 +29,12 @@
 const RENEWAL_MS = 4_000;
 /** Cold time that is used until the configuration is known, ms. */
 const DEFAULT_COLD_MS = 3_000;
+/**
+ * Idle timeout of connections to engines with concentrated placement, ms. The
+ * engines of a model are used again within a few versions; a sample whose
+ * connection the engine has closed meanwhile can be sent again.
+ */
+const ENGINE_IDLE_TIMEOUT_MS = 30_000;
 /** Assumed maximum skew between wall clocks of upstreams and processes, ms. */
 const MAX_CLOCK_SKEW_MS = 6_000;
 
@@ -40,6 +47,7 @@
   getPool: (pool: PoolId) => Pool | undefined;
   /** Whether the whole deployment is starting for the first time. */
   isStarting: () => boolean;
+  policy: SchedulingPolicy;
 }
 
 /** The upstreams in the instance list. */
@@ -114,6 +122,7 @@
         this.options.clock,
         this.getInitialColdMs(entry.value),
         this.options.notices.get(entry.value),
+        this.getIdleTimeoutMs(entry.value.pool),
       );
       this.upstreams.set(id, added);
       this.log(added, 'listed');
@@ -194,6 +203,15 @@
     return this.options.getPool(pool)?.coldMs ?? DEFAULT_COLD_MS;
   }
 
+  /** Returns the idle timeout of connections; undefined for the default. */
+  private getIdleTimeoutMs(pool: PoolId): number | undefined {
+    const {getPool, policy} = this.options;
+    const hasEngines = (getPool(pool)?.models.length ?? 0) > 0;
+    return hasEngines && policy.placement === 'concentrated'
+      ? ENGINE_IDLE_TIMEOUT_MS
+      : undefined;
+  }
+
   private remove(id: UpstreamId): void {
     const upstream = this.upstreams.get(id);
     if (!upstream || upstream.removedAt !== null) return;
