Run samples on machines with half a core or more

Change, only with concentrated placement: a process on a machine with less than half a core joins the group that owns partitions only while the other members are too few (reserve.ts), and claims the lease later than others.

--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -33,6 +33,7 @@
 export * from './softwareVersion.js';
 export * from './spans.js';
 export * from './startOrder.js';
+export * from './reserve.js';
 export * from './retryBudget.js';
 export * from './sanitize.js';
 export * from './upstreamChoice.js';
--- /dev/null
+++ b/packages/domain/src/reserve.test.ts
@@ -0,0 +1,55 @@
+import type {MonotonicMs} from '@vanillacross/common';
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {idleReserve, updateReserve} from './reserve.js';
+
+const PARTITIONS = 6;
+
+/** Returns whether a reserve is needed after checks once a second. */
+function isNeededAfter(
+  ownersBySecond: ReadonlyArray<readonly string[]>,
+): boolean {
+  let state = idleReserve;
+  ownersBySecond.forEach((members, second) => {
+    const owners = new Map<number, string>();
+    for (let part = 0; part < PARTITIONS && members.length > 0; part++) {
+      owners.set(part, members[part % members.length]);
+    }
+    const ownership = {partitionCount: PARTITIONS, owners, self: 'small'};
+    state = updateReserve(state, ownership, (second * 1_000) as MonotonicMs);
+  });
+  return state.isNeeded;
+}
+
+function repeat(members: readonly string[], seconds: number) {
+  return Array.from({length: seconds}, () => members);
+}
+
+describe('updateReserve', () => {
+  describe('a process on a small machine', () => {
+    it('runs no samples while others own all partitions', () => {
+      assert.equal(isNeededAfter(repeat(['a', 'b'], 20)), false);
+    });
+
+    it('joins if the others are gone (guards against steps that nobody runs)', () => {
+      assert.equal(isNeededAfter(repeat([], 4)), true);
+    });
+
+    it('joins if one other process owns everything', () => {
+      assert.equal(isNeededAfter(repeat(['a'], 4)), true);
+    });
+
+    it('stays away during a restart of the others (guards against partitions that move twice)', () => {
+      const owners = [...repeat(['a', 'b'], 3), [], ...repeat(['a', 'b'], 3)];
+      assert.equal(isNeededAfter(owners), false);
+    });
+
+    it('leaves once the others are back for a while', () => {
+      const back = ['a', 'b', 'small'];
+      const owners = [...repeat([], 4), ...repeat(back, 8)];
+      assert.equal(isNeededAfter(owners), false);
+      assert.equal(isNeededAfter(owners.slice(0, 6)), true);
+    });
+  });
+});
--- a/packages/rollout/src/control/leaseTask.test.ts
+++ b/packages/rollout/src/control/leaseTask.test.ts
@@ -184,6 +184,7 @@
       processId: `p${index}.1`,
       instance: `p${index}`,
       leaseMs: index === 0 ? firstLeaseMs : LEASE_MS,
+      isReserve: false,
       clock,
       logger,
       metrics: new Metrics(),
--- a/packages/rollout/src/control/leaseTask.ts
+++ b/packages/rollout/src/control/leaseTask.ts
@@ -25,6 +25,8 @@
 const SUCCESSOR_MARGIN_MS = 300;
 /** Maximum random delay before a claim, ms. */
 const MAX_CLAIM_JITTER_MS = 500;
+/** Additional delay of a claim by a process on a small machine, ms. */
+const RESERVE_CLAIM_DELAY_MS = 700;
 const APPEND_TIMEOUT_MS = 700;
 /** Interval at which a process without the lease checks it, ms. */
 const POLL_INTERVAL_MS = 250;
@@ -45,6 +47,8 @@
   /** Instance that the process runs on. */
   instance: string;
   leaseMs: number;
+  /** Whether other processes are to claim the lease first. */
+  isReserve: boolean;
   clock: Clock;
   logger: Logger;
   metrics: Metrics;
@@ -175,7 +179,8 @@
     if (!mayClaim(this.view, processId, instance, clock.now(), waitMs)) {
       return POLL_INTERVAL_MS;
     }
-    const jitterMs = random() * MAX_CLAIM_JITTER_MS;
+    const reserveMs = this.options.isReserve ? RESERVE_CLAIM_DELAY_MS : 0;
+    const jitterMs = random() * MAX_CLAIM_JITTER_MS + reserveMs;
     await clock.waitUntil(getDeadline(clock.now(), jitterMs));
     if (!mayClaim(this.view, processId, instance, clock.now(), waitMs)) {
       return POLL_INTERVAL_MS;
--- a/packages/rollout/src/control/membershipTask.test.ts
+++ b/packages/rollout/src/control/membershipTask.test.ts
@@ -15,6 +15,7 @@
   const clock = new ManualClock();
   const joins: number[] = [];
   const log = {
+    getOwners: () => Promise.resolve(ok(new Map())),
     join: () => {
       joins.push(clock.now());
       const generation = clock.now() < CHANGE_AT_MS ? 1 : 2;
@@ -26,7 +27,9 @@
     group: 'g',
     member: 'm',
     stream: 's',
+    partitionCount: 1,
     minTtlMs: 1_000,
+    isReserve: false,
     clock,
     logger: createLogger('test', 'silent'),
     onPartitions: () => {},
--- a/packages/rollout/src/control/membershipTask.ts
+++ b/packages/rollout/src/control/membershipTask.ts
@@ -1,5 +1,6 @@
 import type {Clock, Logger, MonotonicMs} from '@vanillacross/common';
 import {getDeadline} from '@vanillacross/common';
+import {idleReserve, updateReserve} from '@vanillacross/domain';
 
 import type {SharedLog} from '../model/index.js';
 
@@ -21,12 +22,18 @@
  */
 const EXPIRY_MS = 9_000;
 
+/** Interval at which a reserve process looks at the owners, ms. */
+const RESERVE_CHECK_INTERVAL_MS = 1_000;
+
 export interface MembershipTaskOptions {
   log: SharedLog;
   group: string;
   member: string;
   stream: string;
+  partitionCount: number;
   minTtlMs: number;
+  /** Whether this process joins only while the other members are too few. */
+  isReserve: boolean;
   clock: Clock;
   logger: Logger;
   onPartitions: (partitions: readonly number[]) => void;
@@ -39,6 +46,8 @@
   private rebalancingUntil: MonotonicMs | null = null;
   private partitions: readonly number[] = [];
   private isStopped = false;
+  private isJoined = false;
+  private reserve = idleReserve;
 
   constructor(private readonly options: MembershipTaskOptions) {}
 
@@ -46,10 +55,19 @@
     void this.run();
   }
 
+  /** Whether this process takes part in the assignment. */
+  get isMember(): boolean {
+    return this.isJoined;
+  }
+
   /** Releases the partitions and leaves the group. */
   async stop(): Promise<void> {
-    const {log, group, member, logger} = this.options;
     this.isStopped = true;
+    await this.leave();
+  }
+
+  private async leave(): Promise<void> {
+    const {log, group, member, logger} = this.options;
     this.assign([]);
     const outcome = await log.leave(group, member);
     if (!outcome.ok) {
@@ -70,11 +88,33 @@
   private async run(): Promise<void> {
     const {clock} = this.options;
     while (!this.isStopped) {
-      await this.join();
-      await clock.waitUntil(getDeadline(clock.now(), this.getIntervalMs()));
+      const isNeeded = await this.checkNeed();
+      if (isNeeded) await this.join();
+      else if (this.isJoined) await this.leave();
+      this.isJoined = isNeeded;
+      const intervalMs = isNeeded
+        ? this.getIntervalMs()
+        : RESERVE_CHECK_INTERVAL_MS;
+      await clock.waitUntil(getDeadline(clock.now(), intervalMs));
     }
   }
 
+  /** Returns whether this process has to be a member now. */
+  private async checkNeed(): Promise<boolean> {
+    const {isReserve, log, group, stream, clock, logger} = this.options;
+    if (!isReserve) return true;
+    const owners = await log.getOwners(group, stream);
+    // Without the store, nobody can be assigned partitions anyway.
+    if (!owners.ok) return this.reserve.isNeeded;
+    const {partitionCount, member: self} = this.options;
+    const ownership = {partitionCount, owners: owners.value, self};
+    const before = this.reserve.isNeeded;
+    this.reserve = updateReserve(this.reserve, ownership, clock.now());
+    const {isNeeded} = this.reserve;
+    if (isNeeded !== before) logger.info('need for this process', {isNeeded});
+    return isNeeded;
+  }
+
   private getIntervalMs(): number {
     const now = this.options.clock.now();
     const isRebalancing =
--- a/packages/rollout/src/model/ports.ts
+++ b/packages/rollout/src/model/ports.ts
@@ -147,6 +147,11 @@
     generation: number,
   ): Promise<Result<GroupAssignment, LogFailure>>;
   leave(group: string, member: string): Promise<Result<null, LogFailure>>;
+  /** Returns the member that owns each partition of a stream. */
+  getOwners(
+    group: string,
+    stream: string,
+  ): Promise<Result<ReadonlyMap<number, string>, LogFailure>>;
 }
 
 /** A decoded record of the operator stream. */
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -102,6 +102,11 @@
   /** Whether the whole deployment starts for the first time. */
   isFirstStart: boolean;
   policy: SchedulingPolicy;
+  /**
+   * Whether this process is on a small machine and runs samples and holds the
+   * lease only if no other one does.
+   */
+  isReserve: boolean;
   callerAddress: ListenAddress;
   readyAddress: ListenAddress;
   /** No metrics are served if null. */
@@ -269,6 +274,7 @@
       processId,
       instance: self.id,
       leaseMs: limits.leaseMs,
+      isReserve: options.isReserve,
       clock,
       logger: logger.child('lease'),
       metrics,
@@ -361,7 +367,9 @@
       group: STEP_GROUP,
       member: self.id,
       stream: this.streams.name,
+      partitionCount: options.stepPartitionCount,
       minTtlMs: options.minTtlMs,
+      isReserve: options.isReserve,
       clock,
       logger: logger.child('membership'),
       onPartitions: partitions => this.assignment.apply(partitions),
@@ -537,5 +545,6 @@
     metrics.gauge('vc_open_requests', () => this.server.openRequestCount);
     metrics.gauge('vc_open_samples', () => this.runner.size);
     metrics.gauge('vc_lease_held', () => (this.lease.isHeld() ? 1 : 0));
+    metrics.gauge('vc_runs_samples', () => (this.membership.isMember ? 1 : 0));
   }
 }
--- a/packages/standins/src/metadataStore.ts
+++ b/packages/standins/src/metadataStore.ts
@@ -32,6 +32,7 @@
 interface Group {
   generation: number;
   /** Expiry of each member on the monotonic clock, ms. */
+  topic: string;
   members: Map<string, number>;
   owners: Map<number, string>;
 }
@@ -248,7 +249,12 @@
     const body = context.parse(joinSchema);
     let group = groups.get(body.group);
     if (!group) {
-      group = {generation: 0, members: new Map(), owners: new Map()};
+      group = {
+        topic: body.topics[0],
+        generation: 0,
+        members: new Map(),
+        owners: new Map(),
+      };
       groups.set(body.group, group);
     }
     removeExpiredMembers(group);
@@ -272,6 +278,20 @@
     return {status: 200, body: {}};
   };
 
+  const listOwners = (context: RouteContext): Reply => {
+    countCall('owners');
+    const group = groups.get(context.query.get('group') ?? '');
+    if (group) removeExpiredMembers(group);
+    const rows = [...(group?.owners ?? [])];
+    return {
+      status: 200,
+      body: {
+        generation: group?.generation ?? 0,
+        parts: rows.map(([part, owner]) => [group?.topic, part, owner, 0]),
+      },
+    };
+  };
+
   const service = await createService(
     [
       createRoute('POST /vanillacross/log-append', append),
@@ -279,6 +299,7 @@
       createRoute('GET /vanillacross/log-newest', readNewest),
       createRoute('POST /vanillacross/log-join', join),
       createRoute('POST /vanillacross/log-leave', leave),
+      createRoute('GET /vanillacross/log-owners', listOwners),
     ],
     options,
   );
