Keep connections to engines and divide engines by process

Change, only with concentrated placement: a hash divides the engines among the processes of a step; an idle connection to an engine is kept open once by a health request; the attempt that lost a race may end within the target latency while its upstream has half of its slots free; a migration must save a second, not half of one; slots are divided by the samples that still generate.

--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -5,6 +5,7 @@
 export * from './admission.js';
 export * from './capacityWait.js';
 export * from './checkpointPlan.js';
+export * from './connectionRefresh.js';
 export * from './constants.js';
 export * from './controlRecords.js';
 export * from './controlReplay.js';
--- a/packages/rollout/src/forwarding/requestForwarder.ts
+++ b/packages/rollout/src/forwarding/requestForwarder.ts
@@ -5,7 +5,7 @@
 
 import type {ResponseHead} from '../model/index.js';
 import type {Exchange, ExchangeFailure, Upstream} from '../upstreams/index.js';
-import {startExchange} from '../upstreams/index.js';
+import {FREE_SHARE, startExchange} from '../upstreams/index.js';
 import type {ForwardContext, ForwardOutcome, ForwardRequest} from './types.js';
 import {
   NOT_PERMITTED_REASON,
@@ -79,6 +79,13 @@
     this.settle({tag: 'cancelled'});
   }
 
+  /** Ends the request; its attempts may still end by themselves. */
+  abandon(): void {
+    for (const attempt of this.attempts) this.release(attempt);
+    this.attempts.clear();
+    this.settle({tag: 'cancelled'});
+  }
+
   private getFingerprint(): string {
     const {method, target, body} = this.request;
     this.fingerprint ??= getRequestFingerprint(method, target, body);
@@ -340,13 +347,14 @@
   }
 
   /** Ends an attempt whose response is no longer needed. */
-  private release({exchange}: Attempt): void {
+  private release({exchange, upstream}: Attempt): void {
     const {policy, clock} = this.context;
-    if (policy.placement === 'spread') return exchange.abort();
-    // It may take as long again as it has taken, so that its connection can be
+    const {route} = this.request;
+    const hasRoom = upstream.getOccupancy() < upstream.entry.slots * FREE_SHARE;
+    if (policy.placement === 'spread' || !hasRoom) return exchange.abort();
+    // While its slot is not needed it may end, so that its connection can be
     // used again.
-    const now = clock.now();
-    const until = getDeadline(now, now - exchange.startedAt);
+    const until = getDeadline(clock.now(), route.targetLatencyMs);
     clock.callAt(until, () => exchange.abort());
   }
 }
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -19,6 +19,7 @@
   DeploymentLimits,
   CallerDialect,
   LeaseHolderClient,
+  Pool,
   RecordDialect,
   ProcessIdentity,
   SchedulingPolicy,
@@ -35,6 +36,7 @@
 import {StepRegistry, StepRunner, StepService} from './steps/index.js';
 import {
   ColdShares,
+  ConnectionRefresher,
   CrashTracker,
   NoticeRegistry,
   UpstreamDirectory,
@@ -144,6 +146,7 @@
   private readonly controlQueue: AppendQueue;
   private readonly platformTails: PlatformTails;
   private readonly statusServers: StatusServers;
+  private readonly refresher: ConnectionRefresher;
   private isReady = false;
   private isStopping = false;
   private readonly startedAt;
@@ -383,6 +386,13 @@
       logger: logger.child('callers'),
       metrics,
     });
+    this.refresher = new ConnectionRefresher({
+      directory: this.directory,
+      dialect: options.upstreams,
+      getPools: () => this.getRefreshedPools(),
+      clock,
+      metrics,
+    });
     this.platformTails = createPlatformTails({
       ...options,
       configuration: this.configuration,
@@ -420,6 +430,7 @@
     this.membership.start();
     this.lease.start();
     this.weightUpdater.start();
+    this.refresher.start();
     this.usage.start();
     this.isReady = true;
     options.logger.info('ready', {
@@ -428,6 +439,15 @@
     });
   }
 
+  /** Returns the pools of engines if this process runs samples there. */
+  private getRefreshedPools(): Pool[] {
+    const {placement} = this.options.policy;
+    const isRunner = this.runner.getOwnedPartitions().size > 0;
+    if (placement === 'spread' || !isRunner) return [];
+    const pools = this.configuration.getRoutes()?.configuration.pools;
+    return [...(pools?.values() ?? [])].filter(pool => pool.models.length > 0);
+  }
+
   /** Shuts down gracefully: hands over work and finishes open requests. */
   async stop(): Promise<void> {
     const {clock, limits, logger} = this.options;
@@ -441,6 +461,7 @@
       getDeadline(startedAt, limits.graceMs - ANSWER_MARGIN_MS),
     );
     this.weightUpdater.stop();
+    this.refresher.stop();
     this.usage.stop();
     this.runner.storeAllProgress();
     await this.streams.drain(getDeadline(clock.now(), HANDOVER_TIMEOUT_MS));
--- a/packages/rollout/src/steps/engineSelector.ts
+++ b/packages/rollout/src/steps/engineSelector.ts
@@ -13,6 +13,9 @@
 /** A sample migrates if its engine is slower than another by this factor. */
 const SLOW_FACTOR = 1.7;
 
+/** Time that a migration must save with concentrated placement, ms. */
+const MIN_MIGRATION_SAVING_MS = 1_000;
+
 export interface EngineSelectorOptions {
   configuration: ConfigurationState;
   directory: UpstreamDirectory;
@@ -76,12 +79,25 @@
     const currentIntervalMs = current.getEventIntervalMs();
     const pool = this.options.configuration.getPool(current.entry.pool);
     if (currentIntervalMs === null || !pool) return null;
-    const isFaster = (upstream: Upstream) =>
-      (upstream.getEventIntervalMs() ?? Infinity) * SLOW_FACTOR <=
-      currentIntervalMs;
+    const isFaster = (upstream: Upstream) => {
+      const intervalMs = upstream.getEventIntervalMs() ?? Infinity;
+      return (
+        intervalMs * SLOW_FACTOR <= currentIntervalMs &&
+        this.isWorthMigrating(task, currentIntervalMs - intervalMs)
+      );
+    };
     return this.choose(task, pool, task.text.origin, 1, isFaster);
   }
 
+  /**
+   * Whether the time that a sample saves outweighs its new start. Lengths have
+   * a long tail, so as many events are expected as there are already.
+   */
+  private isWorthMigrating(task: SampleTask, savedPerEventMs: number): boolean {
+    if (this.options.policy.placement === 'spread') return true;
+    return task.text.lastEventId * savedPerEventMs >= MIN_MIGRATION_SAVING_MS;
+  }
+
   private choose(
     task: SampleTask,
     pool: Pool,
--- a/packages/rollout/src/steps/sampleScoring.ts
+++ b/packages/rollout/src/steps/sampleScoring.ts
@@ -50,7 +50,7 @@
       mayCrashUpstreams: false,
       isPermitted: () => true,
     });
-    task.cancelScoring = () => forwarder.cancel();
+    task.cancelScoring = () => forwarder.abandon();
     void forwarder
       .run()
       .then(outcome => this.handleOutcome(task, call, route, outcome));
--- a/packages/rollout/src/steps/slotShares.ts
+++ b/packages/rollout/src/steps/slotShares.ts
@@ -4,22 +4,38 @@
 
 import type {Route} from '../model/index.js';
 import type {Upstream, UpstreamDirectory} from '../upstreams/index.js';
+import {getRunnerPartition} from './runnerPartition.js';
 import type {SampleTask} from './sampleTask.js';
 import type {StepRegistry, TrackedStep} from './stepRegistry.js';
 
+/**
+ * Time for which a queued sample keeps to the engines of its process, ms. Others
+ * take it afterwards, because those of its process may be slow or loading.
+ */
+const KEEP_TO_OWN_ENGINES_MS = 150;
 /**
  * Time for which a queued sample keeps to the shares, ms. The shares follow the
  * listed results with a delay, so they may leave a slot free for too long.
  */
-const KEEP_TO_SHARES_MS = 1_000;
+const KEEP_TO_SHARES_MS = 400;
+/**
+ * Fraction of the samples without a result that need a slot; the rest is being
+ * scored or stored.
+ */
+const GENERATING_SHARE = 0.7;
+
 /** Number of values of a 32-bit hash. */
 const HASH_RANGE = 2 ** 32;
+/** Shares are rounded to the nearest number of slots. */
+const ROUNDING = 0.5;
 
 /** Demand of one open step. */
 interface TrackedDemand {
   unfinished: number;
   ownUnfinished: number;
   engines: ReadonlySet<Upstream>;
+  /** Engines that this process prefers to the other processes of the step. */
+  ownEngines: ReadonlySet<Upstream>;
   /** Number of its samples that this process runs on each engine. */
   running: Map<Upstream, number>;
 }
@@ -28,15 +44,17 @@
   registry: StepRegistry;
   directory: UpstreamDirectory;
   clock: Clock;
-  /** Id of this process; unique for each start of the process. */
-  processId: string;
+  partitionCount: number;
+  getOwnedPartitions: () => ReadonlySet<number>;
   getRoute: (tracked: TrackedStep) => Route | null;
 }
 
 /**
- * Divides the slots of engines among the processes that run samples. The shares
- * follow from the open steps, which all these processes know, so that nothing
- * is exchanged.
+ * Divides engines and their slots among the processes that run samples. Each
+ * process of a step prefers engines of its own, so that it keeps few
+ * connections, and other steps at the same engines get their share of the slots.
+ * All this follows from the open steps, which these processes know, so that
+ * nothing is exchanged.
  */
 export class SlotShares {
   private readonly demands = new Map<TrackedStep, TrackedDemand>();
@@ -50,12 +68,12 @@
       const unfinished = tracked.samples.size - tracked.listedSamples.size;
       if (tracked.isEnded || unfinished === 0) continue;
       const engines = this.getEngines(tracked);
-      const running = new Map<Upstream, number>();
       this.demands.set(tracked, {
         unfinished,
         ownUnfinished: 0,
         engines,
-        running,
+        ownEngines: this.getOwnEngines(tracked, engines),
+        running: new Map(),
       });
     }
     for (const task of tasks) {
@@ -73,35 +91,61 @@
 
   /** Whether an engine may take a queued sample as far as shares decide. */
   mayStart(task: SampleTask, engine: Upstream): boolean {
-    const {clock, processId} = this.options;
     const own = this.demands.get(task.trackedStep);
-    if (!own || clock.now() - task.advancedAt > KEEP_TO_SHARES_MS) return true;
+    const waitedMs = this.options.clock.now() - task.advancedAt;
+    if (!own || waitedMs > KEEP_TO_SHARES_MS) return true;
+    const isOwnEngine = own.ownEngines.has(engine);
+    if (!isOwnEngine && waitedMs <= KEEP_TO_OWN_ENGINES_MS) return false;
     const others = [...this.demands.values()]
       .filter(demand => demand !== own && demand.engines.has(engine))
       .map(({unfinished, engines}) => ({
-        unfinished,
+        unfinished: unfinished * GENERATING_SHARE,
         engineCount: engines.size,
       }));
     const share = getSlotShare({
       slots: engine.entry.slots,
-      own: {...own, engineCount: own.engines.size},
+      own: {
+        unfinished: own.unfinished,
+        ownUnfinished: isOwnEngine ? own.unfinished : own.ownUnfinished,
+        engineCount: own.engines.size,
+      },
       others,
-      rounding: getHash32(`${processId} ${engine.id}`) / HASH_RANGE,
+      rounding: ROUNDING,
     });
     return (own.running.get(engine) ?? 0) < share;
   }
 
+  /**
+   * Returns the engines that this process prefers for a step: a part that
+   * corresponds to its samples. A hash of the engine decides, so that a process
+   * keeps to the same engines while versions change.
+   */
+  private getOwnEngines(
+    {partition, samples}: TrackedStep,
+    engines: ReadonlySet<Upstream>,
+  ): Set<Upstream> {
+    const {partitionCount, getOwnedPartitions} = this.options;
+    const owned = getOwnedPartitions();
+    const own = [...engines].filter(({id}) => {
+      const fraction = getHash32(`owner of ${id}`) / HASH_RANGE;
+      const position = Math.floor(fraction * samples.size);
+      return owned.has(getRunnerPartition(partition, position, partitionCount));
+    });
+    return new Set(own);
+  }
+
+  /** Returns the engines that may run a step's samples. */
   private getEngines(tracked: TrackedStep): Set<Upstream> {
     const {directory, getRoute} = this.options;
     const {model, minVersion} = tracked.step;
     const pools = getRoute(tracked)?.targets.map(({pool}) => pool) ?? [];
-    const engines = pools.flatMap(pool => directory.getUsable(pool));
-    if (model === null) return new Set(engines);
-    return new Set(
-      engines.filter(
+    const engines = pools
+      .flatMap(pool => directory.getUsable(pool))
+      .filter(
         engine =>
-          engine.getVersion(model) >= minVersion && !engine.isLoading(model),
-      ),
-    );
+          model === null ||
+          (engine.getVersion(model) >= minVersion && !engine.isLoading(model)),
+      );
+    return new Set(engines);
   }
 }
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -136,6 +136,7 @@
     });
     this.slotShares = new SlotShares({
       ...options,
+      getOwnedPartitions: () => this.ownedPartitions,
       getRoute: tracked => this.engineSelector.getRoute(tracked),
     });
     this.recovery = new SampleRecovery({
@@ -368,6 +369,9 @@
     }
     const upstream = route && this.chooseEngine(task, route, waitingCount);
     if (!route || !upstream) return false;
+    this.options.metrics.count('vc_sample_placements', {
+      connection: upstream.hasIdleConnection() ? 'idle' : 'new',
+    });
     this.generate(task, route, upstream);
     this.slotShares.recordStart(task, upstream);
     this.options.metrics.count('vc_samples_started', {
--- a/packages/rollout/src/upstreams/chooseUpstream.ts
+++ b/packages/rollout/src/upstreams/chooseUpstream.ts
@@ -53,7 +53,7 @@
  * Fraction of the slots of an upstream without models below which a request
  * there waits for no other one.
  */
-const FREE_SHARE = 0.5;
+export const FREE_SHARE = 0.5;
 /** Fraction of the slots that background requests may take. */
 const BACKGROUND_SHARE = 0.7;
 
--- a/packages/rollout/src/upstreams/connectionPool.ts
+++ b/packages/rollout/src/upstreams/connectionPool.ts
@@ -1,4 +1,7 @@
-import type {RequestId} from '@vanillacross/common';
+import type {Clock, MonotonicMs, RequestId} from '@vanillacross/common';
+import {getDeadline} from '@vanillacross/common';
+import type {IdleConnection} from '@vanillacross/domain';
+import {isRefreshDue} from '@vanillacross/domain';
 import * as http from 'node:http';
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
@@ -16,8 +19,21 @@
  */
 export class ConnectionPool extends http.Agent {
   private readonly lastRequests = new WeakMap<Duplex, RequestId>();
+  private readonly idleConnections = new WeakMap<Duplex, IdleConnection>();
   private isRetired = false;
 
+  /**
+   * @param getRefreshPath Returns the path of the requests that only keep a
+   *     connection open; null if there are none.
+   */
+  constructor(
+    private readonly clock: Clock,
+    options: http.AgentOptions,
+    private readonly getRefreshPath: () => string | null = () => null,
+  ) {
+    super(options);
+  }
+
   override createConnection(
     ...args: Parameters<http.Agent['createConnection']>
   ): Duplex | null | undefined {
@@ -58,12 +74,37 @@
     if (this.isRetired) return false;
     // Older type packages declare `keepSocketAlive` as returning void.
     const isKept = super.keepSocketAlive(socket) as unknown as boolean;
-    if (isKept) socket.on('data', closeOnData);
+    if (isKept) {
+      socket.on('data', closeOnData);
+      this.recordIdle(socket);
+    }
     return isKept;
   }
 
+  /** Returns the number of idle connections that a request should keep open. */
+  countRefreshDue(now: MonotonicMs): number {
+    const due = Object.values(this.freeSockets)
+      .flat()
+      .filter(socket => {
+        const idle = socket && this.idleConnections.get(socket);
+        return idle && isRefreshDue(idle, now);
+      });
+    return due.length;
+  }
+
+  private recordIdle(socket: Duplex): void {
+    const refreshes = this.idleConnections.get(socket)?.refreshes ?? 0;
+    // The agent has set the socket's timeout to that of the upstream, if stated.
+    const timeoutMs = (socket as Socket).timeout ?? Infinity;
+    const closesAt = getDeadline(this.clock.now(), timeoutMs);
+    this.idleConnections.set(socket, {closesAt, refreshes});
+  }
+
   override reuseSocket(socket: Duplex, request: http.ClientRequest): void {
     socket.off('data', closeOnData);
+    const idle = this.idleConnections.get(socket);
+    const isRefresh = request.path === this.getRefreshPath();
+    if (idle) idle.refreshes = isRefresh ? idle.refreshes + 1 : 0;
     super.reuseSocket(socket, request);
   }
 }
--- a/packages/rollout/src/upstreams/index.ts
+++ b/packages/rollout/src/upstreams/index.ts
@@ -1,6 +1,7 @@
 /** Upstreams: directory, state, selection and HTTP exchanges. */
 export * from './chooseUpstream.js';
 export * from './coldShares.js';
+export * from './connectionRefresher.js';
 export * from './crashTracker.js';
 export * from './upstreamDirectory.js';
 export * from './eventBoundary.js';
--- a/packages/rollout/src/upstreams/upstream.ts
+++ b/packages/rollout/src/upstreams/upstream.ts
@@ -28,6 +28,14 @@
 /** Age at which an event interval is ignored, ms. */
 const MAX_EVENT_INTERVAL_AGE_MS = 3_000;
 
+/** How connections to an upstream are kept. */
+export interface ConnectionOptions {
+  /** Time after which idle connections are closed, ms. */
+  idleTimeoutMs?: number;
+  /** Returns the path of the requests that keep idle connections open. */
+  getRefreshPath?: () => string | null;
+}
+
 /** This process's view of one incarnation of an upstream. */
 export class Upstream {
   readonly id: UpstreamId;
@@ -51,14 +59,22 @@
     private readonly clock: Clock,
     coldMs: number,
     readonly notices: IncarnationNotices = new IncarnationNotices(clock),
-    idleTimeoutMs = IDLE_CONNECTION_TIMEOUT_MS,
+    connections: ConnectionOptions = {},
   ) {
     this.id = entry.id;
-    this.agent = new ConnectionPool({
-      keepAlive: true,
-      maxFreeSockets: 16,
-      timeout: idleTimeoutMs,
-    });
+    const {idleTimeoutMs = IDLE_CONNECTION_TIMEOUT_MS, getRefreshPath} =
+      connections;
+    this.agent = new ConnectionPool(
+      clock,
+      {
+        keepAlive: true,
+        maxFreeSockets: 16,
+        timeout: idleTimeoutMs,
+        // A refresh takes the connection that would be closed first.
+        scheduling: getRefreshPath ? 'fifo' : 'lifo',
+      },
+      getRefreshPath,
+    );
     this.listedAt = clock.now();
     this.coldUntil = clock.now();
     if (coldMs > 0) this.markCold(coldMs);
--- a/packages/rollout/src/upstreams/upstreamDirectory.ts
+++ b/packages/rollout/src/upstreams/upstreamDirectory.ts
@@ -17,6 +17,7 @@
   UpstreamEntry,
 } from '../model/index.js';
 import type {NoticeRegistry} from './noticeRegistry.js';
+import type {ConnectionOptions} from './upstream.js';
 import {Upstream} from './upstream.js';
 
 /**
@@ -122,7 +123,7 @@
         this.options.clock,
         this.getInitialColdMs(entry.value),
         this.options.notices.get(entry.value),
-        this.getIdleTimeoutMs(entry.value.pool),
+        this.getConnectionOptions(entry.value),
       );
       this.upstreams.set(id, added);
       this.log(added, 'listed');
@@ -203,13 +204,18 @@
     return this.options.getPool(pool)?.coldMs ?? DEFAULT_COLD_MS;
   }
 
-  /** Returns the idle timeout of connections; undefined for the default. */
-  private getIdleTimeoutMs(pool: PoolId): number | undefined {
-    const {getPool, policy} = this.options;
-    const hasEngines = (getPool(pool)?.models.length ?? 0) > 0;
-    return hasEngines && policy.placement === 'concentrated'
-      ? ENGINE_IDLE_TIMEOUT_MS
-      : undefined;
+  private getConnectionOptions({
+    pool,
+    versions,
+  }: UpstreamEntry): ConnectionOptions {
+    const isEngine = versions.size > 0;
+    const {policy, getPool} = this.options;
+    if (!isEngine || policy.placement === 'spread') return {};
+    return {
+      idleTimeoutMs: ENGINE_IDLE_TIMEOUT_MS,
+      // The configuration may be read after the list.
+      getRefreshPath: () => getPool(pool)?.healthPath ?? null,
+    };
   }
 
   private remove(id: UpstreamId): void {
