Count starts by the reason of their place in the order by slack

Cause: nothing showed whether steps are late or overtaken while they run.

Change: orderBySlack returns the reason with each sample; the runner counts vc_ordered_starts{reason} (slack only).

--- a/packages/domain/src/slackOrder.ts
+++ b/packages/domain/src/slackOrder.ts
@@ -59,6 +59,23 @@
   overtakenMs: number;
 }
 
+/** Why a queued sample has its place in the order. */
+export type StartReason =
+  /** Its step was behind other steps for too long. */
+  | 'overtaken'
+  /** Its step can complete another group in time. */
+  | 'in_time'
+  /** Its step can't complete another group in time. */
+  | 'late'
+  /** The trainer does not wait for its group. */
+  | 'beyond_target';
+
+/** A queued sample in its place. */
+export interface OrderedItem<Item> {
+  item: Item;
+  reason: StartReason;
+}
+
 /** The order of one step's groups and how urgent the step is. */
 interface StepPlan<Item> {
   acceptedAt: number;
@@ -117,32 +134,41 @@
   };
 }
 
-/** 0 for steps that were overtaken for too long, 2 for those that are late. */
-function getTier<Item>(plan: StepPlan<Item>): number {
-  if (plan.overtakenMs >= MAX_OVERTAKEN_MS) return 0;
-  return plan.nextGroupSlackMs >= 0 ? 1 : 2;
+/** Reasons in the order in which the samples start. */
+const REASONS: readonly StartReason[] = [
+  'overtaken',
+  'in_time',
+  'late',
+  'beyond_target',
+];
+
+function getReason<Item>(plan: StepPlan<Item>): StartReason {
+  if (plan.overtakenMs >= MAX_OVERTAKEN_MS) return 'overtaken';
+  return plan.nextGroupSlackMs >= 0 ? 'in_time' : 'late';
 }
 
 function comparePlans<Item>(a: StepPlan<Item>, b: StepPlan<Item>): number {
-  const tier = getTier(a);
+  const reason = getReason(a);
+  const byReason = REASONS.indexOf(reason) - REASONS.indexOf(getReason(b));
   // Of the steps that are late, the one nearest to a complete group goes first:
   // the value of a group falls with its delay.
   const byUrgency =
-    tier === 2
+    reason === 'late'
       ? b.nextGroupSlackMs - a.nextGroupSlackMs
       : Math.max(0, a.slackMs - URGENT_SLACK_MS) -
         Math.max(0, b.slackMs - URGENT_SLACK_MS);
-  return tier - getTier(b) || byUrgency || a.acceptedAt - b.acceptedAt;
+  return byReason || byUrgency || a.acceptedAt - b.acceptedAt;
 }
 
 function appendLongestFirst<Item>(
-  order: Item[],
+  order: Array<OrderedItem<Item>>,
   queued: ReadonlyArray<QueuedLength<Item>>,
+  reason: StartReason,
 ): void {
   const longestFirst = [...queued].sort(
     (a, b) => b.remainingEvents - a.remainingEvents,
   );
-  for (const {item} of longestFirst) order.push(item);
+  for (const {item} of longestFirst) order.push({item, reason});
 }
 
 /**
@@ -151,9 +177,15 @@
  * goes first, because the last sample to end decides. Otherwise they go group by
  * group, so that some are complete in time.
  */
-function appendTargets<Item>(order: Item[], plan: StepPlan<Item>): void {
+function appendTargets<Item>(
+  order: Array<OrderedItem<Item>>,
+  plan: StepPlan<Item>,
+): void {
+  const reason = getReason(plan);
   if (plan.slackMs < 0) {
-    for (const {queued} of plan.targets) appendLongestFirst(order, queued);
+    for (const {queued} of plan.targets) {
+      appendLongestFirst(order, queued, reason);
+    }
     return;
   }
   const byUnfinished = new Map<number, Array<QueuedLength<Item>>>();
@@ -162,7 +194,7 @@
     byUnfinished.set(unfinished, equal.concat(queued));
   }
   for (const [, queued] of [...byUnfinished].sort(([a], [b]) => a - b)) {
-    appendLongestFirst(order, queued);
+    appendLongestFirst(order, queued, reason);
   }
 }
 
@@ -181,12 +213,14 @@
 export function orderBySlack<Item>(
   now: number,
   steps: ReadonlyArray<OpenStep<Item>>,
-): Item[] {
+): Array<OrderedItem<Item>> {
   const plans = steps.map(step => createPlan(now, step)).sort(comparePlans);
-  const order: Item[] = [];
+  const order: Array<OrderedItem<Item>> = [];
   for (const plan of plans) appendTargets(order, plan);
   for (const {others} of plans) {
-    for (const {queued} of others) appendLongestFirst(order, queued);
+    for (const {queued} of others) {
+      appendLongestFirst(order, queued, 'beyond_target');
+    }
   }
   return order;
 }
--- a/packages/rollout/src/steps/startOrder.ts
+++ b/packages/rollout/src/steps/startOrder.ts
@@ -1,5 +1,10 @@
-import type {Clock} from '@vanillacross/common';
-import type {LengthRatios, OpenGroup, OpenStep} from '@vanillacross/domain';
+import type {Clock, Metrics} from '@vanillacross/common';
+import type {
+  LengthRatios,
+  OpenGroup,
+  OpenStep,
+  StartReason,
+} from '@vanillacross/domain';
 import {
   compareQueuedSamples,
   getLengthRatio,
@@ -28,6 +33,7 @@
   registry: StepRegistry;
   directory: UpstreamDirectory;
   clock: Clock;
+  metrics: Metrics;
   policy: SchedulingPolicy;
   getRoute: (tracked: TrackedStep) => Route | null;
 }
@@ -100,6 +106,8 @@
   private readonly engines = new WeakMap<TrackedStep, StepEngines>();
   /** Samples by step at the time of the last order. */
   private own = new Map<TrackedStep, OwnSamples>();
+  /** Reasons of the last order. */
+  private reasons = new Map<SampleTask, StartReason>();
   private runningCount = 0;
 
   constructor(private readonly options: StartOrderOptions) {}
@@ -114,13 +122,17 @@
     for (const tracked of this.overtaken.keys()) {
       if (!this.own.has(tracked)) this.overtaken.delete(tracked);
     }
-    return orderBySlack(this.options.clock.wallNow(), steps);
+    const order = orderBySlack(this.options.clock.wallNow(), steps);
+    this.reasons = new Map(order.map(({item, reason}) => [item, reason]));
+    return order.map(({item}) => item);
   }
 
   recordStart(task: SampleTask): void {
     const {trackedStep: started, generation} = task;
     const own = this.own.get(started);
     if (!own || !generation) return;
+    const reason = this.reasons.get(task) ?? 'in_time';
+    this.options.metrics.count('vc_ordered_starts', {reason});
     own.queuedCount--;
     this.runningCount++;
     const waiting = [...this.own]
