Estimate which prompts an engine has cached

Change: promptCache.ts estimates what an engine has cached from what this process sent there. Both are pure and not used yet.

--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -20,6 +20,8 @@
 export * from './messages.js';
 export * from './permitBucket.js';
 export * from './placement.js';
+export * from './promptCache.js';
+export * from './promptSaving.js';
 export * from './ramp.js';
 export * from './records.js';
 export * from './samples.js';
