--- a/packages/rollout/src/model/types.ts
+++ b/packages/rollout/src/model/types.ts
@@ -9,6 +9,7 @@
   SoftwareVersion,
   UpstreamId,
 } from '@vanillacross/common';
+import type {PromptPart} from '@vanillacross/domain';
 
 /** Decides how a route's requests may be retried after a missing response. */
 export type RouteKind = 'idempotent' | 'non_idempotent' | 'stream' | 'rollout';
@@ -59,6 +60,11 @@
   coldPerSecond: number;
   /** Names of the models that the engines of the pool serve. */
   models: readonly string[];
+  /**
+   * Memory of one engine for running requests and cached prompts, tokens; null if
+   * not stated.
+   */
+  cacheTokens: number | null;
   scaling: ScalingLimits | null;
 }
 
@@ -120,6 +126,16 @@
   body: string;
 }
 
+/** The prompt of a sample, as far as engines cache it. */
+export interface Prompt {
+  /** Null if not stated; then it is the model of the step. */
+  model: string | null;
+  /** The whole prompt in order; the last part is the sample's own. */
+  parts: readonly PromptPart[];
+  /** Maximum number of output tokens; null if not stated. */
+  outputTokens: number | null;
+}
+
 /** One sample to generate for a step. */
 export interface Sample {
   id: SampleId;
@@ -134,6 +150,8 @@
    * none.
    */
   expectedTokens: number | null;
+  /** Null if its parts are not stated. */
+  prompt: Prompt | null;
   group: string;
   scoring: ScoringCall | null;
 }
--- a/packages/rollout/src/steps/engineSelector.test.ts
+++ b/packages/rollout/src/steps/engineSelector.test.ts
@@ -57,6 +57,7 @@
     body: '',
     tokens: 1,
     expectedTokens: null,
+    prompt: null,
     group: 'g',
     scoring: null,
   };
--- a/packages/rollout/src/steps/records.ts
+++ b/packages/rollout/src/steps/records.ts
@@ -15,6 +15,12 @@
   body: z.string(),
 });
 
+const promptSchema = z.object({
+  model: z.string().nullable(),
+  parts: z.array(z.object({id: z.string(), tokens: z.number().min(0)})),
+  outputTokens: z.number().nullable(),
+});
+
 const sampleSchema = z.object({
   id: z.string(),
   path: z.string(),
@@ -22,6 +28,9 @@
   body: z.string(),
   tokens: z.number(),
   expectedTokens: z.number().nullable(),
+  // Older releases write no prompt. As it only guides the placement, one that
+  // can't be read must not lose the step.
+  prompt: promptSchema.nullable().catch(null),
   group: z.string(),
   scoring: scoringSchema.nullable(),
 });
--- a/packages/rollout/src/steps/stepRegistry.test.ts
+++ b/packages/rollout/src/steps/stepRegistry.test.ts
@@ -18,6 +18,7 @@
     body: '',
     tokens: 1,
     expectedTokens: null,
+    prompt: null,
     group: 'g',
     scoring: null,
   };
@@ -154,5 +155,21 @@
       assert.equal(decodeStepRecord(newer).ok, false);
       assert.equal(decodeStepRecord(Buffer.from('not JSON')).ok, false);
     });
+
+    it('keep the prompt of a sample, and are read without it (guards against steps that a new release loses)', () => {
+      const whole = {
+        model: 'm',
+        parts: [{id: 'a', tokens: 1}],
+        outputTokens: 9,
+      };
+      for (const prompt of [whole, undefined, {parts: 'a:1000'}]) {
+        const samples = [{...createSample('a'), prompt: prompt as never}];
+        const step = {...createStep(), samples};
+        const read = decodeStepRecord(encodeStepRecord({tag: 'step', step}));
+        assert.ok(read.ok && read.value.tag === 'step');
+        const decoded = prompt === whole ? whole : null;
+        assert.deepEqual(read.value.step.samples[0].prompt, decoded);
+      }
+    });
   });
 });
--- a/packages/rollout/src/testing/directoryFixture.ts
+++ b/packages/rollout/src/testing/directoryFixture.ts
@@ -24,6 +24,7 @@
   coldMs: 3_000,
   coldPerSecond: 10,
   models: [MODEL],
+  cacheTokens: null,
   scaling: null,
 };
 
--- a/packages/rollout/src/upstreams/coldShares.test.ts
+++ b/packages/rollout/src/upstreams/coldShares.test.ts
@@ -23,6 +23,7 @@
     coldMs: 3_000,
     coldPerSecond,
     models,
+    cacheTokens: null,
     scaling: null,
   };
 }
