Prefer engines that have a sample's prompt cached

Cause: concentrated placement had a term for the work that a cached prompt saves, but it was always 0.

Change: each upstream incarnation keeps the prompts that this process sent to it. They are forgotten with another version of the model, after a restart, and where a sample was not completed; otherwise an engine that refuses samples would attract the rest of the group. EngineSelector uses the saving with concentrated placement and for pools that state a memory. vc_prompt_tokens counts expected hits and misses, and the line "sample starts" has promptTokens and cachedPromptTokens. With spread placement nothing is recorded or logged.

--- a/packages/rollout/src/steps/engineSelector.test.ts
+++ b/packages/rollout/src/steps/engineSelector.test.ts
@@ -4,11 +4,13 @@
   SampleId,
   UpstreamId,
 } from '@vanillacross/common';
-import {toBranded, createLogger} from '@vanillacross/common';
+import {toBranded, createLogger, Metrics} from '@vanillacross/common';
+import {noText} from '@vanillacross/domain';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
 import {ConfigurationState} from '../configuration/index.js';
+import type {Route, SchedulingPolicy} from '../model/index.js';
 import {defaultSchedulingPolicy} from '../model/index.js';
 import {
   MODEL,
@@ -17,12 +19,17 @@
   testPool,
 } from '../testing/directoryFixture.js';
 import {EngineSelector} from './engineSelector.js';
+import {forgetSentPrompt, recordSentPrompt} from './samplePrompt.js';
 import {SampleTask} from './sampleTask.js';
 
 const SLOW_EVENT_INTERVAL_MS = 108;
 const FAST_EVENT_INTERVAL_MS = 37;
+const PART = {id: 'a', tokens: 1_000};
 
-function createFixture() {
+function createFixture(
+  placement: SchedulingPolicy['placement'] = 'spread',
+  cacheTokens: number | null = null,
+) {
   const fixture = createDirectoryFixture();
   const {clock, directory} = fixture;
   const configuration = new ConfigurationState(
@@ -33,7 +40,7 @@
   configuration.apply({
     version: 1,
     routes: [],
-    pools: new Map([[POOL_ID, testPool]]),
+    pools: new Map([[POOL_ID, {...testPool, cacheTokens}]]),
     accounts: [],
     limits: {
       headerBytes: 1,
@@ -42,11 +49,12 @@
       idleTimeoutMs: 1,
     },
   });
+  const policy = {...defaultSchedulingPolicy, placement};
+  const options = {configuration, metrics: new Metrics(), policy};
   const selector = new EngineSelector({
-    configuration,
+    ...options,
     directory,
     domain: toBranded<DomainId>('a'),
-    policy: defaultSchedulingPolicy,
     hasShare: () => true,
     getColdShare: () => 1,
   });
@@ -57,7 +65,7 @@
     body: '',
     tokens: 1,
     expectedTokens: null,
-    prompt: null,
+    prompt: {model: null, parts: [PART], outputTokens: 15},
     group: 'g',
     scoring: null,
   };
@@ -83,7 +91,13 @@
   };
   const task = new SampleTask(tracked, sample, 0, 0, 'chain', clock.now());
   const get = (id: string) => directory.get(toBranded<UpstreamId>(id))!;
-  return {...fixture, selector, task, get};
+  const send = () => {
+    const route = {targets: [{pool: POOL_ID, weight: 1}]} as unknown as Route;
+    const engine = selector.chooseForStart(task, route, noText, 10)!;
+    engine.recordStart();
+    return {engine, fields: recordSentPrompt(task, engine, options)};
+  };
+  return {...fixture, selector, task, get, send};
 }
 
 describe('EngineSelector', () => {
@@ -116,4 +130,37 @@
       assert.equal(selector.chooseFaster(task, get('slow')), null);
     });
   });
+
+  describe('chooseForStart', () => {
+    for (const [placement, cacheTokens, cachedTokens] of [
+      ['concentrated', 116_448, [0, 1_000, 1_000]],
+      ['concentrated', null, [undefined, undefined, undefined]],
+      ['spread', 116_448, [undefined, undefined, undefined]],
+    ] as const) {
+      it(`keeps a prompt at one engine up to the fill level with ${placement} placement and a memory of ${cacheTokens} tokens (guards against a read at each engine, and a change of other deployments)`, () => {
+        const {list, send} = createFixture(placement, cacheTokens);
+        for (const id of ['e1', 'e2', 'e3']) list(id);
+        const sent = [send(), send(), send()];
+        const cached = sent.map(({fields}) => fields.cachedPromptTokens);
+        assert.deepEqual(cached, cachedTokens);
+      });
+    }
+
+    const losses: Array<
+      [string, (f: ReturnType<typeof createFixture>) => void]
+    > = [
+      ['loads another version', ({get}) => get('e1').recordVersion(MODEL, 2)],
+      ['starts anew', ({list}) => list('e1', {bornAt: 50_000})],
+      ['refuses it', ({get, task}) => forgetSentPrompt(task, get('e1'))],
+    ];
+    for (const [name, lose] of losses) {
+      it(`expects no cached prompt at an engine that ${name} (guards against groups that follow a discarded prompt)`, () => {
+        const fixture = createFixture('concentrated', 116_448);
+        fixture.list('e1');
+        fixture.send();
+        lose(fixture);
+        assert.equal(fixture.send().fields.cachedPromptTokens, 0);
+      });
+    }
+  });
 });
--- a/packages/rollout/src/steps/engineSelector.ts
+++ b/packages/rollout/src/steps/engineSelector.ts
@@ -7,6 +7,7 @@
 import type {Pool, Route, SchedulingPolicy} from '../model/index.js';
 import type {UpstreamDirectory, Upstream} from '../upstreams/index.js';
 import {chooseUpstream} from '../upstreams/index.js';
+import {getSavedWork} from './samplePrompt.js';
 import type {SampleTask} from './sampleTask.js';
 import type {TrackedStep} from './stepRegistry.js';
 
@@ -106,7 +107,10 @@
       isBackground: false,
       placement:
         policy.placement === 'concentrated'
-          ? {waitingCount, getSavedWork: () => 0}
+          ? {
+              waitingCount,
+              getSavedWork: engine => getSavedWork(task, pool, engine),
+            }
           : null,
     });
   }
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -25,6 +25,7 @@
 import {Generation} from './generation.js';
 import {getRunnerPartition} from './runnerPartition.js';
 import {getSampleCall} from './sampleCall.js';
+import {forgetSentPrompt, recordSentPrompt} from './samplePrompt.js';
 import {SampleScoring} from './sampleScoring.js';
 import {SlotShares} from './slotShares.js';
 import type {UnstoredPart} from './sampleTask.js';
@@ -434,6 +435,7 @@
       after: task.text.lastEventId,
       minVersion: step.minVersion,
       version: step.model === null ? null : upstream.getVersion(step.model),
+      ...recordSentPrompt(task, upstream, this.options),
     });
     task.generation = new Generation({
       upstream,
@@ -460,6 +462,7 @@
     if (task.isCancelled) return;
     this.options.metrics.count('vc_generations', {outcome: outcome.tag});
     if (outcome.tag === 'complete') return this.score(task);
+    forgetSentPrompt(task, upstream);
     this.options.logger.info('generation ended', {
       step: task.trackedStep.step.id,
       sample: task.id,
--- a/packages/rollout/src/upstreams/index.ts
+++ b/packages/rollout/src/upstreams/index.ts
@@ -7,4 +7,5 @@
 export * from './exchange.js';
 export * from './incarnationNotices.js';
 export * from './noticeRegistry.js';
+export * from './sentPrompts.js';
 export * from './upstream.js';
--- a/packages/rollout/src/upstreams/upstream.ts
+++ b/packages/rollout/src/upstreams/upstream.ts
@@ -10,6 +10,7 @@
 import type {Pool, ReportedLoad, UpstreamEntry} from '../model/index.js';
 import {ConnectionPool} from './connectionPool.js';
 import {IncarnationNotices} from './incarnationNotices.js';
+import {SentPrompts} from './sentPrompts.js';
 
 /**
  * Default idle timeout of connections, ms. It is shorter than that of upstreams,
@@ -32,6 +33,7 @@
 export class Upstream {
   readonly id: UpstreamId;
   readonly agent: ConnectionPool;
+  readonly prompts: SentPrompts;
   inFlight = 0;
   /** Time until which it refuses work while it loads a version, by model. */
   readonly loadingUntil = new Map<string, MonotonicMs>();
@@ -59,6 +61,7 @@
       maxFreeSockets: 16,
       timeout: idleTimeoutMs,
     });
+    this.prompts = new SentPrompts(clock);
     this.listedAt = clock.now();
     this.coldUntil = clock.now();
     if (coldMs > 0) this.markCold(coldMs);
@@ -69,6 +72,7 @@
     if (entry.coldLeftMs > 0) this.markCold(entry.coldLeftMs);
     this.entry = entry;
     this.listedAt = this.clock.now();
+    for (const model of entry.versions.keys()) this.forgetOldPrompts(model);
   }
 
   /** Returns the version of a model that it serves, 0 if unknown. */
@@ -79,6 +83,12 @@
 
   recordVersion(model: string, version: number): void {
     if (version > this.getVersion(model)) this.seenVersions.set(model, version);
+    this.forgetOldPrompts(model);
+  }
+
+  /** A load of a version discards everything cached for the model. */
+  private forgetOldPrompts(model: string): void {
+    this.prompts.forgetOtherVersions(model, this.getVersion(model));
   }
 
   recordLoad(value: ReportedLoad): void {
