--- a/packages/rollout/src/callers/callerServer.ts
+++ b/packages/rollout/src/callers/callerServer.ts
@@ -22,6 +22,7 @@
   StepCall,
 } from '../model/index.js';
 import type {StepService} from '../steps/index.js';
+import {keepUsedPrompts} from '../steps/index.js';
 import type {AdmittedRequest} from './admission.js';
 import {Admission} from './admission.js';
 import {limitToExit} from './drainLimit.js';
@@ -365,14 +366,18 @@
     response: ServerResponse,
   ): Promise<void> {
     const {head, route, account} = admitted;
-    const submission = this.options.dialect.readSubmission(body);
+    const {dialect, forwarding} = this.options;
+    const submission = dialect.readSubmission(body);
     if (!submission.ok) {
       const reason = `not a step: ${submission.error}`;
       return this.refuse(head, response, {status: 400, reason});
     }
     const accepted = await this.options.steps.submit(
       head.id,
-      submission.value,
+      {
+        ...submission.value,
+        samples: keepUsedPrompts(submission.value.samples, forwarding.policy),
+      },
       route,
       account?.id ?? null,
       head.host,
--- a/packages/rollout/src/steps/slotShares.test.ts
+++ b/packages/rollout/src/steps/slotShares.test.ts
@@ -26,6 +26,7 @@
       body: '',
       tokens: 1,
       expectedTokens: null,
+      prompt: null,
       group: 'g',
       scoring: null,
     };
--- a/packages/rollout/src/upstreams/upstream.ts
+++ b/packages/rollout/src/upstreams/upstream.ts
@@ -10,6 +10,7 @@
 import type {Pool, ReportedLoad, UpstreamEntry} from '../model/index.js';
 import {ConnectionPool} from './connectionPool.js';
 import {IncarnationNotices} from './incarnationNotices.js';
+import {SentPrompts} from './sentPrompts.js';
 
 /**
  * Default idle timeout of connections, ms. It is shorter than that of upstreams,
@@ -40,6 +41,7 @@
 export class Upstream {
   readonly id: UpstreamId;
   readonly agent: ConnectionPool;
+  readonly prompts: SentPrompts;
   inFlight = 0;
   /** Time until which it refuses work while it loads a version, by model. */
   readonly loadingUntil = new Map<string, MonotonicMs>();
@@ -75,6 +77,7 @@
       },
       getRefreshPath,
     );
+    this.prompts = new SentPrompts(clock);
     this.listedAt = clock.now();
     this.coldUntil = clock.now();
     if (coldMs > 0) this.markCold(coldMs);
@@ -85,6 +88,7 @@
     if (entry.coldLeftMs > 0) this.markCold(entry.coldLeftMs);
     this.entry = entry;
     this.listedAt = this.clock.now();
+    for (const model of entry.versions.keys()) this.forgetOldPrompts(model);
   }
 
   /** Returns the version of a model that it serves, 0 if unknown. */
@@ -95,6 +99,12 @@
 
   recordVersion(model: string, version: number): void {
     if (version > this.getVersion(model)) this.seenVersions.set(model, version);
+    this.forgetOldPrompts(model);
+  }
+
+  /** A load of a version discards everything cached for the model. */
+  private forgetOldPrompts(model: string): void {
+    this.prompts.forgetOtherVersions(model, this.getVersion(model));
   }
 
   recordLoad(value: ReportedLoad): void {
