Let callers and scoring calls wait in the order of their pool's queue

Cause: requests without a free upstream polled every 15 ms and were served in no order, so that one account that floods a pool delayed all others, and scoring calls had a fixed 0.7 of the slots whatever callers needed.

Change, only with the admission policy `queue`: one queue per pool and process orders callers by priority, work of their account and deadline, and scoring calls by the state of their group. Requests that can't be answered in time are refused at once and never run. Polling moves to a class of its own and is unchanged.

--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -2,6 +2,7 @@
 
 export * from './agentView.js';
 export * from './access.js';
+export * from './accountWork.js';
 export * from './admission.js';
 export * from './capacityWait.js';
 export * from './checkpointPlan.js';
@@ -18,6 +19,7 @@
 export * from './instances.js';
 export * from './lease.js';
 export * from './messages.js';
+export * from './peakWindow.js';
 export * from './permitBucket.js';
 export * from './placement.js';
 export * from './ramp.js';
@@ -27,6 +29,7 @@
 export * from './rollout.js';
 export * from './sendLimit.js';
 export * from './servedVersions.js';
+export * from './serviceRate.js';
 export * from './settings.js';
 export * from './subset.js';
 export * from './slotShare.js';
@@ -41,3 +44,4 @@
 export * from './scalingPlan.js';
 export * from './usageRows.js';
 export * from './usageWindows.js';
+export * from './waitingQueue.js';
--- a/packages/rollout/src/callers/admission.ts
+++ b/packages/rollout/src/callers/admission.ts
@@ -1,7 +1,8 @@
-import type {MonotonicMs} from '@vanillacross/common';
+import type {MonotonicMs, PoolId} from '@vanillacross/common';
 import {getDeadline} from '@vanillacross/common';
 
 import type {ConfigurationState, RouteTable} from '../configuration/index.js';
+import {leadsTo} from '../configuration/index.js';
 import type {Account, RequestHead, Route} from '../model/index.js';
 import type {Refusal} from './refusal.js';
 import {getStaleRefusal} from './refusal.js';
@@ -43,6 +44,14 @@
     return current?.id === account?.id;
   }
 
+  /** Whether the configuration still leads an admitted request to a pool. */
+  isStillRouted({head, route}: AdmittedRequest, pool: PoolId): boolean {
+    const current = this.configuration
+      .getRoutes()
+      ?.findRoute(head.host, head.path);
+    return current?.name === route.name && leadsTo(current, pool);
+  }
+
   /** Returns the account of a step call, or null if no key is required. */
   authenticateStepCall(head: RequestHead): Account | Refusal | null {
     const routes = this.configuration.getRoutes();
--- a/packages/rollout/src/callers/callerServer.ts
+++ b/packages/rollout/src/callers/callerServer.ts
@@ -286,9 +286,14 @@
       account: account?.id ?? null,
       deadline,
       priority: null,
+      queueOrder: {
+        priority: account?.priority ?? route.priority,
+        unfinishedInGroup: 0,
+      },
       isBackground: false,
       mayCrashUpstreams: true,
       isPermitted: () => this.admission.isStillPermitted(admitted),
+      isRouted: () => this.admission.isStillRouted(admitted, pool.id),
     };
     if (route.kind === 'stream') {
       return forwardStream(
--- a/packages/rollout/src/callers/forwardStream.ts
+++ b/packages/rollout/src/callers/forwardStream.ts
@@ -130,7 +130,9 @@
     const {context, request, tried, origin} = this;
     if (!request.isPermitted()) return this.failNotRun(NOT_PERMITTED_REASON);
     const usable = this.getUsable();
-    const upstream = chooseForRequest(context, request, usable, tried, origin);
+    const upstream = chooseForRequest(context, request, usable, tried, {
+      origin,
+    });
     if (!upstream) return this.failWithoutUpstream(usable);
     tried.add(upstream);
     this.logStart(upstream);
--- a/packages/rollout/src/configuration/routes.ts
+++ b/packages/rollout/src/configuration/routes.ts
@@ -1,4 +1,4 @@
-import type {AccountId} from '@vanillacross/common';
+import type {AccountId, PoolId} from '@vanillacross/common';
 
 import type {Account, Configuration, Route} from '../model/index.js';
 
@@ -59,6 +59,14 @@
   }
 }
 
+/** Whether a route sends requests to a pool. */
+export function leadsTo(route: Route, pool: PoolId): boolean {
+  const hasWeights = route.targets.some(({weight}) => weight > 0);
+  return route.targets.some(
+    target => target.pool === pool && (target.weight > 0 || !hasWeights),
+  );
+}
+
 /** Picks one of a route's pools at random, in proportion to the weights. */
 export function pickWeightedPool(
   route: Route,
--- a/packages/rollout/src/forwarding/index.ts
+++ b/packages/rollout/src/forwarding/index.ts
@@ -1,4 +1,5 @@
 /** Request forwarding to upstreams with retries and hedging. */
+export * from './admissionQueue.js';
 export * from './requestForwarder.js';
 export * from './types.js';
 export * from './upstreamForRequest.js';
--- /dev/null
+++ b/packages/rollout/src/forwarding/poolQueue.ts
@@ -0,0 +1,328 @@
+import type {AccountId, Clock, Logger, Metrics} from '@vanillacross/common';
+import type {MonotonicMs} from '@vanillacross/common';
+import type {
+  AccountWork,
+  OrderedRequest,
+  ServiceRate,
+  WaitPlace,
+  WaitRefusal,
+} from '@vanillacross/domain';
+import {
+  MIN_RETRY_AFTER_MS,
+  addPeak,
+  addServiceTime,
+  addStart,
+  advanceRate,
+  createServiceRate,
+  decideQueueWait,
+  emptyPeakWindow,
+  endWork,
+  getBackgroundSlots,
+  getCallerSlots,
+  getPeak,
+  getReturnTime,
+  getStartIntervalMs,
+  getWorkMs,
+  noWork,
+  orderCallers,
+  orderScoringCalls,
+  startWork,
+} from '@vanillacross/domain';
+
+import type {Pool} from '../model/index.js';
+import type {Upstream, UpstreamDirectory} from '../upstreams/index.js';
+import {getPlaceAt} from './upstreamForRequest.js';
+
+/** Number of accounts without running attempts above which they are dropped. */
+const MAX_ACCOUNTS = 1_000;
+
+/**
+ * Result of an attempt to start a waiting request. It `left` the queue, or there
+ * is `no_room` for any request of its kind, or there may be room only at
+ * upstreams that it has just tried.
+ */
+export type StartResult = 'left' | 'no_room' | 'excluded';
+
+/** A request that waits for a slot. */
+export interface QueueMember extends OrderedRequest {
+  id: string;
+  /** Whether it is a scoring call. */
+  isBackground: boolean;
+  /** Starts it if there is room. */
+  tryStart(): StartResult;
+  /** Returns why it must not wait any longer, or null. */
+  getEndReason(): string | null;
+  /** Ends it without running it, now or later. */
+  refuse(reason: string, retryAfterMs: number): void;
+}
+
+export interface PoolQueueOptions {
+  directory: UpstreamDirectory;
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+}
+
+/** The waiting requests of one kind, and how fast they get slots. */
+interface Lane {
+  isBackground: boolean;
+  /** When each request began to wait. */
+  members: Map<QueueMember, MonotonicMs>;
+  rate: ServiceRate;
+  /** When the caller refused last is to return. */
+  lastReturnAt: number;
+}
+
+const refusalTexts: Readonly<Record<WaitRefusal, string>> = {
+  no_upstream: 'no upstream is listed',
+  deadline: 'the expected wait exceeds the time left',
+  full: 'too many requests wait',
+};
+
+/** The waiting requests of one pool and the demand of its callers. */
+export class PoolQueue {
+  private readonly callers: Lane;
+  private readonly scoring: Lane;
+  private readonly work = new Map<AccountId | null, AccountWork>();
+  private readonly callersInFlight = new Map<Upstream, number>();
+  private callerPeak = emptyPeakWindow;
+  /** Service time of callers' requests and scoring calls together. */
+  private service: ServiceRate;
+
+  constructor(
+    public pool: Pool,
+    private readonly options: PoolQueueOptions,
+  ) {
+    this.callers = this.createLane(false);
+    this.scoring = this.createLane(true);
+    this.service = createServiceRate(this.now);
+  }
+
+  /** Number of waiting requests. */
+  get size(): number {
+    return this.callers.members.size + this.scoring.members.size;
+  }
+
+  /** Starts a request, lets it wait or refuses it. */
+  join(member: QueueMember): void {
+    const lane = this.getLane(member);
+    this.advance(lane);
+    lane.members.set(member, this.now);
+    this.dispatch();
+    if (lane.members.has(member)) this.refuseLate(lane);
+  }
+
+  leave(member: QueueMember): void {
+    const lane = this.getLane(member);
+    if (!lane.members.has(member)) return;
+    this.advance(lane);
+    lane.members.delete(member);
+  }
+
+  /** Starts waiting requests, in order, while there is room. */
+  dispatch(): void {
+    for (const lane of [this.callers, this.scoring]) {
+      for (const member of this.getOrder(lane)) {
+        if (!lane.members.has(member)) continue;
+        if (member.tryStart() === 'no_room') break;
+      }
+    }
+  }
+
+  /** Refuses the requests that must not wait or can't be answered in time. */
+  recheck(): void {
+    for (const lane of [this.callers, this.scoring]) {
+      for (const member of [...lane.members.keys()]) {
+        const reason = member.getEndReason();
+        if (reason === null) continue;
+        this.refuse(lane, member, 'withdrawn', reason, MIN_RETRY_AFTER_MS);
+      }
+      this.refuseLate(lane);
+    }
+  }
+
+  /** Refuses all waiting requests. */
+  refuseAll(reason: string): void {
+    for (const lane of [this.callers, this.scoring]) {
+      for (const member of [...lane.members.keys()]) {
+        this.refuse(lane, member, 'stopping', reason, MIN_RETRY_AFTER_MS);
+      }
+    }
+  }
+
+  /** Notes an attempt; returns a function that notes its end. */
+  recordStart(
+    member: QueueMember,
+    upstream: Upstream,
+  ): (isServed: boolean) => void {
+    const lane = this.getLane(member);
+    this.recordLeaving(lane, member);
+    const startedAt = this.now;
+    const {account, isBackground} = member;
+    if (!isBackground) this.addCaller(account, upstream);
+    let hasEnded = false;
+    return isServed => {
+      if (hasEnded) return;
+      hasEnded = true;
+      if (!isBackground) this.endCaller(account, upstream, startedAt);
+      if (!isServed) return;
+      const serviceMs = this.now - startedAt;
+      lane.rate = addServiceTime(lane.rate, serviceMs);
+      this.service = addServiceTime(this.service, serviceMs);
+    };
+  }
+
+  /** Whether a request may be sent to an upstream. */
+  hasSlot(upstream: Upstream, isBackground: boolean): boolean {
+    // An engine's slots are held by samples for long, and it takes calls beside
+    // them; holding callers back until a sample ends would only delay them.
+    if (!isBackground && this.pool.models.length > 0) return true;
+    const {serviceMs} = this.service;
+    const slots = this.getSlots(upstream, isBackground);
+    const limit = isBackground ? slots : getCallerSlots(slots);
+    return upstream.getExpectedOccupancy(serviceMs) < limit;
+  }
+
+  private get now(): MonotonicMs {
+    return this.options.clock.now();
+  }
+
+  private createLane(isBackground: boolean): Lane {
+    const rate = createServiceRate(this.now);
+    return {isBackground, members: new Map(), rate, lastReturnAt: 0};
+  }
+
+  private getLane({isBackground}: QueueMember): Lane {
+    return isBackground ? this.scoring : this.callers;
+  }
+
+  private getOrder({isBackground, members, rate}: Lane): QueueMember[] {
+    if (isBackground) return orderScoringCalls(members.keys());
+    const {now} = this;
+    const getAccountWork = (account: AccountId | null) =>
+      getWorkMs(this.work.get(account) ?? noWork, rate.serviceMs, now);
+    return orderCallers(members.keys(), getAccountWork, rate.serviceMs);
+  }
+
+  private getSlots({entry}: Upstream, isBackground: boolean): number {
+    const slots = Math.max(1, entry.slots);
+    if (!isBackground) return slots;
+    return getBackgroundSlots(slots, getPeak(this.callerPeak, this.now));
+  }
+
+  private getUsable(): Upstream[] {
+    return this.options.directory.getUsable(this.pool.id);
+  }
+
+  private getLaneSlots({isBackground}: Lane): number {
+    return this.getUsable().reduce(
+      (sum, upstream) => sum + this.getSlots(upstream, isBackground),
+      0,
+    );
+  }
+
+  /** Advances the measured rate to the present. */
+  private advance(lane: Lane): void {
+    const slots = lane.members.size > 0 ? this.getLaneSlots(lane) : 0;
+    lane.rate = advanceRate(lane.rate, slots, this.now);
+  }
+
+  private recordLeaving(lane: Lane, member: QueueMember): void {
+    const since = lane.members.get(member);
+    if (since === undefined) return;
+    const waitedMs = this.now - since;
+    this.options.metrics.observe('vc_queue_ms', waitedMs);
+    // A request that starts at once tells nothing about the rate at which
+    // waiting requests start.
+    const isContended = waitedMs > 0 || lane.members.size > 1;
+    this.leave(member);
+    if (isContended) lane.rate = addStart(lane.rate);
+  }
+
+  private refuseLate(lane: Lane): void {
+    if (lane.members.size === 0) return;
+    this.advance(lane);
+    const intervalMs = getStartIntervalMs(lane.rate, this.getLaneSlots(lane));
+    const usable = this.getUsable();
+    const hasLimits = getPlaceAt(usable, () => 0, this.now) !== null;
+    const getPlace = (before: number, deadline: MonotonicMs): WaitPlace => ({
+      now: this.now,
+      deadline,
+      before,
+      intervalMs,
+      serviceMs: lane.rate.serviceMs,
+      permitAt: hasLimits
+        ? (getPlaceAt(usable, () => before, this.now) as MonotonicMs)
+        : null,
+    });
+    let before = 0;
+    for (const member of this.getOrder(lane)) {
+      const {deadline} = member;
+      const decision = decideQueueWait(getPlace(before, deadline));
+      if (decision.tag === 'wait') {
+        before++;
+        continue;
+      }
+      const {reason} = decision;
+      const last = getPlace(lane.members.size - 1, deadline);
+      lane.lastReturnAt = getReturnTime(last, lane.lastReturnAt);
+      const retryAfterMs = Math.round(lane.lastReturnAt - this.now);
+      const isLimited = hasLimits && reason === 'deadline';
+      const text = isLimited ? 'over the request limits' : refusalTexts[reason];
+      this.refuse(lane, member, reason, text, retryAfterMs);
+    }
+  }
+
+  private refuse(
+    lane: Lane,
+    member: QueueMember,
+    cause: WaitRefusal | 'withdrawn' | 'stopping',
+    reason: string,
+    retryAfterMs: number,
+  ): void {
+    const since = lane.members.get(member);
+    if (since === undefined) return;
+    const {id: pool} = this.pool;
+    const {logger, metrics} = this.options;
+    this.leave(member);
+    metrics.count('vc_queue_refusals', {pool, reason: cause});
+    logger.info('waiting request refused', {
+      request: member.id,
+      pool,
+      reason,
+      isBackground: member.isBackground,
+      waitedMs: Math.round(this.now - since),
+      waiting: lane.members.size,
+      retryAfterMs,
+    });
+    member.refuse(reason, retryAfterMs);
+  }
+
+  private addCaller(account: AccountId | null, upstream: Upstream): void {
+    const work = this.work.get(account) ?? noWork;
+    this.work.set(account, startWork(work, this.now));
+    const count = (this.callersInFlight.get(upstream) ?? 0) + 1;
+    this.callersInFlight.set(upstream, count);
+    this.callerPeak = addPeak(this.callerPeak, count, this.now);
+  }
+
+  private endCaller(
+    account: AccountId | null,
+    upstream: Upstream,
+    startedAt: MonotonicMs,
+  ): void {
+    const work = this.work.get(account) ?? noWork;
+    this.work.set(account, endWork(work, startedAt, this.now));
+    if (this.work.size > MAX_ACCOUNTS) this.dropIdleAccounts();
+    const count = this.callersInFlight.get(upstream) ?? 1;
+    this.callerPeak = addPeak(this.callerPeak, count, this.now);
+    if (count > 1) this.callersInFlight.set(upstream, count - 1);
+    else this.callersInFlight.delete(upstream);
+  }
+
+  private dropIdleAccounts(): void {
+    for (const [account, {running}] of this.work) {
+      if (running === 0) this.work.delete(account);
+    }
+  }
+}
--- a/packages/rollout/src/forwarding/requestForwarder.ts
+++ b/packages/rollout/src/forwarding/requestForwarder.ts
@@ -1,17 +1,15 @@
 import type {MonotonicMs} from '@vanillacross/common';
 import {getDeadline, getRequestFingerprint} from '@vanillacross/common';
-import {MIN_RETRY_AFTER_MS, decideCapacityWait} from '@vanillacross/domain';
+import {MIN_RETRY_AFTER_MS} from '@vanillacross/domain';
 import type {IncomingHttpHeaders} from 'node:http';
 
 import type {ResponseHead} from '../model/index.js';
 import type {Exchange, ExchangeFailure, Upstream} from '../upstreams/index.js';
 import {startExchange} from '../upstreams/index.js';
+import type {PlaceSearch} from './placeSearch.js';
+import {createPlaceSearch} from './placeSearches.js';
 import type {ForwardContext, ForwardOutcome, ForwardRequest} from './types.js';
-import {
-  NOT_PERMITTED_REASON,
-  chooseForRequest,
-  getPlaceAt,
-} from './upstreamForRequest.js';
+import {NOT_PERMITTED_REASON} from './upstreamForRequest.js';
 
 /** Fraction of the target latency after which a hedged request is sent. */
 const HEDGE_DELAY_SHARE = 0.45;
@@ -32,6 +30,8 @@
   headers: IncomingHttpHeaders;
   chunks: Buffer[];
   size: number;
+  /** Called when the attempt ends, also if it was aborted. */
+  recordEnd: (isServed: boolean) => void;
 }
 
 /**
@@ -54,6 +54,7 @@
   private retryAfterMs = MIN_RETRY_AFTER_MS;
   private lastErrorResponse: ForwardOutcome | null = null;
   private isDone = false;
+  private readonly place: PlaceSearch;
   private timers: Array<() => void> = [];
   private resolve: (outcome: ForwardOutcome) => void = () => undefined;
 
@@ -62,6 +63,19 @@
     private readonly request: ForwardRequest,
   ) {
     this.startedAt = context.clock.now();
+    this.place = createPlaceSearch({
+      context,
+      request,
+      startedAt: this.startedAt,
+      tried: this.tried,
+      hasOpenAttempt: () => this.attempts.size > 0,
+      mayWait: () => this.mayWait(),
+      mayContinue: () => this.mayContinue(),
+      getLastReason: () => this.lastReason,
+      send: upstream => this.send(upstream),
+      sendNext: () => this.sendNext(),
+      refuse: (reason, retryAfterMs) => this.refuse(reason, retryAfterMs),
+    });
   }
 
   /** Forwards the request and resolves with its outcome. */
@@ -112,55 +126,43 @@
   }
 
   private sendNext(): void {
-    if (this.isDone) return;
-    if (this.executions >= this.request.route.maxAttempts) return this.giveUp();
-    if (this.sends >= MAX_SENDS) return this.giveUp();
-    if (this.isQuarantined()) return this.giveUp();
-    if (!this.request.isPermitted()) {
-      this.lastReason = NOT_PERMITTED_REASON;
-      return this.giveUp();
-    }
-    if (this.getRemainingMs() < MIN_ATTEMPT_MS) return this.giveUp();
-    const {context, request, tried} = this;
-    const usable = context.directory.getUsable(request.pool.id);
-    const upstream = chooseForRequest(context, request, usable, tried);
-    if (!upstream) return this.waitForCapacity(usable);
-    this.send(upstream);
+    if (this.mayContinue()) this.place.find();
   }
 
-  /**
-   * Tries again after a short delay if no attempt is open and the request may
-   * still be sent; otherwise gives up.
-   */
-  private waitForCapacity(usable: readonly Upstream[]): void {
-    if (this.attempts.size > 0) return;
-    if (this.mayHaveRun && !this.isIdempotent) return this.giveUp();
-    const {waiting, clock} = this.context;
-    const pool = this.request.pool.id;
-    waiting.join(pool, this);
-    const countBefore = () => waiting.countBefore(pool, this);
-    const decision = decideCapacityWait({
-      now: clock.now(),
-      arrivedAt: this.startedAt,
-      deadline: this.request.deadline,
-      upstreamCount: usable.length,
-      placeAt: getPlaceAt(usable, countBefore, clock.now()),
-    });
-    if (decision.tag === 'refuse') {
-      if (usable.length > 0) this.lastReason = this.getNoPlaceReason(usable);
-      this.retryAfterMs = decision.retryAfterMs;
-      return this.giveUp();
-    }
-    this.callAt(decision.until, () => {
-      if (this.attempts.size > 0) return;
-      this.tried.clear();
-      this.sendNext();
-    });
+  /** Whether another attempt may be sent; gives up otherwise. */
+  private mayContinue(): boolean {
+    if (this.isDone) return false;
+    const isAllowed =
+      !this.isSpent() &&
+      this.isPermitted() &&
+      this.getRemainingMs() >= MIN_ATTEMPT_MS;
+    if (!isAllowed) this.giveUp();
+    return isAllowed;
+  }
+
+  private isSpent(): boolean {
+    if (this.executions >= this.request.route.maxAttempts) return true;
+    return this.sends >= MAX_SENDS || this.isQuarantined();
   }
 
-  private getNoPlaceReason(usable: readonly Upstream[]): string {
-    const isLimited = usable.every(({notices}) => notices.limit !== null);
-    return isLimited ? 'over the request limits' : this.lastReason;
+  private isPermitted(): boolean {
+    const isPermitted = this.request.isPermitted();
+    if (!isPermitted) this.lastReason = NOT_PERMITTED_REASON;
+    return isPermitted;
+  }
+
+  /** Whether it may wait for another attempt; gives up if it must not run. */
+  private mayWait(): boolean {
+    if (this.attempts.size > 0) return false;
+    if (!this.mayHaveRun || this.isIdempotent) return true;
+    this.giveUp();
+    return false;
+  }
+
+  private refuse(reason: string, retryAfterMs: number): void {
+    this.lastReason = reason;
+    this.retryAfterMs = retryAfterMs;
+    this.giveUp();
   }
 
   private getNotRunOutcome(): ForwardOutcome {
@@ -181,7 +183,6 @@
   private send(upstream: Upstream): void {
     const {context, request} = this;
     this.tried.add(upstream);
-    context.waiting.leave(request.pool.id, this);
     this.sends++;
     this.executions++;
     const attempt: Attempt = {
@@ -191,6 +192,7 @@
       chunks: [],
       size: 0,
       exchange: null as unknown as Exchange,
+      recordEnd: this.place.recordStart(upstream),
     };
     attempt.exchange = startExchange(
       upstream,
@@ -229,6 +231,7 @@
     const sends = this.sends;
     this.callAt(getDeadline(clock.now(), delayMs), () => {
       if (this.isDone || this.sends !== sends) return;
+      if (!this.place.mayHedge()) return this.scheduleHedge();
       this.context.metrics.count('vc_hedges', {route: this.request.route.name});
       this.sendNext();
     });
@@ -248,8 +251,9 @@
 
   private handleEnd(attempt: Attempt): void {
     this.attempts.delete(attempt);
-    if (this.isDone) return;
     const {head, upstream} = attempt;
+    attempt.recordEnd(head !== null && !head.isNotRun && !head.isMisdirected);
+    if (this.isDone) return;
     if (!head) return this.retry(upstream, 'answer without a head');
     if (head.isNotRun || head.isMisdirected) {
       this.executions--;
@@ -285,6 +289,7 @@
 
   private handleFailure(attempt: Attempt, failure: ExchangeFailure): void {
     this.attempts.delete(attempt);
+    attempt.recordEnd(false);
     if (this.isDone) return;
     attempt.upstream.recordFailure();
     if (failure.tag === 'not_sent') {
@@ -326,27 +331,32 @@
   private settle(outcome: ForwardOutcome): void {
     if (this.isDone) return;
     this.isDone = true;
-    this.context.waiting.leave(this.request.pool.id, this);
+    this.place.stop();
     for (const cancel of this.timers) cancel();
     for (const attempt of this.attempts) {
       if (outcome.tag === 'answered') {
         this.context.onExecution(this.request.account);
         this.release(attempt);
       } else {
-        attempt.exchange.abort();
+        this.abort(attempt);
       }
     }
     this.resolve(outcome);
   }
 
   /** Ends an attempt whose response is no longer needed. */
-  private release({exchange}: Attempt): void {
+  private release(attempt: Attempt): void {
     const {policy, clock} = this.context;
-    if (policy.placement === 'spread') return exchange.abort();
+    if (policy.placement === 'spread') return this.abort(attempt);
     // It may take as long again as it has taken, so that its connection can be
     // used again.
     const now = clock.now();
-    const until = getDeadline(now, now - exchange.startedAt);
-    clock.callAt(until, () => exchange.abort());
+    const until = getDeadline(now, now - attempt.exchange.startedAt);
+    clock.callAt(until, () => this.abort(attempt));
+  }
+
+  private abort({exchange, recordEnd}: Attempt): void {
+    exchange.abort();
+    recordEnd(false);
   }
 }
--- a/packages/rollout/src/forwarding/types.ts
+++ b/packages/rollout/src/forwarding/types.ts
@@ -20,8 +20,17 @@
 } from '../model/index.js';
 import type {CrashTracker, UpstreamDirectory} from '../upstreams/index.js';
 import type {StreamOrigins} from '../streams/index.js';
+import type {AdmissionQueue} from './admissionQueue.js';
 import type {WaitingRequests} from './waitingRequests.js';
 
+/** What the order of a waiting request depends on beside its deadline. */
+export interface QueueOrder {
+  /** 0 is the highest priority. */
+  priority: number;
+  /** Unfinished samples of the group of a scoring call; 0 for a caller. */
+  unfinishedInGroup: number;
+}
+
 /** A request to forward to a pool of upstreams. */
 export interface ForwardRequest {
   id: RequestId;
@@ -37,6 +46,8 @@
   account: AccountId | null;
   deadline: MonotonicMs;
   priority: number | null;
+  /** What the order of waiting requests depends on; no upstream is sent it. */
+  queueOrder: QueueOrder;
   /**
    * Whether this is a background request, which may take only some of an
    * upstream's slots.
@@ -52,6 +63,8 @@
    * may be withdrawn while a request waits or this process is suspended.
    */
   isPermitted: () => boolean;
+  /** Whether the configuration still leads the request to its pool. */
+  isRouted: () => boolean;
 }
 
 /** Outcome of a forwarded request. */
@@ -86,6 +99,7 @@
   metrics: Metrics;
   domain: DomainId;
   waiting: WaitingRequests;
+  queue: AdmissionQueue;
   policy: SchedulingPolicy;
   /** Returns the requests/s that this process may send to a cold upstream. */
   getColdShare: (pool: Pool) => number;
--- a/packages/rollout/src/forwarding/upstreamForRequest.ts
+++ b/packages/rollout/src/forwarding/upstreamForRequest.ts
@@ -18,16 +18,21 @@
 /** Reason of a request that ends because it may not be sent any more. */
 export const NOT_PERMITTED_REASON = 'the request is no longer permitted';
 
-/**
- * Chooses among the usable upstreams for the next attempt of a request whose
- * text so far has this origin.
- */
+/** What limits the choice of an upstream beside the request itself. */
+export interface ChoiceLimits {
+  /** Origin of the text so far. */
+  origin?: TextOrigin;
+  /** Whether a slot may be free; if absent, fixed limits decide. */
+  hasSlot?: (upstream: Upstream) => boolean;
+}
+
+/** Chooses among the usable upstreams for the next attempt of a request. */
 export function chooseForRequest(
   context: ForwardContext,
   request: ForwardRequest,
   usable: readonly Upstream[],
   tried: ReadonlySet<Upstream>,
-  origin: TextOrigin = noText,
+  {origin = noText, hasSlot}: ChoiceLimits = {},
 ): Upstream | null {
   const {pool, isBackground} = request;
   context.directory.recordDemand(pool.id);
@@ -40,6 +45,7 @@
     origin,
     maxInFlight: pool.maxConnections,
     isBackground,
+    hasSlot,
     placement: placements[context.policy.placement],
   });
 }
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -13,7 +13,7 @@
   WeightUpdater,
 } from './control/index.js';
 import type {ForwardContext} from './forwarding/index.js';
-import {WaitingRequests} from './forwarding/index.js';
+import {AdmissionQueue, WaitingRequests} from './forwarding/index.js';
 import {AppendQueue, StoreHealth, StreamTail} from './log/index.js';
 import type {
   DeploymentLimits,
@@ -134,6 +134,7 @@
   private readonly streamOrigins: StreamOrigins;
   private readonly weightUpdater: WeightUpdater;
   private readonly membership: MembershipTask;
+  private readonly queue: AdmissionQueue;
   private readonly assignment: PartitionAssignment;
   private readonly controlTail: StreamTail;
   private readonly controlQueue: AppendQueue;
@@ -300,6 +301,13 @@
           : options.stepPartitionCount,
       getProcessCount: () => time.processCount,
     });
+    this.queue = new AdmissionQueue({
+      directory: this.directory,
+      clock,
+      logger: logger.child('queue'),
+      metrics,
+    });
+    this.configuration.onChange(() => this.queue.recheck());
     const forwarding: ForwardContext = {
       directory: this.directory,
       dialect: options.upstreams,
@@ -310,6 +318,7 @@
       metrics,
       domain: self.domain,
       waiting: new WaitingRequests(),
+      queue: this.queue,
       policy: options.policy,
       getColdShare: pool => coldShares.getCallerShare(pool),
       onExecution: account => this.usage.countRequest(account),
@@ -428,6 +437,7 @@
     this.isStopping = true;
     this.isReady = false;
     this.assignment.stop();
+    this.queue.stop();
     logger.info('stopping', {open: this.server.openRequestCount});
     this.server.drain(
       getDeadline(startedAt, limits.graceMs - ANSWER_MARGIN_MS),
--- a/packages/rollout/src/steps/sampleScoring.ts
+++ b/packages/rollout/src/steps/sampleScoring.ts
@@ -2,7 +2,7 @@
 import {getDeadline} from '@vanillacross/common';
 
 import type {ConfigurationState} from '../configuration/index.js';
-import {pickWeightedPool} from '../configuration/index.js';
+import {leadsTo, pickWeightedPool} from '../configuration/index.js';
 import type {ForwardContext, ForwardOutcome} from '../forwarding/index.js';
 import {RequestForwarder} from '../forwarding/index.js';
 import type {Pool, Route, ScoringCall} from '../model/index.js';
@@ -46,9 +46,17 @@
       account: null,
       deadline: getDeadline(clock.now(), route.timeoutMs),
       priority: null,
+      queueOrder: {
+        priority: route.priority,
+        unfinishedInGroup: task.unfinishedInGroup,
+      },
       isBackground: true,
       mayCrashUpstreams: false,
       isPermitted: () => true,
+      isRouted: () => {
+        const current = this.findRoute(call);
+        return current !== null && leadsTo(current, pool.id);
+      },
     });
     task.cancelScoring = () => forwarder.cancel();
     void forwarder
--- a/packages/rollout/src/testing/forwardFixture.ts
+++ b/packages/rollout/src/testing/forwardFixture.ts
@@ -1,4 +1,4 @@
-import type {DomainId, RequestId} from '@vanillacross/common';
+import type {DomainId, PoolId, RequestId} from '@vanillacross/common';
 import {
   Metrics,
   createLogger,
@@ -8,10 +8,10 @@
 } from '@vanillacross/common';
 
 import type {ForwardContext, ForwardRequest} from '../forwarding/index.js';
-import {WaitingRequests} from '../forwarding/index.js';
+import {AdmissionQueue, WaitingRequests} from '../forwarding/index.js';
 import type {Route} from '../model/index.js';
 import {defaultSchedulingPolicy} from '../model/index.js';
-import type {Upstream} from '../upstreams/index.js';
+import type {Upstream, UpstreamDirectory} from '../upstreams/index.js';
 import {CrashTracker} from '../upstreams/index.js';
 import {testPool} from './directoryFixture.js';
 import {rawDialect} from './rawUpstream.js';
@@ -24,16 +24,26 @@
   upstreams: readonly Upstream[],
 ): ForwardContext {
   const logger = createLogger('test', 'silent');
+  const metrics = new Metrics();
+  const directory = {
+    getUsable: () => upstreams,
+    recordDemand: () => {},
+    onChange: () => {},
+    onExchangeEnd: (listener: (pool: PoolId) => void) => {
+      for (const u of upstreams) u.onExchangeEnd(() => listener(testPool.id));
+    },
+  } as unknown as UpstreamDirectory;
   return {
-    directory: {getUsable: () => upstreams, recordDemand: () => {}},
+    directory,
     dialect: rawDialect,
     crashes: new CrashTracker(systemClock, logger, () => {}),
     streams: {mayBegin: () => true, recordStream: () => {}},
     clock: systemClock,
     logger,
-    metrics: new Metrics(),
+    metrics,
     domain: toBranded<DomainId>('a'),
     waiting: new WaitingRequests(),
+    queue: new AdmissionQueue({directory, clock: systemClock, logger, metrics}),
     policy: defaultSchedulingPolicy,
     getColdShare: () => 1,
     onExecution: () => {},
@@ -58,9 +68,11 @@
     account: null,
     deadline: getDeadline(systemClock.now(), BUDGET_MS),
     priority: null,
+    queueOrder: {priority: 0, unfinishedInGroup: 0},
     isBackground: false,
     mayCrashUpstreams: true,
     isPermitted: () => true,
+    isRouted: () => true,
     ...overrides,
   };
 }
--- a/packages/rollout/src/upstreams/chooseUpstream.ts
+++ b/packages/rollout/src/upstreams/chooseUpstream.ts
@@ -37,6 +37,8 @@
    * upstream's slots.
    */
   isBackground: boolean;
+  /** Whether a slot may be free; if absent, the fixed share decides. */
+  hasSlot?: (upstream: Upstream) => boolean;
   /** Null for a spread placement. */
   placement: PlacementCriteria | null;
 }
@@ -54,10 +56,14 @@
  * there waits for no other one.
  */
 const FREE_SHARE = 0.5;
-/** Fraction of the slots that background requests may take. */
+/**
+ * Fraction of the slots that background requests may take while the demand of
+ * callers is not measured.
+ */
 const BACKGROUND_SHARE = 0.7;
 
 function mayTakeSlot(upstream: Upstream, criteria: UpstreamCriteria): boolean {
+  if (criteria.hasSlot) return criteria.hasSlot(upstream);
   if (!criteria.isBackground) return true;
   const maxOccupancy = Math.max(
     1,
--- a/packages/rollout/src/upstreams/upstream.ts
+++ b/packages/rollout/src/upstreams/upstream.ts
@@ -3,6 +3,7 @@
 import {
   addUpstreamFailure,
   getExpectedPace,
+  getRemainingOccupancy,
   healthyUpstream,
   isUpstreamEjected,
 } from '@vanillacross/domain';
@@ -41,6 +42,7 @@
   private readonly seenVersions = new Map<string, number>();
   private eventInterval: {ms: number; at: MonotonicMs} | null = null;
   private recentStarts: MonotonicMs[] = [];
+  private readonly endListeners: Array<() => void> = [];
   /** When this process read the newest entry. */
   listedAt: MonotonicMs;
   /** When the entry was removed; null while it is listed. */
@@ -112,6 +114,22 @@
     return Math.max(this.inFlight, running + waiting);
   }
 
+  /**
+   * Returns the number of its requests that are expected to be left now.
+   *
+   * @param serviceMs Mean service time, ms; 0 if unknown.
+   */
+  getExpectedOccupancy(serviceMs: number): number {
+    if (!this.load) return this.inFlight;
+    const ageMs = this.clock.now() - this.load.at;
+    if (ageMs > MAX_LOAD_AGE_MS) return this.inFlight;
+    const {running, waiting} = this.load.value;
+    const {slots} = this.entry;
+    const requests = running + waiting;
+    const left = getRemainingOccupancy({requests, ageMs, slots, serviceMs});
+    return Math.max(this.inFlight, left);
+  }
+
   /** Returns the expected pace of its machine; 1 is the usual one. */
   getPace(): number {
     if (!this.load || this.load.value.pace === null) return 1;
@@ -157,6 +175,12 @@
 
   recordEnd(): void {
     this.inFlight--;
+    for (const listener of this.endListeners) listener();
+  }
+
+  /** Registers a callback for the end of each exchange. */
+  onExchangeEnd(listener: () => void): void {
+    this.endListeners.push(listener);
   }
 
   recordFailure(): void {
--- a/packages/rollout/src/upstreams/upstreamDirectory.ts
+++ b/packages/rollout/src/upstreams/upstreamDirectory.ts
@@ -55,6 +55,7 @@
   private readonly upstreams = new Map<UpstreamId, Upstream>();
   private readonly evacuated = new Set<DomainId>();
   private readonly listeners: Array<() => void> = [];
+  private readonly endListeners: Array<(pool: PoolId) => void> = [];
 
   constructor(private readonly options: UpstreamDirectoryOptions) {}
 
@@ -63,6 +64,11 @@
     this.listeners.push(listener);
   }
 
+  /** Registers a callback for the end of each exchange with an upstream. */
+  onExchangeEnd(listener: (pool: PoolId) => void): void {
+    this.endListeners.push(listener);
+  }
+
   get(id: UpstreamId): Upstream | undefined {
     return this.upstreams.get(id);
   }
@@ -124,6 +130,10 @@
         this.options.notices.get(entry.value),
         this.getIdleTimeoutMs(entry.value.pool),
       );
+      const {pool} = entry.value;
+      added.onExchangeEnd(() => {
+        for (const listener of this.endListeners) listener(pool);
+      });
       this.upstreams.set(id, added);
       this.log(added, 'listed');
     }
