--- a/packages/rollout/src/upstreams/upstreamDirectory.ts
+++ b/packages/rollout/src/upstreams/upstreamDirectory.ts
@@ -56,6 +56,7 @@
   private readonly upstreams = new Map<UpstreamId, Upstream>();
   private readonly evacuated = new Set<DomainId>();
   private readonly listeners: Array<() => void> = [];
+  private readonly endListeners: Array<(pool: PoolId) => void> = [];
 
   constructor(private readonly options: UpstreamDirectoryOptions) {}
 
@@ -64,6 +65,11 @@
     this.listeners.push(listener);
   }
 
+  /** Registers a callback for the end of each exchange with an upstream. */
+  onExchangeEnd(listener: (pool: PoolId) => void): void {
+    this.endListeners.push(listener);
+  }
+
   get(id: UpstreamId): Upstream | undefined {
     return this.upstreams.get(id);
   }
@@ -125,6 +131,10 @@
         this.options.notices.get(entry.value),
         this.getConnectionOptions(entry.value),
       );
+      const {pool} = entry.value;
+      added.onExchangeEnd(() => {
+        for (const listener of this.endListeners) listener(pool);
+      });
       this.upstreams.set(id, added);
       this.log(added, 'listed');
     }
