Run most steps at one owner and wait in the queue of a busy engine

Two owners a step opened connections to the same engines, and the first burst went to engines that later versions don't use.

--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -33,7 +33,12 @@
 import {PartitionAssignment} from './partitionAssignment.js';
 import {StatusServers, closeImmediately, listenOn} from './statusServers.js';
 import {StepStreams} from './stepStreams.js';
-import {StepRegistry, StepRunner, StepService} from './steps/index.js';
+import {
+  StepRegistry,
+  StepRunner,
+  StepService,
+  createRunnerLayout,
+} from './steps/index.js';
 import {
   ColdShares,
   ConnectionRefresher,
@@ -190,17 +195,22 @@
       isStarting: () => this.isStarting(),
       policy: options.policy,
     });
+    const layout = createRunnerLayout(
+      options.stepPartitionCount,
+      options.policy,
+    );
     this.registry = new StepRegistry(
       clock,
       logger.child('steps'),
       limits.stepStatusMs,
+      layout,
     );
     const shared = {clock, logger: logger.child('log'), metrics};
     this.streams = new StepStreams({
       ...options,
       registry: this.registry,
       health,
-      partitionCount: options.stepPartitionCount,
+      layout,
       createQueue: (stream, partition) =>
         this.createQueue(stream, partition, processId),
       getOwnedPartitions: () => this.runner.getOwnedPartitions(),
@@ -334,7 +344,7 @@
     };
     this.runner = new StepRunner({
       registry: this.registry,
-      partitionCount: options.stepPartitionCount,
+      layout,
       configuration: this.configuration,
       directory: this.directory,
       dialect: options.upstreams,
--- a/packages/rollout/src/stepStreams.ts
+++ b/packages/rollout/src/stepStreams.ts
@@ -3,8 +3,9 @@
 
 import type {AppendQueue, StoreHealth} from './log/index.js';
 import {StreamTail, TextStore} from './log/index.js';
-import type {Deadline, SharedLog} from './model/index.js';
+import type {Deadline, SchedulingPolicy, SharedLog} from './model/index.js';
 import type {StepRegistry, StepPartition} from './steps/index.js';
+import type {RunnerLayout} from './steps/index.js';
 import {decodeStepRecord, getRunnerPartitions} from './steps/index.js';
 
 const STEP_STREAM = 'vc-steps';
@@ -24,6 +25,8 @@
   near: 30,
   /** This process runs samples of very large steps of the partition only. */
   far: 250,
+  /** This process shares engines with the runners of the partition's steps. */
+  shared: 100,
   /** This process runs no samples, as most of a large deployment. */
   unneeded: 1_000,
 };
@@ -35,7 +38,8 @@
   log: SharedLog;
   registry: StepRegistry;
   health: StoreHealth;
-  partitionCount: number;
+  layout: RunnerLayout;
+  policy: SchedulingPolicy;
   /** Returns the partitions whose samples this process runs. */
   getOwnedPartitions: () => ReadonlySet<number>;
   /** Whether this process holds the lease and plans for all steps. */
@@ -55,7 +59,8 @@
   private readonly textQueues: readonly AppendQueue[];
 
   constructor(private readonly options: StepStreamsOptions) {
-    const {log, clock, metrics, health, partitionCount, createQueue} = options;
+    const {log, clock, metrics, health, layout, createQueue} = options;
+    const {partitionCount} = layout;
     const shared = {log, clock, metrics, logger: options.logger.child('log')};
     const indexes = Array.from({length: partitionCount}, (_, index) => index);
     this.partitions = indexes.map(partition => ({
@@ -138,16 +143,19 @@
   }
 
   private getPauseMs(partition: number): number {
-    const {getOwnedPartitions, isLeaseHeld, partitionCount} = this.options;
+    const {getOwnedPartitions, isLeaseHeld, layout} = this.options;
     const owned = getOwnedPartitions();
     if (isLeaseHeld()) return READ_INTERVALS_MS.near;
     if (owned.size === 0) return READ_INTERVALS_MS.unneeded;
     const isNear = getRunnerPartitions(
       partition,
       USUAL_STEP_SAMPLES,
-      partitionCount,
+      layout,
     ).some(runnerPartition => owned.has(runnerPartition));
-    return isNear ? READ_INTERVALS_MS.near : READ_INTERVALS_MS.far;
+    if (isNear) return READ_INTERVALS_MS.near;
+    return this.options.policy.placement === 'concentrated'
+      ? READ_INTERVALS_MS.shared
+      : READ_INTERVALS_MS.far;
   }
 
   private getWaitMs(): number {
--- a/packages/rollout/src/steps/generation.ts
+++ b/packages/rollout/src/steps/generation.ts
@@ -14,6 +14,15 @@
 
 /** Timeout for the first event from an engine, ms. */
 const FIRST_EVENT_TIMEOUT_MS = 1_500;
+/**
+ * Time for which a run waits in the queue of an engine that makes events for
+ * others, ms. Starting it elsewhere would lose its place.
+ */
+const MAX_ENGINE_QUEUE_MS = 4_000;
+/** Age of an engine's last event up to which it counts as working, ms. */
+const RECENT_EVENT_MS = 400;
+/** Interval at which a queued run is looked at, ms. */
+const QUEUE_CHECK_MS = 250;
 /** Timeout between two events from an engine, ms. */
 const NEXT_EVENT_TIMEOUT_MS = 800;
 /** Delay of a timer above which this process must have been stalled, ms. */
@@ -57,6 +66,8 @@
   model: string | null;
   minVersion: number;
   isSingleVersion: boolean;
+  /** Whether the run may wait in the engine's queue. */
+  mayQueue: boolean;
   onDone: (outcome: GenerationOutcome) => void;
 }
 
@@ -132,11 +143,20 @@
       if (clock.now() - deadline > LATE_TIMER_MS) {
         return this.startIdleTimer(STALL_GRACE_MS);
       }
+      if (this.isQueued()) return this.startIdleTimer(QUEUE_CHECK_MS);
       this.upstream.recordFailure();
       this.settle({tag: 'broken', reason: 'silent'});
     });
   }
 
+  /** Whether the engine works on others before it begins this run. */
+  private isQueued(): boolean {
+    const {mayQueue, clock, upstream} = this.options;
+    if (!mayQueue || this.lastEventAt !== null) return false;
+    if (clock.now() - this.startedAt > MAX_ENGINE_QUEUE_MS) return false;
+    return upstream.getLastEventAgeMs() <= RECENT_EVENT_MS;
+  }
+
   private handleHead(head: ResponseHead): void {
     this.head = head;
     if (head.status !== 200 || head.weightVersion === null) return;
--- a/packages/rollout/src/steps/slotShares.ts
+++ b/packages/rollout/src/steps/slotShares.ts
@@ -1,9 +1,10 @@
 import type {Clock} from '@vanillacross/common';
 import {getHash32} from '@vanillacross/common';
-import {getSlotShare} from '@vanillacross/domain';
+import {getModelHomes, getSlotShare} from '@vanillacross/domain';
 
 import type {Route} from '../model/index.js';
 import type {Upstream, UpstreamDirectory} from '../upstreams/index.js';
+import type {RunnerLayout} from './runnerPartition.js';
 import {getRunnerPartition} from './runnerPartition.js';
 import type {SampleTask} from './sampleTask.js';
 import type {StepRegistry, TrackedStep} from './stepRegistry.js';
@@ -18,12 +19,9 @@
  * listed results with a delay, so they may leave a slot free for too long.
  */
 const KEEP_TO_SHARES_MS = 400;
-/**
- * Fraction of the samples without a result that need a slot; the rest is being
- * scored or stored.
- */
-const GENERATING_SHARE = 0.7;
 
+/** Fraction of the engines of a step that are home engines if there are enough. */
+const MIN_HOME_SHARE = 0.4;
 /** Number of values of a 32-bit hash. */
 const HASH_RANGE = 2 ** 32;
 /** Shares are rounded to the nearest number of slots. */
@@ -44,7 +42,7 @@
   registry: StepRegistry;
   directory: UpstreamDirectory;
   clock: Clock;
-  partitionCount: number;
+  layout: RunnerLayout;
   getOwnedPartitions: () => ReadonlySet<number>;
   getRoute: (tracked: TrackedStep) => Route | null;
 }
@@ -99,7 +97,7 @@
     const others = [...this.demands.values()]
       .filter(demand => demand !== own && demand.engines.has(engine))
       .map(({unfinished, engines}) => ({
-        unfinished: unfinished * GENERATING_SHARE,
+        unfinished,
         engineCount: engines.size,
       }));
     const share = getSlotShare({
@@ -124,28 +122,44 @@
     {partition, samples}: TrackedStep,
     engines: ReadonlySet<Upstream>,
   ): Set<Upstream> {
-    const {partitionCount, getOwnedPartitions} = this.options;
+    const {layout, getOwnedPartitions} = this.options;
     const owned = getOwnedPartitions();
     const own = [...engines].filter(({id}) => {
       const fraction = getHash32(`owner of ${id}`) / HASH_RANGE;
       const position = Math.floor(fraction * samples.size);
-      return owned.has(getRunnerPartition(partition, position, partitionCount));
+      return owned.has(getRunnerPartition(partition, position, layout));
     });
     return new Set(own);
   }
 
-  /** Returns the engines that may run a step's samples. */
+  /**
+   * Returns the engines that may run a step's samples; only the home engines of
+   * its model unless these are too few, so that those that later versions use
+   * get the connections.
+   */
   private getEngines(tracked: TrackedStep): Set<Upstream> {
     const {directory, getRoute} = this.options;
     const {model, minVersion} = tracked.step;
     const pools = getRoute(tracked)?.targets.map(({pool}) => pool) ?? [];
-    const engines = pools
-      .flatMap(pool => directory.getUsable(pool))
-      .filter(
-        engine =>
-          model === null ||
-          (engine.getVersion(model) >= minVersion && !engine.isLoading(model)),
-      );
-    return new Set(engines);
+    const usable = pools.flatMap(pool => directory.getUsable(pool));
+    if (model === null) return new Set(usable);
+    const engines = usable.filter(
+      engine =>
+        engine.getVersion(model) >= minVersion && !engine.isLoading(model),
+    );
+    const homes = this.getHomes(usable).get(model);
+    const atHome = engines.filter(({id}) => homes?.has(id));
+    const isEnough = atHome.length >= engines.length * MIN_HOME_SHARE;
+    return new Set(isEnough ? atHome : engines);
+  }
+
+  private getHomes(
+    engines: readonly Upstream[],
+  ): ReadonlyMap<string, ReadonlySet<string>> {
+    const models = new Set(
+      engines.flatMap(({entry}) => [...entry.versions.keys()]),
+    );
+    const ids = engines.map(({id}) => String(id));
+    return getModelHomes([...models], ids);
   }
 }
--- a/packages/rollout/src/steps/stepRegistry.test.ts
+++ b/packages/rollout/src/steps/stepRegistry.test.ts
@@ -54,6 +54,7 @@
     new ManualClock(),
     createLogger('test', 'silent'),
     1_000,
+    {partitionCount: 1, samplesPerOwner: 40},
   );
   for (const record of records) {
     const decoded = decodeStepRecord(encodeStepRecord(record));
--- a/packages/rollout/src/steps/stepRegistry.ts
+++ b/packages/rollout/src/steps/stepRegistry.ts
@@ -4,6 +4,7 @@
 import type {Progress} from './progress.js';
 import {ProgressTracker} from './progress.js';
 import type {StepRecord} from './records.js';
+import type {RunnerLayout} from './runnerPartition.js';
 import {getRunnerPartitionCount} from './runnerPartition.js';
 
 /**
@@ -72,6 +73,7 @@
     private readonly clock: Clock,
     private readonly logger: Logger,
     private readonly statusRetentionMs: number,
+    private readonly layout: RunnerLayout,
   ) {}
 
   onChange(listener: (change: StepChange) => void): void {
@@ -196,7 +198,7 @@
   ): void {
     for (
       let offset = 0;
-      offset < getRunnerPartitionCount(samples.size);
+      offset < getRunnerPartitionCount(samples.size, this.layout);
       offset++
     ) {
       // Not reduced modulo the partition count: a step that wraps around past the
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -23,6 +23,7 @@
 import {EngineSelector} from './engineSelector.js';
 import type {GenerationOutcome} from './generation.js';
 import {Generation} from './generation.js';
+import type {RunnerLayout} from './runnerPartition.js';
 import {getRunnerPartition} from './runnerPartition.js';
 import {getSampleCall} from './sampleCall.js';
 import {forgetSentPrompt, recordSentPrompt} from './samplePrompt.js';
@@ -75,8 +76,7 @@
 
 export interface StepRunnerOptions {
   registry: StepRegistry;
-  /** Number of partitions of the step stream. */
-  partitionCount: number;
+  layout: RunnerLayout;
   configuration: ConfigurationState;
   directory: UpstreamDirectory;
   dialect: UpstreamDialect;
@@ -224,8 +224,8 @@
 
   /** Returns the partition whose owner runs the sample at a position. */
   private getPartition(tracked: TrackedStep, position: number): number {
-    const {partitionCount} = this.options;
-    return getRunnerPartition(tracked.partition, position, partitionCount);
+    const {layout} = this.options;
+    return getRunnerPartition(tracked.partition, position, layout);
   }
 
   private addStep(tracked: TrackedStep): void {
@@ -470,6 +470,7 @@
       model: step.model,
       minVersion: step.minVersion,
       isSingleVersion: route.isSingleVersion,
+      mayQueue: this.isConcentrated,
       onDone: outcome => this.handleGeneration(task, upstream, route, outcome),
     });
   }
--- a/packages/rollout/src/upstreams/upstream.ts
+++ b/packages/rollout/src/upstreams/upstream.ts
@@ -123,6 +123,12 @@
     this.eventInterval = {ms, at: this.clock.now()};
   }
 
+  /** Returns the time since the last event of any stream, ms. */
+  getLastEventAgeMs(): number {
+    if (!this.eventInterval) return Infinity;
+    return this.clock.now() - this.eventInterval.at;
+  }
+
   /** Returns the average time between stream events, ms; null if unknown. */
   getEventIntervalMs(): number | null {
     if (!this.eventInterval) return null;
