--- a/packages/common/src/http.test.ts
+++ b/packages/common/src/http.test.ts
@@ -2,7 +2,8 @@
 import * as http from 'node:http';
 import {afterEach, describe, it} from 'node:test';
 
-import {closeServer, listen, readBody, sendJson} from './http.js';
+import type {JsonRequest} from './http.js';
+import {closeServer, listen, readBody, requestJson, sendJson} from './http.js';
 import {RPC_PATH, createRpcHandler, getAuthHeader} from './rpc.js';
 
 const SECRET = 'cluster secret';
@@ -94,3 +95,19 @@
     assert.deepEqual(await result, {ok: false, error: {tag: 'cut'}});
   });
 });
+
+describe('a JSON request that can not be sent', () => {
+  const base = {method: 'GET', url: 'http://127.0.0.1:1/', timeoutMs: 50};
+  const odd = {
+    'with a header beyond Latin-1': {headers: {a: 'i-7\ufffd1'}},
+    'with a line break in a header': {headers: {a: 'b\r\nc'}},
+    'with a port out of range': {url: 'http://127.0.0.1:99999/'},
+  };
+  for (const [how, override] of Object.entries(odd)) {
+    it(`is refused (${how}; guards against a rejection that ends the process)`, async () => {
+      const request = {...base, ...override} as JsonRequest;
+      const outcome = await requestJson(request);
+      assert.equal(outcome.ok ? null : outcome.error.tag, 'refused');
+    });
+  }
+});
--- a/packages/common/src/http.ts
+++ b/packages/common/src/http.ts
@@ -156,7 +156,37 @@
   return parseJson(body.value.toString('utf8'));
 }
 
-/** Sends a JSON request and reads the JSON response. */
+/**
+ * Whether a header can be sent. Node throws for a name that is no token and for
+ * a value with control characters or characters beyond Latin-1.
+ */
+export function isSendableHeader(name: string, value: string): boolean {
+  try {
+    http.validateHeaderName(name);
+    http.validateHeaderValue(name, value);
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+/** Creates a request; Node throws if its URL or a header can't be sent. */
+function createRequest(
+  request: JsonRequest,
+  headers: Record<string, string>,
+): Result<http.ClientRequest, HttpFailure> {
+  const {url, method, agent, signal} = request;
+  try {
+    return ok(http.request(url, {method, headers, agent, signal}));
+  } catch (error) {
+    return fail({tag: 'refused', detail: (error as Error).message});
+  }
+}
+
+/**
+ * Sends a JSON request and reads the JSON response. Never rejects: a request
+ * that can't be sent fails as `refused`.
+ */
 export function requestJson(
   request: JsonRequest,
 ): Promise<Result<JsonResponse, HttpFailure>> {
@@ -168,12 +198,9 @@
       headers['content-type'] = 'application/json';
       headers['content-length'] = String(Buffer.byteLength(text));
     }
-    const outgoing = http.request(request.url, {
-      method: request.method,
-      headers,
-      agent: request.agent,
-      signal: request.signal,
-    });
+    const created = createRequest(request, headers);
+    if (!created.ok) return resolve(created);
+    const outgoing = created.value;
     const timer = setTimeout(
       () => outgoing.destroy(new Error('timeout')),
       request.timeoutMs,
--- a/packages/rollout/src/control/weightUpdater.ts
+++ b/packages/rollout/src/control/weightUpdater.ts
@@ -108,9 +108,9 @@
     for (const {upstream, model, version} of updates) {
       const engine = byId.get(upstream)!;
       this.updating.set(engine, model);
-      void this.updateEngine(engine, model, version).finally(() => {
-        this.updating.delete(engine);
-      });
+      void this.updateEngine(engine, model, version)
+        .catch((error: Error) => this.handleFault(engine, error))
+        .finally(() => this.updating.delete(engine));
     }
   }
 
@@ -237,6 +237,12 @@
     });
   }
 
+  /** Handles an unexpected exception, so that it harms one engine only. */
+  private handleFault(engine: Upstream, error: Error): void {
+    this.options.metrics.count('vc_internal_errors');
+    this.backOff(engine, `internal error: ${error.stack}`);
+  }
+
   private applyReport(engine: Upstream, report: EngineReport): void {
     for (const [model, version] of report.versions) {
       engine.recordVersion(model, version);
--- a/packages/rollout/src/log/keyedTail.ts
+++ b/packages/rollout/src/log/keyedTail.ts
@@ -3,6 +3,7 @@
 
 import type {KeyedRecord, SharedLog} from '../model/index.js';
 import {LongPollReader} from './longPollReader.js';
+import {applyOrSkip} from './recordFault.js';
 import type {StoreHealth} from './storeHealth.js';
 
 /** Delay before a failed read is retried, ms. */
@@ -156,6 +157,7 @@
     if (latest !== undefined && latest >= record.offset && record.value) return;
     if (record.value) this.appliedOffsets.set(record.key, record.offset);
     else this.appliedOffsets.delete(record.key);
-    this.options.onRecord(record);
+    const {options} = this;
+    applyOrSkip(options, record.offset, () => options.onRecord(record));
   }
 }
--- a/packages/rollout/src/log/streamTail.ts
+++ b/packages/rollout/src/log/streamTail.ts
@@ -4,6 +4,7 @@
 import type {LogFailure, SharedLog, StoredRecord} from '../model/index.js';
 import {EntryAssembler} from './entries.js';
 import {LongPollReader} from './longPollReader.js';
+import {applyOrSkip} from './recordFault.js';
 import type {StoreHealth} from './storeHealth.js';
 
 /** Delay before a failed read is retried, ms. */
@@ -170,7 +171,10 @@
       if (record.offset !== this.nextOffset) continue;
       this.nextOffset = record.offset + 1;
       const entry = this.assembler.push(record.bytes);
-      if (entry) this.options.onEntry(entry, record.offset);
+      if (!entry) continue;
+      const {options} = this;
+      const {offset} = record;
+      applyOrSkip(options, offset, () => options.onEntry(entry, offset));
     }
   }
 }
