Fail an exchange whose response head can not be passed on

What callers saw: one corrupt byte in the head of a stream's response ended the process that forwarded it, and with it the requests of all its other callers. A corrupt head of a plain response gave 500 `internal error`.

Cause: Node's client accepts heads that its server refuses to write, and writeHead threw in an event handler of forwardStream.

Change: startExchange checks the status and all headers of a response before it emits anything; an unusable head fails the exchange as `invalid`, for streams, plain requests, samples and scores alike. A handler that throws fails its exchange instead of the process. A version of the weights must be a safe integer, in heads and in event streams: another one was recorded as NaN, and the result of its sample could not be decoded by any process.

Why this works: the head is validated at the one place where it enters, with the same functions that Node applies when it writes it, so that it does not depend on what a parser lets through.

--- a/packages/rollout/src/steps/generation.test.ts
+++ b/packages/rollout/src/steps/generation.test.ts
@@ -87,6 +87,20 @@
     );
   });
 
+  // Guards against a result that no process can decode, so that its sample is
+  // never listed.
+  for (const version of ['x', '', '-1', '1.5', '1e300', '9'.repeat(20)]) {
+    it(`breaks at an unreadable version (${version})`, async () => {
+      const {outcome, output} = await generate(socket =>
+        socket.end(`${HEAD}version: ${version}\nid: 1\ndata: a\n\n`),
+      );
+      assert.deepEqual(
+        {outcome, output},
+        {outcome: {tag: 'broken', reason: 'unreadable version'}, output: ''},
+      );
+    });
+  }
+
   it('keeps a character that is split between two chunks', async () => {
     // Guards against a result whose text differs from what the engine sent.
     const event = Buffer.from('id: 1\ndata: ışık\n\n');
--- a/packages/rollout/src/steps/generation.ts
+++ b/packages/rollout/src/steps/generation.ts
@@ -24,6 +24,12 @@
 /** Maximum size of one event together with its fields, bytes. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 
+/** Decodes a version of the weights; null if the text is none. */
+function readVersion(text: string): number | null {
+  const version = /^\d+$/.test(text.trim()) ? Number(text) : NaN;
+  return Number.isSafeInteger(version) ? version : null;
+}
+
 /** Outcome of a generation. */
 export type GenerationOutcome =
   | {tag: 'complete'}
@@ -84,7 +90,7 @@
       // errors; the version field is one of them.
       onError: error => {
         if (error.field === options.dialect.versionField) {
-          this.nextVersion = Number(error.value);
+          this.announceVersion(error.value ?? '');
         }
       },
     });
@@ -144,6 +150,17 @@
     this.recordVersion(this.version);
   }
 
+  /**
+   * Notes the version of the next events. A text with an unreadable version
+   * could not be listed, as no process could decode its result.
+   */
+  private announceVersion(text: string): void {
+    this.nextVersion = readVersion(text);
+    if (this.nextVersion !== null) return;
+    this.upstream.recordFailure();
+    this.settle({tag: 'broken', reason: 'unreadable version'});
+  }
+
   private recordVersion(version: number): void {
     const {model, minVersion, upstream} = this.options;
     if (model !== null) upstream.recordVersion(model, version);
--- a/packages/rollout/src/upstreams/exchange.test.ts
+++ b/packages/rollout/src/upstreams/exchange.test.ts
@@ -37,7 +37,12 @@
   });
 
   /** Sends one request and resolves with how the exchange ended. */
-  const exchange = async (respond: RawResponder, id = 'r1', target = '/') => {
+  const exchange = async (
+    respond: RawResponder,
+    id = 'r1',
+    target = '/',
+    onHead = () => {},
+  ) => {
     raw ??= await startRawUpstream(respond);
     const {upstream} = raw;
     return new Promise<{outcome: string; body: string}>(resolve => {
@@ -60,7 +65,7 @@
         },
         Buffer.alloc(0),
         {
-          onHead: () => {},
+          onHead,
           onData: chunk => (body += chunk.toString()),
           onEnd: () => resolve({outcome: 'end', body}),
           onFailure: ({tag}) => resolve({outcome: tag, body}),
@@ -228,6 +233,29 @@
     });
   });
 
+  // Guards against a corrupt byte that ends the process when its head is
+  // written to a caller.
+  for (const status of ['000', '042', '099']) {
+    it(`fails as invalid with status ${status}`, async () => {
+      const response = getFramedResponse('length').replace('200', status);
+      let isEmitted = false;
+      const onHead = () => (isEmitted = true);
+      const respond: RawResponder = socket => socket.write(response);
+      const {outcome} = await exchange(respond, 'r1', '/', onHead);
+      assert.deepEqual([outcome, isEmitted], ['invalid', false]);
+    });
+  }
+
+  it('fails as invalid if a handler throws (guards against processes that end)', async () => {
+    const respond: RawResponder = socket =>
+      socket.write(getFramedResponse('length'));
+    const {outcome} = await exchange(respond, 'r1', '/', () => {
+      throw new Error('can not be handled');
+    });
+    assert.equal(outcome, 'invalid');
+    assert.equal(raw?.upstream.inFlight, 0);
+  });
+
   describe('a request that can not be created', () => {
     it('fails as not sent (guards against processes that end)', async () => {
       const {outcome} = await exchange(() => {}, 'r1', '/a b');
--- a/packages/rollout/src/upstreams/exchange.ts
+++ b/packages/rollout/src/upstreams/exchange.ts
@@ -8,6 +8,7 @@
   UpstreamDialect,
 } from '../model/index.js';
 import {isEndOfBodyProven} from './responseEnd.js';
+import {getHeadFault} from './responseHead.js';
 import type {Upstream} from './upstream.js';
 
 /** Timeout for connecting to an upstream, ms. */
@@ -31,7 +32,12 @@
   /** The bytes received are no usable response. */
   | {tag: 'invalid'; detail: string};
 
+/**
+ * Events of an exchange. One that throws fails the exchange, since the bytes of
+ * an upstream must not end this process; `onFailure` must not throw.
+ */
 export interface ExchangeEvents {
+  /** The head can be written to a caller as it is. */
   onHead(head: ResponseHead, headers: http.IncomingHttpHeaders): void;
   onData(chunk: Buffer): void;
   /** The response is complete. */
@@ -138,6 +144,16 @@
       mayHaveBeenSent ? {tag, detail} : {tag: 'not_sent', detail},
     );
   };
+  const guard = (handle: () => void) => {
+    try {
+      handle();
+    } catch (error) {
+      settle();
+      request.destroy();
+      const detail = `internal error: ${(error as Error).stack}`;
+      events.onFailure({tag: 'invalid', detail});
+    }
+  };
   const handleError = (error: NodeJS.ErrnoException) =>
     failWith(isParseError(error) ? 'invalid' : 'lost', error.message);
   const startConnectTimer = (timeoutMs: number) => {
@@ -162,8 +178,11 @@
   });
   request.on('error', handleError);
   let currentResponse: http.IncomingMessage | null = null;
-  request.on('response', response => {
+  const handleResponse = (response: http.IncomingMessage) => {
     currentResponse = response;
+    response.on('error', handleError);
+    const fault = getHeadFault(response);
+    if (fault !== null) return failWith('invalid', `unusable head: ${fault}`);
     const head = dialect.readHead(response.statusCode ?? 0, response.headers);
     if (head.id !== null && head.id !== call.id) {
       return failWith('crossed', `answer to ${head.id}`);
@@ -173,17 +192,17 @@
     if (isSettled) return;
     events.onHead(head, response.headers);
     response.on('data', (chunk: Buffer) => {
-      if (!isSettled) events.onData(chunk);
+      if (!isSettled) guard(() => events.onData(chunk));
     });
     response.on('end', () => {
       if (!isEndOfBodyProven(response)) {
         return failWith('lost', 'answer was cut');
       }
-      if (settle()) events.onEnd();
+      if (settle()) guard(() => events.onEnd());
     });
     response.on('aborted', () => failWith('lost', 'answer was cut'));
-    response.on('error', handleError);
-  });
+  };
+  request.on('response', response => guard(() => handleResponse(response)));
   request.on('close', () => failWith('lost', 'connection closed'));
   request.end(body);
   return {
