Let slow callers receive long answers during a planned stop

Cause: Node counts a connection as idle as soon as `response.end()` was called. `closeIdleConnections`, which the stop calls every 50 ms, and `close`, which calls it too, destroyed such connections with the bytes that waited for the caller. No request was open then, and the process exited.

Change: CallerHttpServer decides itself which connections are idle: those without a response that still has bytes to write and without bytes of a next request. It overrides `closeIdleConnections`, so that `close` follows the rule.

Why this works: a response emits `close` once all its bytes were written to the socket or its connection has closed. Until then its connection stays open, and the request counts as open, so that the process waits up to its grace period.

--- a/packages/rollout/src/callers/callerServer.ts
+++ b/packages/rollout/src/callers/callerServer.ts
@@ -8,8 +8,7 @@
 } from '@vanillacross/common';
 import {readBody} from '@vanillacross/common';
 import {MIN_RETRY_AFTER_MS} from '@vanillacross/domain';
-import * as http from 'node:http';
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 
 import type {ConfigurationState} from '../configuration/index.js';
 import {pickWeightedPool} from '../configuration/index.js';
@@ -24,6 +23,7 @@
 import type {StepService} from '../steps/index.js';
 import type {AdmittedRequest} from './admission.js';
 import {Admission} from './admission.js';
+import {CallerHttpServer} from './callerHttpServer.js';
 import {limitToExit} from './drainLimit.js';
 import type {Refusal} from './refusal.js';
 import {getQuarantineRefusal, getStaleRefusal} from './refusal.js';
@@ -62,7 +62,7 @@
 
 /** HTTP server for callers and trainers. */
 export class CallerServer {
-  readonly server: http.Server;
+  readonly server: Server;
   readonly shutdown: ListenerShutdown;
   /** When the process exits; null unless it stops. */
   private exitAt: MonotonicMs | null = null;
@@ -75,7 +75,7 @@
   constructor(private readonly options: CallerServerOptions) {
     this.admission = new Admission(options.configuration);
     this.stepCalls = new StepCallHandler(options.steps, options.dialect);
-    this.server = http.createServer(
+    this.server = new CallerHttpServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
         keepAliveTimeout: DEFAULT_IDLE_MS + IDLE_MARGIN_MS,
@@ -84,10 +84,6 @@
       (request, response) => void this.handle(request, response),
     );
     this.shutdown = new ListenerShutdown(this.server, options.clock);
-    this.server.on('checkContinue', (request, response) => {
-      response.writeContinue();
-      void this.handle(request, response);
-    });
     options.configuration.onChange(() => this.applyLimits());
   }
 
