--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -28,6 +28,7 @@
 export * from './sampleScheduler.js';
 export * from './rollout.js';
 export * from './sendLimit.js';
+export * from './sendWindow.js';
 export * from './servedVersions.js';
 export * from './serviceRate.js';
 export * from './settings.js';
--- a/packages/domain/src/waitingQueue.ts
+++ b/packages/domain/src/waitingQueue.ts
@@ -59,8 +59,6 @@
 const ENTRY_MARGIN = 1.15;
 /** Most requests that wait for one pool, of callers and scoring calls each. */
 export const MAX_WAITING = 512;
-/** Requests above its slots that keep an upstream busy, per slot. */
-const REFILL_SHARE = 1 / 3;
 /** Smallest share of an upstream's slots that scoring calls may take. */
 const MIN_BACKGROUND_SHARE = 0.5;
 
@@ -160,16 +158,6 @@
   return Math.min(returnAt, now + MAX_RETRY_AFTER_MS) as MonotonicMs;
 }
 
-/**
- * Returns how many requests an upstream may have before others wait for it.
- * Those above its slots are started while the end of another is still on its way
- * to the process that sends the next one; without them, slots would be idle for
- * a round trip after each request.
- */
-export function getCallerSlots(slots: number): number {
-  return slots + Math.ceil(slots * REFILL_SHARE);
-}
-
 /**
  * Returns how many of an upstream's slots scoring calls may take: those that
  * callers have not needed lately, and one more is kept for a caller. It answers a
@@ -183,25 +171,3 @@
   const unneeded = Math.max(least, slots - (callerPeak + 1));
   return Math.max(1, Math.min(unneeded, slots - 1));
 }
-
-/** Requests at an upstream as it stated them. */
-export interface StatedOccupancy {
-  /** Running and queued requests. */
-  requests: number;
-  /** Time since then, ms. */
-  ageMs: number;
-  slots: number;
-  /** Mean service time, ms; 0 if unknown. */
-  serviceMs: number;
-}
-
-/**
- * Returns how many of the stated requests are expected to be still there. It
- * answers upstreams that were full when they last answered: requests that wait
- * must not be held for longer than these need, or free slots stay idle.
- */
-export function getRemainingOccupancy(stated: StatedOccupancy): number {
-  const {requests, ageMs, slots, serviceMs} = stated;
-  if (serviceMs === 0) return requests;
-  return Math.max(0, Math.ceil(requests - (ageMs * slots) / serviceMs));
-}
--- a/packages/rollout/src/forwarding/admissionQueue.ts
+++ b/packages/rollout/src/forwarding/admissionQueue.ts
@@ -3,7 +3,7 @@
 
 import type {Pool} from '../model/index.js';
 import type {Upstream} from '../upstreams/index.js';
-import type {PoolQueueOptions, QueueMember} from './poolQueue.js';
+import type {AttemptKind, PoolQueueOptions, QueueMember} from './poolQueue.js';
 import {PoolQueue} from './poolQueue.js';
 
 /**
@@ -58,8 +58,8 @@
   }
 
   /** Whether a request may be sent to an upstream. */
-  hasSlot(pool: Pool, upstream: Upstream, isBackground: boolean): boolean {
-    return this.getQueue(pool).hasSlot(upstream, isBackground);
+  hasSlot(pool: Pool, upstream: Upstream, kind: AttemptKind): boolean {
+    return this.getQueue(pool).hasSlot(upstream, kind);
   }
 
   /**
--- a/packages/rollout/src/forwarding/poolQueue.ts
+++ b/packages/rollout/src/forwarding/poolQueue.ts
@@ -3,6 +3,7 @@
 import type {
   AccountWork,
   OrderedRequest,
+  SendWindow,
   ServiceRate,
   WaitPlace,
   WaitRefusal,
@@ -11,14 +12,15 @@
   MIN_RETRY_AFTER_MS,
   addPeak,
   addServiceTime,
+  adaptSendWindow,
   addStart,
   advanceRate,
+  createSendWindow,
   createServiceRate,
   decideQueueWait,
   emptyPeakWindow,
   endWork,
   getBackgroundSlots,
-  getCallerSlots,
   getPeak,
   getReturnTime,
   getStartIntervalMs,
@@ -79,6 +81,22 @@
   full: 'too many requests wait',
 };
 
+/**
+ * What an attempt is for. A `hedge` is sent beside an open attempt and is useful
+ * only if it runs at once.
+ */
+export type AttemptKind = 'caller' | 'scoring' | 'hedge';
+
+const slotRules: Readonly<
+  Record<AttemptKind, (queue: PoolQueue, upstream: Upstream) => boolean>
+> = {
+  caller: (queue, upstream) => queue.hasCallerRoom(upstream),
+  scoring: (queue, upstream) => queue.hasScoringSlot(upstream),
+  hedge: (queue, upstream) =>
+    queue.hasCallerRoom(upstream) &&
+    upstream.getOccupancy() < upstream.entry.slots,
+};
+
 /** The waiting requests of one pool and the demand of its callers. */
 export class PoolQueue {
   private readonly callers: Lane;
@@ -86,8 +104,7 @@
   private readonly work = new Map<AccountId | null, AccountWork>();
   private readonly callersInFlight = new Map<Upstream, number>();
   private callerPeak = emptyPeakWindow;
-  /** Service time of callers' requests and scoring calls together. */
-  private service: ServiceRate;
+  private readonly windows = new WeakMap<Upstream, SendWindow>();
 
   constructor(
     public pool: Pool,
@@ -95,7 +112,6 @@
   ) {
     this.callers = this.createLane(false);
     this.scoring = this.createLane(true);
-    this.service = createServiceRate(this.now);
   }
 
   /** Number of waiting requests. */
@@ -166,21 +182,28 @@
       hasEnded = true;
       if (!isBackground) this.endCaller(account, upstream, startedAt);
       if (!isServed) return;
-      const serviceMs = this.now - startedAt;
-      lane.rate = addServiceTime(lane.rate, serviceMs);
-      this.service = addServiceTime(this.service, serviceMs);
+      lane.rate = addServiceTime(lane.rate, this.now - startedAt);
+      if (!isBackground) this.adaptWindow(upstream, startedAt);
     };
   }
 
   /** Whether a request may be sent to an upstream. */
-  hasSlot(upstream: Upstream, isBackground: boolean): boolean {
+  hasSlot(upstream: Upstream, kind: AttemptKind): boolean {
+    return slotRules[kind](this, upstream);
+  }
+
+  /** Whether callers may have another request at an upstream. */
+  hasCallerRoom(upstream: Upstream): boolean {
     // An engine's slots are held by samples for long, and it takes calls beside
     // them; holding callers back until a sample ends would only delay them.
-    if (!isBackground && this.pool.models.length > 0) return true;
-    const {serviceMs} = this.service;
-    const slots = this.getSlots(upstream, isBackground);
-    const limit = isBackground ? slots : getCallerSlots(slots);
-    return upstream.getExpectedOccupancy(serviceMs) < limit;
+    if (this.pool.models.length > 0) return true;
+    const count = this.callersInFlight.get(upstream) ?? 0;
+    return count < Math.floor(this.getWindow(upstream).size);
+  }
+
+  /** Whether scoring calls may have another slot of an upstream. */
+  hasScoringSlot(upstream: Upstream): boolean {
+    return upstream.getOccupancy() < this.getSlots(upstream, true);
   }
 
   private get now(): MonotonicMs {
@@ -298,6 +321,22 @@
     member.refuse(reason, retryAfterMs);
   }
 
+  private getWindow(upstream: Upstream): SendWindow {
+    const slots = Math.max(1, upstream.entry.slots);
+    return this.windows.get(upstream) ?? createSendWindow(slots);
+  }
+
+  private adaptWindow(upstream: Upstream, startedAt: MonotonicMs): void {
+    const feedback = {
+      slots: Math.max(1, upstream.entry.slots),
+      waiting: upstream.getWaitingCount(),
+      startedAt,
+      now: this.now,
+    };
+    const window = adaptSendWindow(this.getWindow(upstream), feedback);
+    this.windows.set(upstream, window);
+  }
+
   private addCaller(account: AccountId | null, upstream: Upstream): void {
     const work = this.work.get(account) ?? noWork;
     this.work.set(account, startWork(work, this.now));
--- a/packages/rollout/src/forwarding/queueSearch.ts
+++ b/packages/rollout/src/forwarding/queueSearch.ts
@@ -3,7 +3,7 @@
 
 import type {Upstream} from '../upstreams/index.js';
 import type {PlaceSearch, PlaceSeeker} from './placeSearch.js';
-import type {QueueMember, StartResult} from './poolQueue.js';
+import type {AttemptKind, QueueMember, StartResult} from './poolQueue.js';
 import {NOT_PERMITTED_REASON, chooseForRequest} from './upstreamForRequest.js';
 
 /**
@@ -53,7 +53,7 @@
     if (!seeker.mayContinue()) return 'left';
     const {tried, context} = seeker;
     if (context.clock.now() >= this.triedUntil) tried.clear();
-    const upstream = this.choose();
+    const upstream = this.choose(this.isBackground ? 'scoring' : 'caller');
     if (!upstream) return tried.size > 0 ? 'excluded' : 'no_room';
     seeker.send(upstream);
     return 'left';
@@ -77,7 +77,7 @@
   mayHedge(): boolean {
     const {context, request} = this.seeker;
     if (context.queue.hasWaiting(request.pool.id)) return false;
-    return this.choose() !== null;
+    return this.choose(this.hedgeKind) !== null;
   }
 
   stop(): void {
@@ -89,16 +89,20 @@
   private sendBeside(): void {
     const {context, request} = this.seeker;
     if (context.queue.hasWaiting(request.pool.id)) return;
-    const upstream = this.choose();
+    const upstream = this.choose(this.hedgeKind);
     if (upstream) this.seeker.send(upstream);
   }
 
-  private choose(): Upstream | null {
+  private get hedgeKind(): AttemptKind {
+    return this.isBackground ? 'scoring' : 'hedge';
+  }
+
+  private choose(kind: AttemptKind): Upstream | null {
     const {context, request, tried} = this.seeker;
-    const {pool, isBackground} = request;
+    const {pool} = request;
     const usable = context.directory.getUsable(pool.id);
     return chooseForRequest(context, request, usable, tried, {
-      hasSlot: upstream => context.queue.hasSlot(pool, upstream, isBackground),
+      hasSlot: upstream => context.queue.hasSlot(pool, upstream, kind),
     });
   }
 }
--- a/packages/rollout/src/upstreams/upstream.ts
+++ b/packages/rollout/src/upstreams/upstream.ts
@@ -3,7 +3,6 @@
 import {
   addUpstreamFailure,
   getExpectedPace,
-  getRemainingOccupancy,
   healthyUpstream,
   isUpstreamEjected,
 } from '@vanillacross/domain';
@@ -114,20 +113,11 @@
     return Math.max(this.inFlight, running + waiting);
   }
 
-  /**
-   * Returns the number of its requests that are expected to be left now.
-   *
-   * @param serviceMs Mean service time, ms; 0 if unknown.
-   */
-  getExpectedOccupancy(serviceMs: number): number {
-    if (!this.load) return this.inFlight;
-    const ageMs = this.clock.now() - this.load.at;
-    if (ageMs > MAX_LOAD_AGE_MS) return this.inFlight;
-    const {running, waiting} = this.load.value;
-    const {slots} = this.entry;
-    const requests = running + waiting;
-    const left = getRemainingOccupancy({requests, ageMs, slots, serviceMs});
-    return Math.max(this.inFlight, left);
+  /** Returns the number of requests that wait there; null if unknown. */
+  getWaitingCount(): number | null {
+    if (!this.load) return null;
+    const isOutdated = this.clock.now() - this.load.at > MAX_LOAD_AGE_MS;
+    return isOutdated ? null : this.load.value.waiting;
   }
 
   /** Returns the expected pace of its machine; 1 is the usual one. */
