--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -32,6 +32,7 @@
 export * from './sampleScheduler.js';
 export * from './rollout.js';
 export * from './sendLimit.js';
+export * from './sendWindow.js';
 export * from './servedVersions.js';
 export * from './serviceRate.js';
 export * from './settings.js';
