Move long samples from crowded engines to quiet ones

Cause: trainers continue when the longest samples of their target groups are done, 135 events of 43 ms at best; on crowded engines an event takes 58 to 63 ms, which the factor of 1.7 for a migration never reached.

--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -14,6 +14,7 @@
 export * from './dedup.js';
 export * from './delivery.js';
 export * from './entryUsage.js';
+export * from './migration.js';
 export * from './modelHomes.js';
 export * from './orderFencing.js';
 export * from './ejection.js';
--- a/packages/rollout/src/steps/engineSelector.ts
+++ b/packages/rollout/src/steps/engineSelector.ts
@@ -1,6 +1,6 @@
 import type {DomainId} from '@vanillacross/common';
-import type {TextOrigin} from '@vanillacross/domain';
-import {mayExtendText} from '@vanillacross/domain';
+import type {RunningSample, TextOrigin} from '@vanillacross/domain';
+import {isWorthMigrating, mayExtendText} from '@vanillacross/domain';
 
 import type {ConfigurationState} from '../configuration/index.js';
 import {pickWeightedPool} from '../configuration/index.js';
@@ -14,8 +14,23 @@
 /** A sample migrates if its engine is slower than another by this factor. */
 const SLOW_FACTOR = 1.7;
 
-/** Time that a migration must save with concentrated placement, ms. */
-const MIN_MIGRATION_SAVING_MS = 1_000;
+/** Whether a sample should migrate to another engine. */
+const isFasterByPlacement: Readonly<
+  Record<
+    SchedulingPolicy['placement'],
+    (sample: RunningSample, other: Upstream) => boolean
+  >
+> = {
+  spread: ({engine}, other) => {
+    const intervalMs = other.getEventIntervalMs() ?? Infinity;
+    return intervalMs * SLOW_FACTOR <= engine.intervalMs;
+  },
+  concentrated: (sample, other) =>
+    isWorthMigrating(sample, {
+      intervalMs: other.getEventIntervalMs(),
+      occupancy: other.getOccupancy(),
+    }),
+};
 
 export interface EngineSelectorOptions {
   configuration: ConfigurationState;
@@ -75,28 +90,21 @@
       .some(({entry}) => mayExtendText(task.text.origin, entry.software));
   }
 
-  /** Returns an engine that is known to be much faster than the current one. */
+  /** Returns an engine that is expected to be faster than the current one. */
   chooseFaster(task: SampleTask, current: Upstream): Upstream | null {
-    const currentIntervalMs = current.getEventIntervalMs();
+    const intervalMs = current.getEventIntervalMs();
     const pool = this.options.configuration.getPool(current.entry.pool);
-    if (currentIntervalMs === null || !pool) return null;
-    const isFaster = (upstream: Upstream) => {
-      const intervalMs = upstream.getEventIntervalMs() ?? Infinity;
-      return (
-        intervalMs * SLOW_FACTOR <= currentIntervalMs &&
-        this.isWorthMigrating(task, currentIntervalMs - intervalMs)
-      );
-    };
-    return this.choose(task, pool, task.text.origin, 1, isFaster);
-  }
-
-  /**
-   * Whether the time that a sample saves outweighs its new start. Lengths have
-   * a long tail, so as many events are expected as there are already.
-   */
-  private isWorthMigrating(task: SampleTask, savedPerEventMs: number): boolean {
-    if (this.options.policy.placement === 'spread') return true;
-    return task.text.lastEventId * savedPerEventMs >= MIN_MIGRATION_SAVING_MS;
+    if (intervalMs === null || !pool) return null;
+    const engine = {intervalMs, occupancy: current.getOccupancy()};
+    const sample = {events: task.text.lastEventId, engine};
+    const isFaster = isFasterByPlacement[this.options.policy.placement];
+    return this.choose(
+      task,
+      pool,
+      task.text.origin,
+      1,
+      other => other !== current && isFaster(sample, other),
+    );
   }
 
   private choose(
