Do not join the group after a stop

Cause: a process on a small machine reads the owners of partitions before it joins. If it was stopped during that read, the join was sent after the leave, and its partitions had no owner until the membership expired.

Change: MembershipTask ends after the read if it has been stopped.

Test: control/membershipTask.test.js, the new case failed before; 3 pass now.

--- a/packages/rollout/src/control/membershipTask.ts
+++ b/packages/rollout/src/control/membershipTask.ts
@@ -89,6 +89,8 @@
     const {clock} = this.options;
     while (!this.isStopped) {
       const isNeeded = await this.checkNeed();
+      // A join after the leave of a stop would keep partitions without an owner.
+      if (this.isStopped) return;
       if (isNeeded) await this.join();
       else if (this.isJoined) await this.leave();
       this.isJoined = isNeeded;
