Keep as many reserve processes as are needed

Cause: reserve processes counted each other as owners. With no regular process left, all of them joined, saw enough others and left at the same moment 5 s later, so that no partition had an owner until they joined again, and so on.

Change: reserves join the group under a name with a prefix. One that owns partitions counts on regular processes and on the reserves before it by name. Regular processes keep their names.

--- a/packages/domain/src/reserve.test.ts
+++ b/packages/domain/src/reserve.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
-import {idleReserve, updateReserve} from './reserve.js';
+import {getMemberName, idleReserve, updateReserve} from './reserve.js';
 
 const PARTITIONS = 6;
 
@@ -52,4 +52,28 @@
       assert.equal(isNeededAfter(owners.slice(0, 6)), true);
     });
   });
+
+  describe('processes on small machines only', () => {
+    it('keep as many owners as are needed (guards against reserves that leave all at once, again and again)', () => {
+      const names = Array.from({length: 8}, (_, index) =>
+        getMemberName(`small-${index}`, true),
+      );
+      const states = new Map(names.map(name => [name, idleReserve]));
+      const getMembers = () => names.filter(name => states.get(name)!.isNeeded);
+      for (let second = 0; second < 40; second++) {
+        const members = getMembers();
+        const owners = new Map<number, string>();
+        for (let part = 0; part < PARTITIONS && members.length > 0; part++) {
+          owners.set(part, members[part % members.length]);
+        }
+        for (const self of names) {
+          const ownership = {partitionCount: PARTITIONS, owners, self};
+          const now = (second * 1_000) as MonotonicMs;
+          states.set(self, updateReserve(states.get(self)!, ownership, now));
+        }
+        if (second >= 3) assert.notEqual(getMembers().length, 0, `${second} s`);
+      }
+      assert.equal(getMembers().length, 2);
+    });
+  });
 });
--- a/packages/domain/src/reserve.ts
+++ b/packages/domain/src/reserve.ts
@@ -19,6 +19,14 @@
 
 export const idleReserve: ReserveState = {isNeeded: false, changesAt: null};
 
+/** Prefix of the names of reserve processes in the group of owners. */
+const RESERVE_PREFIX = 'reserve.';
+
+/** Returns the name of a process in the group of owners. */
+export function getMemberName(process: string, isReserve: boolean): string {
+  return isReserve ? RESERVE_PREFIX + process : process;
+}
+
 /** Number of partitions that one regular process may own. */
 const MAX_PARTITIONS_PER_OWNER = 3;
 /**
@@ -29,12 +37,24 @@
 /** Time for which there must be enough owners before it leaves again, ms. */
 const LEAVE_DELAY_MS = 5_000;
 
+/**
+ * Returns the owners that this process counts on. While it owns partitions, those
+ * are the regular processes and the reserves before it in the order of names:
+ * reserves that counted on each other would all leave at once.
+ */
+function getOtherOwners({owners, self}: PartitionOwnership): string[] {
+  const names = new Set(owners.values());
+  const isOwner = names.delete(self);
+  return [...names].filter(
+    name => !isOwner || !name.startsWith(RESERVE_PREFIX) || name < self,
+  );
+}
+
 function isLackingOwners(ownership: PartitionOwnership): boolean {
-  const {partitionCount, owners, self} = ownership;
-  const others = new Set(owners.values());
-  others.delete(self);
+  const {partitionCount, owners} = ownership;
+  const otherCount = getOtherOwners(ownership).length;
   const isUnowned = owners.size < partitionCount;
-  return isUnowned || others.size * MAX_PARTITIONS_PER_OWNER < partitionCount;
+  return isUnowned || otherCount * MAX_PARTITIONS_PER_OWNER < partitionCount;
 }
 
 /**
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -1,5 +1,6 @@
 import type {Clock, Logger, Metrics} from '@vanillacross/common';
 import {getDeadline} from '@vanillacross/common';
+import {getMemberName} from '@vanillacross/domain';
 
 import {CallerServer} from './callers/index.js';
 import {ConfigurationState} from './configuration/index.js';
@@ -387,7 +388,7 @@
     this.membership = new MembershipTask({
       log,
       group: STEP_GROUP,
-      member: self.id,
+      member: getMemberName(self.id, options.isReserve),
       stream: this.streams.name,
       partitionCount: options.stepPartitionCount,
       minTtlMs: options.minTtlMs,
