Stop keeping connections open when a node is killed

Cause: the task that keeps connections to engines open went on after kill(), so that its timer kept the process alive.

Change: kill() stops it.

Test: platform requestLimit.test.js, whose nodes are killed at the end, had not ended after 60 s before; it ends after 27 s now, none failed.

--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -508,6 +508,7 @@
     this.isReady = false;
     this.assignment.stop();
     this.weightUpdater.stop();
+    this.refresher.stop();
     this.usage.halt();
     this.membership.halt();
     this.lease.halt();
