Send no health requests without end to engines without a version

Cause: an engine whose entry stated no version when it was listed has no refresh path, so that each refresh of a connection counted as a use and made the next one due, for as long as the engine was listed.

Change: without a refresh path no refresh is due.

--- /dev/null
+++ b/packages/rollout/src/upstreams/connectionPool.test.ts
@@ -0,0 +1,84 @@
+import type {RequestId, UpstreamId} from '@vanillacross/common';
+import {ManualClock, getDeadline, toBranded} from '@vanillacross/common';
+import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {describe, it} from 'node:test';
+
+import {rawDialect, startRawUpstream} from '../testing/rawUpstream.js';
+import {startExchange} from './exchange.js';
+import type {ConnectionOptions} from './upstream.js';
+import {Upstream} from './upstream.js';
+
+const HEALTH_PATH = '/health';
+
+/** Sends requests one after another; calls back after each, and at the end. */
+async function play(
+  connections: ConnectionOptions,
+  targets: readonly string[],
+  afterEach: (upstream: Upstream, clock: ManualClock) => void,
+): Promise<number> {
+  const raw = await startRawUpstream(socket =>
+    socket.write('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'),
+  );
+  const clock = new ManualClock();
+  const {entry} = raw.upstream;
+  const upstream = new Upstream(entry, clock, 0, undefined, connections);
+  for (const [index, target] of targets.entries()) {
+    await new Promise<void>((resolve, reject) =>
+      startExchange(
+        upstream,
+        rawDialect,
+        clock,
+        {
+          id: toBranded<RequestId>(`r${index}`),
+          method: 'GET',
+          target,
+          host: 'h',
+          headers: {},
+          account: null,
+          upstream: toBranded<UpstreamId>('raw'),
+          budgetMs: 1_000,
+          lastEventId: 0,
+          priority: null,
+        },
+        Buffer.alloc(0),
+        {
+          onHead: () => {},
+          onData: () => {},
+          onEnd: resolve,
+          onFailure: ({detail}) => reject(new Error(detail)),
+        },
+      ),
+    );
+    // The agent takes the connection back after the end of the response.
+    await sleep(5);
+    afterEach(upstream, clock);
+  }
+  const count = raw.getConnectionCount();
+  upstream.close();
+  await raw.close();
+  return count;
+}
+
+describe('ConnectionPool', () => {
+  describe('refreshes of an idle connection', () => {
+    const countDue = async (connections: ConnectionOptions) => {
+      const due: number[] = [];
+      const targets = ['/', HEALTH_PATH, HEALTH_PATH];
+      await play(connections, targets, (upstream, clock) => {
+        const later = getDeadline(clock.now(), 30_000);
+        due.push(upstream.agent.countRefreshDue(later));
+      });
+      return due;
+    };
+
+    it('are due once after a use', async () => {
+      const getRefreshPath = () => HEALTH_PATH;
+      assert.deepEqual(await countDue({getRefreshPath}), [1, 0, 0]);
+    });
+
+    it('are not due where no path is known (guards against health requests without end)', async () => {
+      assert.deepEqual(await countDue({}), [0, 0, 0]);
+    });
+  });
+});
--- a/packages/rollout/src/upstreams/connectionPool.ts
+++ b/packages/rollout/src/upstreams/connectionPool.ts
@@ -83,6 +83,8 @@
 
   /** Returns the number of idle connections that a request should keep open. */
   countRefreshDue(now: MonotonicMs): number {
+    // Without the path, refreshes would count as uses and be due without end.
+    if (this.getRefreshPath() === null) return 0;
     const due = Object.values(this.freeSockets)
       .flat()
       .filter(socket => {
