Send unrepeatable requests on connections that did not rest

Cause: with concentrated placement, idle connections to engines are kept for 30 s and the one that rested longest is used first. An upstream that closes it at that moment loses the request; a caller's stream or a request that is not idempotent cannot be sent again and failed.

Change: before such a request is sent, connections that were idle for more than 10 s are closed. With the default policy none are idle for so long.

Test: upstreams/connectionPool.test.js, one of 3 failed before, all pass now; exchange, forwardStream and requestForwarder tests pass.

--- a/packages/rollout/src/callers/forwardStream.ts
+++ b/packages/rollout/src/callers/forwardStream.ts
@@ -145,6 +145,7 @@
         upstream: upstream.id,
         budgetMs: request.deadline - context.clock.now(),
         lastEventId: 0,
+        isSentOnce: true,
       },
       request.body,
       this.getEvents(upstream),
--- a/packages/rollout/src/forwarding/requestForwarder.ts
+++ b/packages/rollout/src/forwarding/requestForwarder.ts
@@ -216,6 +216,7 @@
         budgetMs: this.getRemainingMs(),
         lastEventId: 0,
         priority: request.priority,
+        isSentOnce: !this.isIdempotent,
       },
       request.body,
       {
--- a/packages/rollout/src/model/ports.ts
+++ b/packages/rollout/src/model/ports.ts
@@ -250,6 +250,8 @@
   lastEventId: number;
   /** 0 is the highest priority; null uses the engine's default. */
   priority: number | null;
+  /** Whether it must not be sent again once an upstream may have executed it. */
+  isSentOnce?: boolean;
 }
 
 /** Load as reported by an upstream. */
--- a/packages/rollout/src/upstreams/connectionPool.test.ts
+++ b/packages/rollout/src/upstreams/connectionPool.test.ts
@@ -10,6 +10,8 @@
 import {Upstream} from './upstream.js';
 
 const HEALTH_PATH = '/health';
+/** Path of requests that must not be sent again. */
+const ORDER_PATH = '/order';
 
 /** Sends requests one after another; calls back after each, and at the end. */
 async function play(
@@ -40,6 +42,7 @@
           budgetMs: 1_000,
           lastEventId: 0,
           priority: null,
+          isSentOnce: target === ORDER_PATH,
         },
         Buffer.alloc(0),
         {
@@ -61,6 +64,16 @@
 }
 
 describe('ConnectionPool', () => {
+  it('sends only requests that can be sent again on a connection that rested (guards against requests that are lost as the upstream closes it)', async () => {
+    const countConnections = (targets: readonly string[], restMs: number) =>
+      play({idleTimeoutMs: 30_000}, targets, (_, clock) =>
+        clock.advance(restMs),
+      );
+    assert.equal(await countConnections(['/', '/'], 20_000), 1);
+    assert.equal(await countConnections(['/', ORDER_PATH], 9_000), 1);
+    assert.equal(await countConnections(['/', ORDER_PATH], 20_000), 2);
+  });
+
   describe('refreshes of an idle connection', () => {
     const countDue = async (connections: ConnectionOptions) => {
       const due: number[] = [];
--- a/packages/rollout/src/upstreams/connectionPool.ts
+++ b/packages/rollout/src/upstreams/connectionPool.ts
@@ -8,6 +8,12 @@
 
 import {watchForReset} from './responseEnd.js';
 
+/**
+ * Time for which upstreams are sure to keep an idle connection open, ms; the idle
+ * timeout of connections that are not kept for longer.
+ */
+export const MAX_REST_MS = 10_000;
+
 function closeOnData(this: Duplex): void {
   this.destroy();
 }
@@ -19,7 +25,10 @@
  */
 export class ConnectionPool extends http.Agent {
   private readonly lastRequests = new WeakMap<Duplex, RequestId>();
-  private readonly idleConnections = new WeakMap<Duplex, IdleConnection>();
+  private readonly idleConnections = new WeakMap<
+    Duplex,
+    IdleConnection & {idleSince: MonotonicMs}
+  >();
   private isRetired = false;
 
   /**
@@ -62,8 +71,24 @@
    * id that is expected of the next one.
    */
   closeAfter(id: RequestId): void {
+    this.closeIdle(socket => this.lastRequests.get(socket) === id);
+  }
+
+  /**
+   * Closes the connections that have been idle for so long that the upstream may
+   * be closing them, before a request is sent that can't be sent again.
+   */
+  closeRested(): void {
+    const now = this.clock.now();
+    this.closeIdle(socket => {
+      const idleSince = this.idleConnections.get(socket)?.idleSince ?? now;
+      return now - idleSince > MAX_REST_MS;
+    });
+  }
+
+  private closeIdle(isClosed: (socket: Duplex) => boolean): void {
     for (const socket of Object.values(this.freeSockets).flat()) {
-      if (!socket || this.lastRequests.get(socket) !== id) continue;
+      if (!socket || !isClosed(socket)) continue;
       // The agent removes the connection at once, so that it is not chosen.
       socket.emit('agentRemove');
       socket.destroy();
@@ -98,8 +123,9 @@
     const refreshes = this.idleConnections.get(socket)?.refreshes ?? 0;
     // The agent has set the socket's timeout to that of the upstream, if stated.
     const timeoutMs = (socket as Socket).timeout ?? Infinity;
-    const closesAt = getDeadline(this.clock.now(), timeoutMs);
-    this.idleConnections.set(socket, {closesAt, refreshes});
+    const idleSince = this.clock.now();
+    const closesAt = getDeadline(idleSince, timeoutMs);
+    this.idleConnections.set(socket, {idleSince, closesAt, refreshes});
   }
 
   override reuseSocket(socket: Duplex, request: http.ClientRequest): void {
--- a/packages/rollout/src/upstreams/exchange.ts
+++ b/packages/rollout/src/upstreams/exchange.ts
@@ -100,6 +100,7 @@
     const address = splitAddress(upstream.entry.address);
     const {agent} = upstream;
     agent.closeAfter(call.id);
+    if (call.isSentOnce) agent.closeRested();
     return ok(http.request({...address, method, path, headers, agent}));
   } catch (error) {
     return fail((error as Error).message);
--- a/packages/rollout/src/upstreams/upstream.ts
+++ b/packages/rollout/src/upstreams/upstream.ts
@@ -8,15 +8,10 @@
 } from '@vanillacross/domain';
 
 import type {Pool, ReportedLoad, UpstreamEntry} from '../model/index.js';
-import {ConnectionPool} from './connectionPool.js';
+import {ConnectionPool, MAX_REST_MS} from './connectionPool.js';
 import {IncarnationNotices} from './incarnationNotices.js';
 import {SentPrompts} from './sentPrompts.js';
 
-/**
- * Default idle timeout of connections, ms. It is shorter than that of upstreams,
- * so that this process closes them first.
- */
-const IDLE_CONNECTION_TIMEOUT_MS = 10_000;
 /** Age at which a reported load is ignored, ms. */
 const MAX_LOAD_AGE_MS = 500;
 /** Rate-limit window for requests to a cold upstream, ms. */
@@ -65,8 +60,8 @@
     connections: ConnectionOptions = {},
   ) {
     this.id = entry.id;
-    const {idleTimeoutMs = IDLE_CONNECTION_TIMEOUT_MS, getRefreshPath} =
-      connections;
+    // By default, this process closes idle connections before upstreams do.
+    const {idleTimeoutMs = MAX_REST_MS, getRefreshPath} = connections;
     this.agent = new ConnectionPool(
       clock,
       {
