Notice partitions of steps without an owner among many partitions

Cause: a reserve process compared the number of owned partitions of the stream with the number of partitions for steps. Where the stream has more, a partition of steps without an owner went unnoticed.

Change: only partitions for steps are counted.

--- a/packages/domain/src/reserve.test.ts
+++ b/packages/domain/src/reserve.test.ts
@@ -40,6 +40,19 @@
       assert.equal(isNeededAfter(repeat(['a'], 4)), true);
     });
 
+    it('joins if a partition of steps has no owner (guards against steps that nobody runs where the stream has more partitions)', () => {
+      const owners = new Map(
+        Array.from({length: PARTITIONS}, (_, part) => [
+          part + 1,
+          `${part % 2}`,
+        ]),
+      );
+      const ownership = {partitionCount: PARTITIONS, owners, self: 'small'};
+      let state = updateReserve(idleReserve, ownership, 0 as MonotonicMs);
+      state = updateReserve(state, ownership, 2_000 as MonotonicMs);
+      assert.equal(state.isNeeded, true);
+    });
+
     it('stays away during a restart of the others (guards against partitions that move twice)', () => {
       const owners = [...repeat(['a', 'b'], 3), [], ...repeat(['a', 'b'], 3)];
       assert.equal(isNeededAfter(owners), false);
--- a/packages/domain/src/reserve.ts
+++ b/packages/domain/src/reserve.ts
@@ -53,7 +53,9 @@
 function isLackingOwners(ownership: PartitionOwnership): boolean {
   const {partitionCount, owners} = ownership;
   const otherCount = getOtherOwners(ownership).length;
-  const isUnowned = owners.size < partitionCount;
+  // The stream may have more partitions than there are for steps.
+  const ownedCount = [...owners.keys()].filter(p => p < partitionCount).length;
+  const isUnowned = ownedCount < partitionCount;
   return isUnowned || otherCount * MAX_PARTITIONS_PER_OWNER < partitionCount;
 }
 
