Compute the share of a step at an engine once per round

Cause: for each queued sample and engine, the demand of all open steps was summed up, in each round (25 ms) and at each listed result: the cost grew with the product of samples, engines and steps.

Change: a share is computed once per step and engine between two refreshes.

--- a/packages/rollout/src/steps/slotShares.test.ts
+++ b/packages/rollout/src/steps/slotShares.test.ts
@@ -86,7 +86,13 @@
       .getUsable(POOL_ID)
       .filter(engine => shares.mayStart(tasks[0], engine))
       .map(({id}) => String(id));
-  return {clock, getEngines};
+  const engines = directory.getUsable(POOL_ID);
+  const startAll = () => {
+    for (const task of tasks) {
+      for (const engine of engines) shares.mayStart(task, engine);
+    }
+  };
+  return {clock, getEngines, engines, startAll};
 }
 
 describe('SlotShares', () => {
@@ -106,6 +112,18 @@
     });
   });
 
+  it('computes the share of a step once for all its samples (guards against rounds whose cost grows with the product of samples, engines and steps)', () => {
+    const {engines, startAll} = createFixture([0, 1]);
+    let reads = 0;
+    for (const {entry} of engines) {
+      const {slots} = entry;
+      const get = () => (reads++, slots);
+      Object.defineProperty(entry, 'slots', {get});
+    }
+    startAll();
+    assert.ok(reads <= ENGINES, `${reads} computations for 80 samples`);
+  });
+
   describe('when one of the processes has ended', () => {
     it('gives all engines to the other one', () => {
       assert.equal(createFixture([0, 1]).getEngines().length, ENGINES);
--- a/packages/rollout/src/steps/slotShares.ts
+++ b/packages/rollout/src/steps/slotShares.ts
@@ -36,6 +36,8 @@
   ownEngines: ReadonlySet<Upstream>;
   /** Number of its samples that this process runs on each engine. */
   running: Map<Upstream, number>;
+  /** Number of its samples that this process may run on an engine, if computed. */
+  shares: Map<Upstream, number>;
 }
 
 export interface SlotSharesOptions {
@@ -72,6 +74,7 @@
         engines,
         ownEngines: this.getOwnEngines(tracked, engines),
         running: new Map(),
+        shares: new Map(),
       });
     }
     for (const task of tasks) {
@@ -94,23 +97,34 @@
     if (!own || waitedMs > KEEP_TO_SHARES_MS) return true;
     const isOwnEngine = own.ownEngines.has(engine);
     if (!isOwnEngine && waitedMs <= KEEP_TO_OWN_ENGINES_MS) return false;
+    const share = own.shares.get(engine) ?? this.computeShare(own, engine);
+    own.shares.set(engine, share);
+    return (own.running.get(engine) ?? 0) < share;
+  }
+
+  /**
+   * Returns how many samples of a step this process may run on an engine. The
+   * same for all its samples until the next refresh.
+   */
+  private computeShare(own: TrackedDemand, engine: Upstream): number {
     const others = [...this.demands.values()]
       .filter(demand => demand !== own && demand.engines.has(engine))
       .map(({unfinished, engines}) => ({
         unfinished,
         engineCount: engines.size,
       }));
-    const share = getSlotShare({
+    return getSlotShare({
       slots: engine.entry.slots,
       own: {
         unfinished: own.unfinished,
-        ownUnfinished: isOwnEngine ? own.unfinished : own.ownUnfinished,
+        ownUnfinished: own.ownEngines.has(engine)
+          ? own.unfinished
+          : own.ownUnfinished,
         engineCount: own.engines.size,
       },
       others,
       rounding: ROUNDING,
     });
-    return (own.running.get(engine) ?? 0) < share;
   }
 
   /**
