Refresh the idle connections that are due

Cause: a health request takes the connection that has been idle for longest, which may be one that has had its refresh already.

Change: connections that are due come first in the agent's list.

--- a/packages/rollout/src/upstreams/connectionPool.test.ts
+++ b/packages/rollout/src/upstreams/connectionPool.test.ts
@@ -1,10 +1,14 @@
-import type {RequestId, UpstreamId} from '@vanillacross/common';
+import type {MonotonicMs, RequestId, UpstreamId} from '@vanillacross/common';
 import {ManualClock, getDeadline, toBranded} from '@vanillacross/common';
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import * as http from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {describe, it} from 'node:test';
 
 import {rawDialect, startRawUpstream} from '../testing/rawUpstream.js';
+import {ConnectionPool} from './connectionPool.js';
 import {startExchange} from './exchange.js';
 import type {ConnectionOptions} from './upstream.js';
 import {Upstream} from './upstream.js';
@@ -80,7 +84,7 @@
       const targets = ['/', HEALTH_PATH, HEALTH_PATH];
       await play(connections, targets, (upstream, clock) => {
         const later = getDeadline(clock.now(), 30_000);
-        due.push(upstream.agent.countRefreshDue(later));
+        due.push(upstream.agent.prepareRefreshes(later));
       });
       return due;
     };
@@ -90,6 +94,49 @@
       assert.deepEqual(await countDue({getRefreshPath}), [1, 0, 0]);
     });
 
+    it('use the connections that are due (guards against connections that are closed while others are refreshed twice)', async () => {
+      const refreshed = new Set<number | undefined>();
+      const pool = new ConnectionPool(
+        new ManualClock(),
+        {keepAlive: true, timeout: 9_000, scheduling: 'fifo'},
+        () => HEALTH_PATH,
+      );
+      const server = http.createServer((request, response) => {
+        if (request.url === HEALTH_PATH) {
+          refreshed.add(request.socket.remotePort);
+        }
+        response.end();
+      });
+      server.listen(0, '127.0.0.1');
+      await once(server, 'listening');
+      const {port} = server.address() as AddressInfo;
+      const send = (path: string) =>
+        new Promise<void>(resolve => {
+          const options = {host: '127.0.0.1', port, path, agent: pool};
+          http.get(options, response => response.resume().on('end', resolve));
+        });
+      const refresh = async () => {
+        const later = 8_000 as MonotonicMs;
+        for (let n = pool.prepareRefreshes(later); n > 0; n--) {
+          await send(HEALTH_PATH);
+        }
+        await sleep(5);
+      };
+      // Two connections are refreshed, and only one of them is used afterwards.
+      await Promise.all([send('/'), send('/')]);
+      await sleep(5);
+      await refresh();
+      assert.equal(refreshed.size, 2);
+      await send('/');
+      await sleep(5);
+      refreshed.clear();
+      await refresh();
+      assert.equal(refreshed.size, 1);
+      assert.equal(pool.prepareRefreshes(8_000 as MonotonicMs), 0);
+      pool.destroy();
+      server.close();
+    });
+
     it('are not due where no path is known (guards against health requests without end)', async () => {
       assert.deepEqual(await countDue({}), [0, 0, 0]);
     });
--- a/packages/rollout/src/upstreams/connectionPool.ts
+++ b/packages/rollout/src/upstreams/connectionPool.ts
@@ -106,17 +106,28 @@
     return isKept;
   }
 
-  /** Returns the number of idle connections that a request should keep open. */
-  countRefreshDue(now: MonotonicMs): number {
+  /**
+   * Returns the number of idle connections that a request should keep open. The
+   * next requests use these connections.
+   */
+  prepareRefreshes(now: MonotonicMs): number {
     // Without the path, refreshes would count as uses and be due without end.
     if (this.getRefreshPath() === null) return 0;
-    const due = Object.values(this.freeSockets)
-      .flat()
-      .filter(socket => {
-        const idle = socket && this.idleConnections.get(socket);
-        return idle && isRefreshDue(idle, now);
-      });
-    return due.length;
+    let count = 0;
+    for (const sockets of Object.values(this.freeSockets)) {
+      if (!sockets) continue;
+      const due = sockets.filter(socket => this.isRefreshDue(socket, now));
+      const others = sockets.filter(socket => !due.includes(socket));
+      // The agent takes the first one.
+      sockets.splice(0, sockets.length, ...due, ...others);
+      count += due.length;
+    }
+    return count;
+  }
+
+  private isRefreshDue(socket: Duplex, now: MonotonicMs): boolean {
+    const idle = this.idleConnections.get(socket);
+    return idle !== undefined && isRefreshDue(idle, now);
   }
 
   private recordIdle(socket: Duplex): void {
--- a/packages/rollout/src/upstreams/connectionRefresher.ts
+++ b/packages/rollout/src/upstreams/connectionRefresher.ts
@@ -51,7 +51,7 @@
     for (const pool of getPools()) {
       for (const upstream of directory.getUsable(pool.id)) {
         if (upstream.isCold() || upstream.notices.limit !== null) continue;
-        const due = upstream.agent.countRefreshDue(clock.now());
+        const due = upstream.agent.prepareRefreshes(clock.now());
         for (let index = 0; index < due; index++) this.refresh(pool, upstream);
       }
     }
