Avoid upstreams that have become slow

Cause: with concentrated placement, plain upstreams with half of their slots free cost nothing, whatever their speed. Scoring calls went on to upstreams that had become five times slower as long as their connections were idle.

Change: the time of recent requests at an upstream, relative to the median of the candidates, counts as its pace, beside the pace that its machine states.

--- a/packages/rollout/src/forwarding/requestForwarder.ts
+++ b/packages/rollout/src/forwarding/requestForwarder.ts
@@ -260,7 +260,9 @@
   private handleEnd(attempt: Attempt): void {
     this.attempts.delete(attempt);
     const {head, upstream} = attempt;
-    attempt.recordEnd(head !== null && !head.isNotRun && !head.isMisdirected);
+    const isExecuted = head !== null && !head.isNotRun && !head.isMisdirected;
+    attempt.recordEnd(isExecuted);
+    if (isExecuted) this.recordServiceTime(attempt);
     if (this.isDone) return;
     if (!head) return this.retry(upstream, 'answer without a head');
     if (head.isNotRun || head.isMisdirected) {
@@ -365,8 +367,15 @@
     clock.callAt(until, () => this.abort(attempt));
   }
 
-  private abort({exchange, recordEnd}: Attempt): void {
-    exchange.abort();
-    recordEnd(false);
+  private recordServiceTime({exchange, upstream}: Attempt): void {
+    const {clock} = this.context;
+    upstream.recordServiceTime(clock.now() - exchange.startedAt);
+  }
+
+  private abort(attempt: Attempt): void {
+    // An attempt that lost a race has taken at least this long.
+    if (this.attempts.has(attempt)) this.recordServiceTime(attempt);
+    attempt.exchange.abort();
+    attempt.recordEnd(false);
   }
 }
--- a/packages/rollout/src/upstreams/chooseUpstream.test.ts
+++ b/packages/rollout/src/upstreams/chooseUpstream.test.ts
@@ -136,4 +136,32 @@
       assert.equal(play(UPSTREAMS * 2).mostAtOne, 2);
     });
   });
+
+  describe('with concentrated placement', () => {
+    const placement = {waitingCount: 1, getSavedWork: () => 0};
+    /** Sends requests one by one; returns how many each upstream gets. */
+    const send = (serviceMs: Record<string, number>, requests: number) => {
+      const {directory, list, clock} = createDirectoryFixture();
+      for (const id of Object.keys(serviceMs)) list(id);
+      const counts: Record<string, number> = {};
+      for (let request = 0; request < requests; request++) {
+        const usable = directory.getUsable(POOL_ID);
+        const criteria = {...callerCriteria, placement};
+        const {id} = chooseUpstream(usable, criteria)!;
+        counts[id] = (counts[id] ?? 0) + 1;
+        directory.get(id)!.recordServiceTime(serviceMs[id]);
+        clock.advance(10);
+      }
+      return counts;
+    };
+
+    it('gives few requests to an upstream that has become slow (guards against calls that wait there while others have room)', () => {
+      const counts = send({fast1: 40, fast2: 45, slow: 220}, 60);
+      assert.ok((counts.slow ?? 0) <= 6, JSON.stringify(counts));
+    });
+
+    it('uses a slow upstream if it is alone', () => {
+      assert.deepEqual(send({slow: 220}, 3), {slow: 3});
+    });
+  });
 });
--- a/packages/rollout/src/upstreams/chooseUpstream.ts
+++ b/packages/rollout/src/upstreams/chooseUpstream.ts
@@ -87,10 +87,23 @@
   return Math.max(1, intervalMs / shortestIntervalMs);
 }
 
+/**
+ * Returns the time of requests there relative to the median of the candidates;
+ * the shortest time would be one of a few requests that happened to be short.
+ */
+function getRelativeServiceTime(
+  upstream: Upstream,
+  {medianServiceMs}: CandidateSummary,
+): number {
+  const serviceMs = upstream.getServiceTimeMs();
+  if (serviceMs === null || medianServiceMs === null) return 1;
+  return Math.max(1, serviceMs / medianServiceMs);
+}
+
 function getConcentratedCost(
   upstream: Upstream,
   criteria: UpstreamCriteria,
-  {shortestIntervalMs, fillLevel}: CandidateSummary,
+  summary: CandidateSummary,
 ): number {
   const isFree =
     criteria.weights === null &&
@@ -99,13 +112,14 @@
     occupancy: isFree ? 0 : upstream.getOccupancy(),
     pace: Math.max(
       upstream.getPace(),
-      getSlowness(upstream, shortestIntervalMs),
+      getSlowness(upstream, summary.shortestIntervalMs),
+      getRelativeServiceTime(upstream, summary),
     ),
     isOtherDomain: upstream.entry.domain !== criteria.domain,
     hasIdleConnection: upstream.hasIdleConnection(),
     savedWork: criteria.placement?.getSavedWork(upstream) ?? 0,
   };
-  return getPlacementCost(candidate, Math.max(1, fillLevel)).total;
+  return getPlacementCost(candidate, Math.max(1, summary.fillLevel)).total;
 }
 
 function getSpreadCost(
@@ -127,6 +141,8 @@
 /** What the cost of a candidate is relative to. */
 interface CandidateSummary {
   shortestIntervalMs: number;
+  /** Null if unknown. */
+  medianServiceMs: number | null;
   /** Number of requests of the least loaded candidates after all are placed. */
   fillLevel: number;
 }
@@ -143,18 +159,28 @@
   const occupancies = candidates.map(upstream => upstream.getOccupancy());
   return {
     shortestIntervalMs: getShortestEventIntervalMs(candidates),
+    medianServiceMs: getMedian(candidates.map(u => u.getServiceTimeMs())),
     fillLevel: getFillLevel(occupancies, waitingCount),
   };
 }
 
+/** Returns the shortest known time, ms; 1 if none is known. */
+function getShortest(timesMs: ReadonlyArray<number | null>): number {
+  const known = timesMs.filter(time => time !== null);
+  return Math.max(1, known.length === 0 ? 1 : Math.min(...known));
+}
+
+/** Returns the median of the known times, the lower one of two; null without. */
+function getMedian(timesMs: ReadonlyArray<number | null>): number | null {
+  const known = timesMs.filter(time => time !== null).sort((a, b) => a - b);
+  return known.length === 0 ? null : known[Math.floor((known.length - 1) / 2)];
+}
+
 /** Returns the shortest known event interval, ms; 1 if none is known. */
 export function getShortestEventIntervalMs(
   upstreams: readonly Upstream[],
 ): number {
-  const intervals = upstreams
-    .map(u => u.getEventIntervalMs())
-    .filter(interval => interval !== null);
-  return Math.max(1, intervals.length === 0 ? 1 : Math.min(...intervals));
+  return getShortest(upstreams.map(u => u.getEventIntervalMs()));
 }
 
 /** Returns the cheapest upstream that meets the criteria, or null. */
--- a/packages/rollout/src/upstreams/upstream.ts
+++ b/packages/rollout/src/upstreams/upstream.ts
@@ -19,6 +19,10 @@
 /** Margin that is added to the cold time an upstream reports, ms. */
 const COLD_MARGIN_MS = 500;
 
+/** Smoothing factor of the moving average of service times. */
+const SERVICE_TIME_SMOOTHING = 0.3;
+/** Age at which a service time is ignored, ms. */
+const MAX_SERVICE_TIME_AGE_MS = 2_000;
 /** Smoothing factor of the moving average of event intervals. */
 const EVENT_INTERVAL_SMOOTHING = 0.1;
 /** Age at which an event interval is ignored, ms. */
@@ -45,6 +49,7 @@
   private load: {value: ReportedLoad; at: MonotonicMs} | null = null;
   private readonly seenVersions = new Map<string, number>();
   private eventInterval: {ms: number; at: MonotonicMs} | null = null;
+  private serviceTime: {ms: number; at: MonotonicMs} | null = null;
   private recentStarts: MonotonicMs[] = [];
   private readonly endListeners: Array<() => void> = [];
   /** When this process read the newest entry. */
@@ -117,6 +122,20 @@
     this.eventInterval = {ms, at: this.clock.now()};
   }
 
+  /** Records how long a request took there, ms. */
+  recordServiceTime(serviceMs: number): void {
+    const previous = this.getServiceTimeMs() ?? serviceMs;
+    const ms = previous + (serviceMs - previous) * SERVICE_TIME_SMOOTHING;
+    this.serviceTime = {ms, at: this.clock.now()};
+  }
+
+  /** Returns the average time of recent requests, ms; null if unknown. */
+  getServiceTimeMs(): number | null {
+    if (!this.serviceTime) return null;
+    const ageMs = this.clock.now() - this.serviceTime.at;
+    return ageMs > MAX_SERVICE_TIME_AGE_MS ? null : this.serviceTime.ms;
+  }
+
   /** Returns the time since the last event of any stream, ms. */
   getLastEventAgeMs(): number {
     if (!this.eventInterval) return Infinity;
