--- a/packages/domain/src/migration.ts
+++ b/packages/domain/src/migration.ts
@@ -18,11 +18,14 @@
  * events: from 43 ms for one to about 60 ms for six.
  */
 const CROWDING = 0.08;
+/** Factor by which an engine on a slow machine is slower than another one. */
+const SLOW_FACTOR = 1.7;
 /**
- * Time that a migration must save, ms: the new run takes about 100 ms to its first
- * event, a connection and the time of the engine that reads the text so far.
+ * Time that a migration must save, ms. The new run takes about 100 ms to its
+ * first event, a connection and the time of the engine that reads the text so
+ * far. A crowd at an engine may leave by itself, so it must save more.
  */
-const MIN_SAVING_MS = 400;
+const MIN_SAVING_MS = {slow: 400, crowded: 1_500};
 
 /** Returns the expected time between events of a sample that is added, ms. */
 function getIntervalThere(
@@ -45,6 +48,8 @@
   sample: RunningSample,
   other: EngineActivity,
 ): boolean {
-  const savedMs = sample.engine.intervalMs - getIntervalThere(sample, other);
-  return sample.events * savedMs >= MIN_SAVING_MS;
+  const {intervalMs} = sample.engine;
+  const thereMs = getIntervalThere(sample, other);
+  const cause = intervalMs >= thereMs * SLOW_FACTOR ? 'slow' : 'crowded';
+  return sample.events * (intervalMs - thereMs) >= MIN_SAVING_MS[cause];
 }
--- a/packages/rollout/src/control/weightPlan.ts
+++ b/packages/rollout/src/control/weightPlan.ts
@@ -27,6 +27,11 @@
   ageMs: number;
   /** Oldest version that all open steps can use. */
   neededVersion: number;
+  /**
+   * Oldest version that the step after the announcement is expected to need; 0 if
+   * unknown.
+   */
+  expectedVersion: number;
 }
 
 export interface WeightPlanInput {
@@ -188,17 +193,20 @@
   busy: ReadonlySet<PlannedUpstream>,
 ): PlannedUpstream[] {
   const {upstreams, announced} = input;
-  const {version, ageMs, neededVersion} = announced.get(model)!;
+  const {version, ageMs, neededVersion, expectedVersion} =
+    announced.get(model)!;
+  const oldestInUse = Math.max(neededVersion, expectedVersion);
   const isServing = (upstream: PlannedUpstream) =>
     upstream.updatingModel !== model &&
-    getVersion(upstream, model) >= neededVersion;
+    getVersion(upstream, model) >= oldestInUse;
   const serving = upstreams.filter(isServing);
   const free = upstreams
     .filter(upstream => !busy.has(upstream) && !upstream.isBackingOff)
     .filter(upstream => getVersion(upstream, model) < version);
   const ranked = rankUpstreams(input, model, free);
   const notServing = ranked.filter(upstream => !isServing(upstream));
-  const isSettled = ageMs >= SETTLE_DELAY_MS || serving.length === 0;
+  const isSettled =
+    expectedVersion > 0 || ageMs >= SETTLE_DELAY_MS || serving.length === 0;
   const updatingCount = upstreams.filter(
     upstream => upstream.updatingModel === model,
   ).length;
--- a/packages/rollout/src/control/weightUpdater.ts
+++ b/packages/rollout/src/control/weightUpdater.ts
@@ -65,6 +65,8 @@
   /** Model that each engine with an update in progress is loading. */
   private readonly updating = new Map<Upstream, string>();
   private readonly backoffUntil = new Map<Upstream, MonotonicMs>();
+  /** By model, how far the versions that its steps need are behind the newest. */
+  private readonly versionLags = new Map<string, number>();
   private isStopped = false;
 
   constructor(private readonly options: WeightUpdaterOptions) {}
@@ -132,11 +134,32 @@
       if (!pool.models.includes(model)) continue;
       const ageMs = clock.now() - announcedAt;
       const neededVersion = getNeededVersion(model);
-      announced.set(model, {version, ageMs, neededVersion});
+      const isConcentrated = this.options.policy.placement === 'concentrated';
+      const expectedVersion = isConcentrated
+        ? this.getExpectedVersion(model, version, neededVersion)
+        : 0;
+      announced.set(model, {version, ageMs, neededVersion, expectedVersion});
     }
     return announced;
   }
 
+  /**
+   * Returns the oldest version that the next step of a model is expected to need:
+   * as far behind the newest one as that of its steps so far; 0 if unknown.
+   */
+  private getExpectedVersion(
+    model: string,
+    version: number,
+    neededVersion: number,
+  ): number {
+    const known = this.versionLags.get(model) ?? Infinity;
+    const lag = version - neededVersion;
+    if (neededVersion > 0 && lag >= 0 && lag < known) {
+      this.versionLags.set(model, lag);
+    }
+    return Math.max(0, version - (this.versionLags.get(model) ?? version));
+  }
+
   private getPlannedUpstream(
     engine: Upstream,
     announced: ReadonlyMap<string, AnnouncedModel>,
--- a/packages/rollout/src/steps/slotShares.ts
+++ b/packages/rollout/src/steps/slotShares.ts
@@ -13,12 +13,12 @@
  * Time for which a queued sample keeps to the engines of its process, ms. Others
  * take it afterwards, because those of its process may be slow or loading.
  */
-const KEEP_TO_OWN_ENGINES_MS = 150;
+const KEEP_TO_OWN_ENGINES_MS = 100;
 /**
  * Time for which a queued sample keeps to the shares, ms. The shares follow the
  * listed results with a delay, so they may leave a slot free for too long.
  */
-const KEEP_TO_SHARES_MS = 400;
+const KEEP_TO_SHARES_MS = 200;
 
 /** Fraction of the engines of a step that are home engines if there are enough. */
 const MIN_HOME_SHARE = 0.4;
