Explain placements on the metrics address of a node

Cause: an operator can not see why a request or sample goes where it goes; the lines in the logs tell only what was sent.

Change: GET /explain-placement answers from the state of the process, with all candidates, the terms of their costs, what excludes the others, the queue and a refusal. The choice and the queue share their rules with the explanation; only the cold limit has a second form, which does not drop recent starts. The places in a queue are computed in a function of their own, in the same order.

--- a/packages/rollout/src/configuration/routes.ts
+++ b/packages/rollout/src/configuration/routes.ts
@@ -67,6 +67,19 @@
   );
 }
 
+/** Returns the fraction of a route's requests that each of its pools gets. */
+export function getPoolShares(route: Route): Map<PoolId, number> {
+  const total = route.targets.reduce((sum, {weight}) => sum + weight, 0);
+  const last = route.targets.at(-1);
+  if (last && total === 0) return new Map([[last.pool, 1]]);
+  const shares = new Map<PoolId, number>();
+  for (const {pool, weight} of route.targets) {
+    if (weight === 0) continue;
+    shares.set(pool, (shares.get(pool) ?? 0) + weight / total);
+  }
+  return shares;
+}
+
 /** Picks one of a route's pools at random, in proportion to the weights. */
 export function pickWeightedPool(
   route: Route,
--- a/packages/rollout/src/forwarding/admissionQueue.ts
+++ b/packages/rollout/src/forwarding/admissionQueue.ts
@@ -1,9 +1,16 @@
 import type {PoolId} from '@vanillacross/common';
 import {getDeadline} from '@vanillacross/common';
+import {MIN_RETRY_AFTER_MS} from '@vanillacross/domain';
 
 import type {Pool} from '../model/index.js';
 import type {Upstream} from '../upstreams/index.js';
-import type {AttemptKind, PoolQueueOptions, QueueMember} from './poolQueue.js';
+import type {
+  AttemptKind,
+  PoolQueueOptions,
+  PreviewedRequest,
+  QueueMember,
+  QueuePreview,
+} from './poolQueue.js';
 import {PoolQueue} from './poolQueue.js';
 
 /**
@@ -45,7 +52,7 @@
   }
 
   hasWaiting(pool: PoolId): boolean {
-    return (this.pools.get(pool)?.size ?? 0) > 0;
+    return this.count(pool) > 0;
   }
 
   /** Notes an attempt; returns a function that notes its end. */
@@ -85,6 +92,29 @@
     for (const queue of this.pools.values()) queue.refuseAll(STOPPING_REASON);
   }
 
+  /** Returns how many requests wait for a pool. */
+  count(pool: PoolId): number {
+    return this.pools.get(pool)?.size ?? 0;
+  }
+
+  /** Returns what would become of a request that joined; changes nothing. */
+  preview(pool: Pool, request: PreviewedRequest): QueuePreview {
+    const preview = this.peek(pool).preview(request);
+    if (!this.isStopping) return preview;
+    const retryAfterMs = MIN_RETRY_AFTER_MS;
+    return {...preview, refusal: {reason: STOPPING_REASON, retryAfterMs}};
+  }
+
+  /** Returns the same as `hasSlot`; changes nothing. */
+  wouldHaveSlot(pool: Pool, upstream: Upstream, kind: AttemptKind): boolean {
+    return this.peek(pool).hasSlot(upstream, kind);
+  }
+
+  /** Returns the queue of a pool, or one that it would begin with. */
+  private peek(pool: Pool): PoolQueue {
+    return this.pools.get(pool.id) ?? new PoolQueue(pool, this.options);
+  }
+
   private getQueue(pool: Pool): PoolQueue {
     let queue = this.pools.get(pool.id);
     if (!queue) {
--- a/packages/rollout/src/forwarding/poolQueue.ts
+++ b/packages/rollout/src/forwarding/poolQueue.ts
@@ -1,13 +1,6 @@
 import type {AccountId, Clock, Logger, Metrics} from '@vanillacross/common';
 import type {MonotonicMs} from '@vanillacross/common';
-import type {
-  AccountWork,
-  OrderedRequest,
-  SendWindow,
-  ServiceRate,
-  WaitPlace,
-  WaitRefusal,
-} from '@vanillacross/domain';
+import type {AccountWork, SendWindow, WaitRefusal} from '@vanillacross/domain';
 import {
   MIN_RETRY_AFTER_MS,
   addPeak,
@@ -17,13 +10,10 @@
   advanceRate,
   createSendWindow,
   createServiceRate,
-  decideQueueWait,
   emptyPeakWindow,
   endWork,
   getBackgroundSlots,
   getPeak,
-  getReturnTime,
-  getStartIntervalMs,
   getWorkMs,
   noWork,
   orderCallers,
@@ -33,31 +23,25 @@
 
 import type {Pool} from '../model/index.js';
 import type {Upstream, UpstreamDirectory} from '../upstreams/index.js';
-import {getPlaceAt} from './upstreamForRequest.js';
+import type {
+  Lane,
+  MemberPlace,
+  PreviewedRequest,
+  QueueMember,
+  QueuePreview,
+} from './queuePlaces.js';
+import {getPlaces} from './queuePlaces.js';
+
+export type {
+  PreviewedRequest,
+  QueueMember,
+  QueuePreview,
+  StartResult,
+} from './queuePlaces.js';
 
 /** Number of accounts without running attempts above which they are dropped. */
 const MAX_ACCOUNTS = 1_000;
 
-/**
- * Result of an attempt to start a waiting request. It `left` the queue, or there
- * is `no_room` for any request of its kind, or there may be room only at
- * upstreams that it has just tried.
- */
-export type StartResult = 'left' | 'no_room' | 'excluded';
-
-/** A request that waits for a slot. */
-export interface QueueMember extends OrderedRequest {
-  id: string;
-  /** Whether it is a scoring call. */
-  isBackground: boolean;
-  /** Starts it if there is room. */
-  tryStart(): StartResult;
-  /** Returns why it must not wait any longer, or null. */
-  getEndReason(): string | null;
-  /** Ends it without running it, now or later. */
-  refuse(reason: string, retryAfterMs: number): void;
-}
-
 export interface PoolQueueOptions {
   directory: UpstreamDirectory;
   clock: Clock;
@@ -65,22 +49,6 @@
   metrics: Metrics;
 }
 
-/** The waiting requests of one kind, and how fast they get slots. */
-interface Lane {
-  isBackground: boolean;
-  /** When each request began to wait. */
-  members: Map<QueueMember, MonotonicMs>;
-  rate: ServiceRate;
-  /** When the caller refused last is to return. */
-  lastReturnAt: number;
-}
-
-const refusalTexts: Readonly<Record<WaitRefusal, string>> = {
-  no_upstream: 'no upstream is listed',
-  deadline: 'the expected wait exceeds the time left',
-  full: 'too many requests wait',
-};
-
 /**
  * What an attempt is for. A `hedge` is sent beside an open attempt and is useful
  * only if it runs at once.
@@ -262,38 +230,57 @@
     if (isContended) lane.rate = addStart(lane.rate);
   }
 
-  private refuseLate(lane: Lane, entering?: QueueMember): void {
+  private refuseLate(lane: Lane, entering: QueueMember | null = null): void {
     if (lane.members.size === 0) return;
     this.advance(lane);
-    const intervalMs = getStartIntervalMs(lane.rate, this.getLaneSlots(lane));
-    const usable = this.getUsable();
-    const hasLimits = getPlaceAt(usable, () => 0, this.now) !== null;
-    const getPlace = (member: QueueMember, before: number): WaitPlace => ({
+    for (const {member, refusal} of this.getPlaces(lane, entering)) {
+      if (!refusal) continue;
+      const {cause, reason, returnAt} = refusal;
+      lane.lastReturnAt = returnAt;
+      const retryAfterMs = Math.round(returnAt - this.now);
+      this.refuse(lane, member, cause, reason, retryAfterMs);
+    }
+  }
+
+  private getPlaces(lane: Lane, entering: QueueMember | null): MemberPlace[] {
+    return getPlaces({
+      lane,
+      ordered: this.getOrder(lane),
+      entering,
+      slots: this.getLaneSlots(lane),
+      usable: this.getUsable(),
       now: this.now,
-      deadline: member.deadline,
-      isWaiting: member !== entering,
-      before,
-      intervalMs,
-      serviceMs: lane.rate.serviceMs,
-      permitAt: hasLimits
-        ? (getPlaceAt(usable, () => before, this.now) as MonotonicMs)
-        : null,
     });
-    let before = 0;
-    for (const member of this.getOrder(lane)) {
-      const decision = decideQueueWait(getPlace(member, before));
-      if (decision.tag === 'wait') {
-        before++;
-        continue;
-      }
-      const {reason} = decision;
-      const last = getPlace(member, lane.members.size - 1);
-      lane.lastReturnAt = getReturnTime(last, lane.lastReturnAt);
-      const retryAfterMs = Math.round(lane.lastReturnAt - this.now);
-      const isLimited = hasLimits && reason === 'deadline';
-      const text = isLimited ? 'over the request limits' : refusalTexts[reason];
-      this.refuse(lane, member, reason, text, retryAfterMs);
-    }
+  }
+
+  /** Returns what would become of a request that joined; changes nothing. */
+  preview(request: PreviewedRequest): QueuePreview {
+    const member: QueueMember = {
+      ...request,
+      id: '',
+      tryStart: () => 'left',
+      getEndReason: () => null,
+      refuse: () => undefined,
+    };
+    const lane = this.getLane(member);
+    const slots = lane.members.size > 0 ? this.getLaneSlots(lane) : 0;
+    const places = this.getPlaces(
+      {
+        ...lane,
+        rate: advanceRate(lane.rate, slots, this.now),
+        members: new Map([...lane.members, [member, this.now]]),
+      },
+      member,
+    );
+    const place = places.find(other => other.member === member);
+    const refusal = place?.refusal ?? null;
+    return {
+      before: place?.before ?? 0,
+      refusal: refusal && {
+        reason: refusal.reason,
+        retryAfterMs: Math.round(refusal.returnAt - this.now),
+      },
+    };
   }
 
   private refuse(
--- a/packages/rollout/src/forwarding/upstreamForRequest.ts
+++ b/packages/rollout/src/forwarding/upstreamForRequest.ts
@@ -4,6 +4,7 @@
 
 import type {SchedulingPolicy} from '../model/index.js';
 import type {PlacementCriteria, Upstream} from '../upstreams/index.js';
+import type {UpstreamCriteria} from '../upstreams/index.js';
 import {chooseUpstream} from '../upstreams/index.js';
 import type {ForwardContext, ForwardRequest} from './types.js';
 
@@ -32,11 +33,21 @@
   request: ForwardRequest,
   usable: readonly Upstream[],
   tried: ReadonlySet<Upstream>,
-  {origin = noText, hasSlot}: ChoiceLimits = {},
+  limits: ChoiceLimits = {},
 ): Upstream | null {
-  const {pool, isBackground} = request;
-  context.directory.recordDemand(pool.id);
-  return chooseUpstream(usable, {
+  context.directory.recordDemand(request.pool.id);
+  const criteria = getRequestCriteria(context, request, tried, limits);
+  return chooseUpstream(usable, criteria);
+}
+
+/** Returns what an upstream must meet for the next attempt of a request. */
+export function getRequestCriteria(
+  context: ForwardContext,
+  {pool, isBackground}: Pick<ForwardRequest, 'pool' | 'isBackground'>,
+  tried: ReadonlySet<Upstream>,
+  {origin = noText, hasSlot}: ChoiceLimits = {},
+): UpstreamCriteria {
+  return {
     pool,
     coldShare: context.getColdShare(pool),
     domain: context.domain,
@@ -47,7 +58,7 @@
     isBackground,
     hasSlot,
     placement: placements[context.policy.placement],
-  });
+  };
 }
 
 /**
--- a/packages/rollout/src/forwarding/waitingRequests.ts
+++ b/packages/rollout/src/forwarding/waitingRequests.ts
@@ -16,6 +16,11 @@
     return [...(this.byPool.get(pool) ?? [])].indexOf(request);
   }
 
+  /** Returns how many requests wait. */
+  count(pool: PoolId): number {
+    return this.byPool.get(pool)?.size ?? 0;
+  }
+
   leave(pool: PoolId, request: object): void {
     const waiting = this.byPool.get(pool);
     waiting?.delete(request);
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -31,6 +31,7 @@
 import type {ListenAddress} from './statusServers.js';
 import {ServedVersionsTask, StreamOrigins} from './streams/index.js';
 import {PartitionAssignment} from './partitionAssignment.js';
+import {PlacementExplainer} from './placementExplainer.js';
 import {StatusServers, closeImmediately, listenOn} from './statusServers.js';
 import {StepStreams} from './stepStreams.js';
 import {
@@ -421,6 +422,12 @@
     this.statusServers = new StatusServers({
       ...options,
       readyPath: options.callers.readyPath,
+      explainer: new PlacementExplainer({
+        self,
+        configuration: this.configuration,
+        forwarding,
+        explainSample: (step, sample) => this.runner.explain(step, sample),
+      }),
       isAcceptingTraffic: () => this.isAcceptingTraffic(),
     });
     this.registerGauges();
--- a/packages/rollout/src/steps/engineSelector.ts
+++ b/packages/rollout/src/steps/engineSelector.ts
@@ -5,8 +5,13 @@
 import type {ConfigurationState} from '../configuration/index.js';
 import {pickWeightedPool} from '../configuration/index.js';
 import type {Pool, Route, SchedulingPolicy} from '../model/index.js';
-import type {UpstreamDirectory, Upstream} from '../upstreams/index.js';
-import {chooseUpstream} from '../upstreams/index.js';
+import type {
+  ExplainedChoice,
+  Upstream,
+  UpstreamCriteria,
+  UpstreamDirectory,
+} from '../upstreams/index.js';
+import {chooseUpstream, explainChoice} from '../upstreams/index.js';
 import {getSavedWork} from './samplePrompt.js';
 import type {SampleTask} from './sampleTask.js';
 import type {TrackedStep} from './stepRegistry.js';
@@ -28,6 +33,10 @@
   hasShare: (task: SampleTask, engine: Upstream) => boolean;
 }
 
+function hasFreeSlot(upstream: Upstream): boolean {
+  return upstream.getOccupancy() < upstream.entry.slots;
+}
+
 /** Selects the engines that samples run on. */
 export class EngineSelector {
   constructor(private readonly options: EngineSelectorOptions) {}
@@ -106,13 +115,50 @@
     waitingCount: number,
     isEligible: (upstream: Upstream) => boolean,
   ): Upstream | null {
-    const {directory, domain, getColdShare, policy} = this.options;
-    const {model, minVersion} = task.trackedStep.step;
-    const available = directory
+    const available = this.options.directory
       .getUsable(pool.id)
-      .filter(upstream => upstream.getOccupancy() < upstream.entry.slots)
+      .filter(hasFreeSlot)
       .filter(isEligible);
-    return chooseUpstream(available, {
+    const criteria = this.getCriteria(task, pool, origin, waitingCount);
+    return chooseUpstream(available, criteria);
+  }
+
+  /**
+   * Explains which engine of a pool `chooseForStart` would return; changes
+   * nothing.
+   */
+  explainStart(
+    task: SampleTask,
+    pool: Pool,
+    origin: TextOrigin,
+    waitingCount: number,
+  ): ExplainedChoice {
+    const {directory, hasShare} = this.options;
+    const criteria = this.getCriteria(task, pool, origin, waitingCount);
+    const explain = (avoided: Upstream | null) =>
+      explainChoice(directory.getListed(pool.id), criteria, upstream => {
+        const exclusion = directory.getExclusion(upstream);
+        if (exclusion) return [exclusion];
+        const reasons: string[] = [];
+        if (!hasFreeSlot(upstream)) reasons.push('full');
+        if (!hasShare(task, upstream)) reasons.push('share');
+        if (upstream === avoided) reasons.push('avoided');
+        return reasons;
+      });
+    const {avoidedUpstream} = task;
+    const choice = explain(avoidedUpstream);
+    return choice.chosen || !avoidedUpstream ? choice : explain(null);
+  }
+
+  private getCriteria(
+    task: SampleTask,
+    pool: Pool,
+    origin: TextOrigin,
+    waitingCount: number,
+  ): UpstreamCriteria {
+    const {domain, getColdShare, policy} = this.options;
+    const {model, minVersion} = task.trackedStep.step;
+    return {
       pool,
       coldShare: getColdShare(pool),
       domain,
@@ -128,6 +174,6 @@
               getSavedWork: engine => getSavedWork(task, pool, engine),
             }
           : null,
-    });
+    };
   }
 }
--- a/packages/rollout/src/steps/index.ts
+++ b/packages/rollout/src/steps/index.ts
@@ -3,6 +3,7 @@
 export * from './progress.js';
 export * from './records.js';
 export * from './runnerPartition.js';
+export * from './sampleExplanation.js';
 export * from './samplePrompt.js';
 export * from './sampleTask.js';
 export * from './sampleText.js';
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -29,12 +29,15 @@
 import {forgetSentPrompt, recordSentPrompt} from './samplePrompt.js';
 import {SampleScoring} from './sampleScoring.js';
 import {SlotShares} from './slotShares.js';
+import type {ExplainedSample} from './sampleExplanation.js';
+import {explainSample} from './sampleExplanation.js';
 import type {UnstoredPart} from './sampleTask.js';
 import {SampleTask} from './sampleTask.js';
 import type {StartOrder} from './startOrder.js';
 import {createStartOrder} from './startOrder.js';
 import type {TrackedStep, StepRegistry, StepChange} from './stepRegistry.js';
 import {StepTimes} from './stepTimes.js';
+import {decideText} from './textDecision.js';
 import {SampleRecovery} from './sampleRecovery.js';
 
 /** Interval at which starting queued samples is retried, ms. */
@@ -61,16 +64,6 @@
 const MAX_PENDING_TEXTS = 200;
 /** Minimum duration of a generation before it may migrate, ms. */
 const MIGRATE_AFTER_MS = 500;
-/**
- * Time for which a sample waits for an engine of its text's software version
- * before it starts again at another version, ms.
- */
-const TEXT_WAIT_MS = 1_000;
-/**
- * Number of runs without an event after which a sample no longer prefers engines
- * of its text's software version.
- */
-const MAX_FRUITLESS_RUNS = 2;
 /** Maximum number of migrations of one sample to faster engines. */
 const MAX_MIGRATIONS = 3;
 
@@ -172,6 +165,23 @@
     return this.ownedPartitions;
   }
 
+  /**
+   * Explains where a sample would start now, and changes nothing; null if this
+   * process does not run it.
+   */
+  explain(step: string, sample: string): ExplainedSample | null {
+    const tasks = [...this.tasks.values()];
+    const task = tasks.find(
+      ({id, trackedStep}) => id === sample && trackedStep.step.id === step,
+    );
+    if (!task) return null;
+    return explainSample(task, {
+      ...this.options,
+      tasks,
+      getOwnedPartitions: () => this.ownedPartitions,
+    });
+  }
+
   /** Acquires the given partitions and releases all others. */
   setOwnedPartitions(partitions: readonly number[]): void {
     for (const partition of [...this.ownedPartitions]) {
@@ -418,11 +428,14 @@
       origin,
       waitingCount,
     );
-    if (software === null) return next;
-    if (next && task.fruitlessRuns < MAX_FRUITLESS_RUNS) return next;
-    const waitedMs = clock.now() - task.advancedAt;
-    const mayWait = !next && waitedMs < TEXT_WAIT_MS;
-    if (mayWait && engineSelector.hasEngineForText(task, route)) return null;
+    const decision = decideText(
+      task,
+      next !== null,
+      () => engineSelector.hasEngineForText(task, route),
+      clock.now(),
+    );
+    if (decision === 'continue') return next;
+    if (decision === 'wait') return null;
     const other = engineSelector.chooseForStart(
       task,
       route,
@@ -436,7 +449,7 @@
       events: lastEventId,
       software,
       other: other.entry.software,
-      waitedMs: Math.round(waitedMs),
+      waitedMs: Math.round(clock.now() - task.advancedAt),
       fruitlessRuns: task.fruitlessRuns,
     });
     this.options.metrics.count('vc_samples_restarted');
--- a/packages/rollout/src/upstreams/chooseUpstream.ts
+++ b/packages/rollout/src/upstreams/chooseUpstream.ts
@@ -1,5 +1,5 @@
 import type {DomainId} from '@vanillacross/common';
-import type {TextOrigin} from '@vanillacross/domain';
+import type {PlacementCost, TextOrigin} from '@vanillacross/domain';
 import {
   getFillLevel,
   getPlacementCost,
@@ -72,16 +72,6 @@
   return upstream.getOccupancy() < maxOccupancy;
 }
 
-function servesVersion(
-  upstream: Upstream,
-  criteria: UpstreamCriteria,
-): boolean {
-  if (!criteria.weights) return true;
-  const {model, minVersion} = criteria.weights;
-  if (upstream.isLoading(model)) return false;
-  return upstream.getVersion(model) >= minVersion;
-}
-
 function getSlowness(upstream: Upstream, shortestIntervalMs: number): number {
   const intervalMs = upstream.getEventIntervalMs() ?? shortestIntervalMs;
   return Math.max(1, intervalMs / shortestIntervalMs);
@@ -91,7 +81,7 @@
   upstream: Upstream,
   criteria: UpstreamCriteria,
   {shortestIntervalMs, fillLevel}: CandidateSummary,
-): number {
+): PlacementCost {
   const isFree =
     criteria.weights === null &&
     upstream.getOccupancy() < upstream.entry.slots * FREE_SHARE;
@@ -105,27 +95,32 @@
     hasIdleConnection: upstream.hasIdleConnection(),
     savedWork: criteria.placement?.getSavedWork(upstream) ?? 0,
   };
-  return getPlacementCost(candidate, Math.max(1, fillLevel)).total;
+  return getPlacementCost(candidate, Math.max(1, fillLevel));
 }
 
 function getSpreadCost(
   upstream: Upstream,
   criteria: UpstreamCriteria,
   {shortestIntervalMs}: CandidateSummary,
-): number {
+): PlacementCost {
   const slots = Math.max(1, upstream.entry.slots);
   const isSameDomain = upstream.entry.domain === criteria.domain;
   const slowness = getSlowness(upstream, shortestIntervalMs);
-  const occupancy =
-    upstream.getOccupancy() +
-    1 +
-    (isSameDomain ? 0 : OTHER_DOMAIN_COST) +
-    (upstream.hasIdleConnection() ? 0 : NEW_CONNECTION_COST);
-  return (occupancy * slowness) / slots;
+  const wait = upstream.getOccupancy() + 1;
+  const otherDomain = isSameDomain ? 0 : OTHER_DOMAIN_COST;
+  const newConnection = upstream.hasIdleConnection() ? 0 : NEW_CONNECTION_COST;
+  const scale = (requests: number) => (requests * slowness) / slots;
+  return {
+    wait: scale(wait),
+    otherDomain: scale(otherDomain),
+    newConnection: scale(newConnection),
+    savedWork: 0,
+    total: scale(wait + otherDomain + newConnection),
+  };
 }
 
 /** What the cost of a candidate is relative to. */
-interface CandidateSummary {
+export interface CandidateSummary {
   shortestIntervalMs: number;
   /** Number of requests of the least loaded candidates after all are placed. */
   fillLevel: number;
@@ -135,7 +130,8 @@
   Record<SchedulingPolicy['placement'], typeof getSpreadCost>
 > = {spread: getSpreadCost, concentrated: getConcentratedCost};
 
-function summarize(
+/** Returns what the costs of candidates are relative to. */
+export function summarizeCandidates(
   candidates: readonly Upstream[],
   criteria: UpstreamCriteria,
 ): CandidateSummary {
@@ -157,30 +153,72 @@
   return Math.max(1, intervals.length === 0 ? 1 : Math.min(...intervals));
 }
 
+/** Why an upstream in service does not take a request. */
+export type Obstacle =
+  | 'tried'
+  | 'connections'
+  | 'full'
+  | 'loading'
+  | 'version'
+  | 'software'
+  | 'request_limit'
+  | 'cold_limit';
+
+/** What an upstream must meet to be eligible, by the obstacle otherwise. */
+export const conditions: Readonly<
+  Record<Obstacle, (upstream: Upstream, criteria: UpstreamCriteria) => boolean>
+> = {
+  tried: (upstream, {tried}) => !tried.has(upstream),
+  connections: ({inFlight}, {maxInFlight}) => inFlight < maxInFlight,
+  full: mayTakeSlot,
+  loading: (upstream, {weights}) =>
+    !weights || !upstream.isLoading(weights.model),
+  version: (upstream, {weights}) =>
+    !weights || upstream.getVersion(weights.model) >= weights.minVersion,
+  software: ({entry}, {origin}) => mayExtendText(origin, entry.software),
+  request_limit: ({notices}) => notices.mayStart(),
+  cold_limit: (upstream, {pool, coldShare}) =>
+    upstream.isWithinColdLimit(pool, coldShare),
+};
+const CONDITIONS = Object.values(conditions);
+
+/** Returns the candidates among the eligible upstreams. */
+export function getCandidates(
+  eligible: readonly Upstream[],
+): readonly Upstream[] {
+  const healthy = eligible.filter(upstream => !upstream.isEjected());
+  // If all upstreams are ejected, use them anyway instead of refusing requests.
+  return healthy.length > 0 ? healthy : eligible;
+}
+
+/** Returns the cost of a candidate with its terms. */
+export function getCandidateCost(
+  upstream: Upstream,
+  criteria: UpstreamCriteria,
+  summary: CandidateSummary,
+): PlacementCost {
+  const getCost = costs[criteria.placement ? 'concentrated' : 'spread'];
+  return getCost(upstream, criteria, summary);
+}
+
+/** Difference of costs within which chance decides. */
+export const TIE_COST = 1e-3;
+
 /** Returns the cheapest upstream that meets the criteria, or null. */
 export function chooseUpstream(
   upstreams: readonly Upstream[],
   criteria: UpstreamCriteria,
 ): Upstream | null {
-  const eligible = upstreams.filter(
-    upstream =>
-      !criteria.tried.has(upstream) &&
-      upstream.inFlight < criteria.maxInFlight &&
-      mayTakeSlot(upstream, criteria) &&
-      servesVersion(upstream, criteria) &&
-      mayExtendText(criteria.origin, upstream.entry.software) &&
-      upstream.notices.mayStart() &&
-      upstream.isWithinColdLimit(criteria.pool, criteria.coldShare),
+  const eligible = upstreams.filter(upstream =>
+    CONDITIONS.every(isMet => isMet(upstream, criteria)),
   );
-  const healthy = eligible.filter(upstream => !upstream.isEjected());
-  // If all upstreams are ejected, use them anyway instead of refusing requests.
-  const candidates = healthy.length > 0 ? healthy : eligible;
-  const summary = summarize(candidates, criteria);
-  const getCost = costs[criteria.placement ? 'concentrated' : 'spread'];
+  const candidates = getCandidates(eligible);
+  const summary = summarizeCandidates(candidates, criteria);
   let best: Upstream | null = null;
   let lowestCost = Infinity;
   for (const upstream of candidates) {
-    const cost = getCost(upstream, criteria, summary) + Math.random() * 1e-3;
+    const {total} = getCandidateCost(upstream, criteria, summary);
+    const cost = total + Math.random() * TIE_COST;
     if (cost >= lowestCost) continue;
     best = upstream;
     lowestCost = cost;
--- a/packages/rollout/src/upstreams/index.ts
+++ b/packages/rollout/src/upstreams/index.ts
@@ -8,5 +8,6 @@
 export * from './exchange.js';
 export * from './incarnationNotices.js';
 export * from './noticeRegistry.js';
+export * from './placementExplanation.js';
 export * from './sentPrompts.js';
 export * from './upstream.js';
--- a/packages/rollout/src/upstreams/upstream.ts
+++ b/packages/rollout/src/upstreams/upstream.ts
@@ -183,10 +183,24 @@
    */
   isWithinColdLimit(pool: Pool, share: number): boolean {
     if (pool.coldPerSecond === 0 || !this.isCold()) return true;
+    this.recentStarts = this.getRecentStarts(share);
+    return this.wouldBeWithinColdLimit(pool, share);
+  }
+
+  /**
+   * Returns the same as `isWithinColdLimit`, but keeps all recent starts, so that
+   * a question about one kind of requests does not change the limit of another.
+   */
+  wouldBeWithinColdLimit(pool: Pool, share: number): boolean {
+    if (pool.coldPerSecond === 0 || !this.isCold()) return true;
+    const startCount = this.getRecentStarts(share).length;
+    return startCount < Math.max(1, Math.floor(share));
+  }
+
+  private getRecentStarts(share: number): MonotonicMs[] {
     const windowMs = COLD_WINDOW_MS * Math.max(1, 1 / share);
     const since = this.clock.now() - windowMs;
-    this.recentStarts = this.recentStarts.filter(at => at > since);
-    return this.recentStarts.length < Math.max(1, Math.floor(share));
+    return this.recentStarts.filter(at => at > since);
   }
 
   recordStart(): void {
--- a/packages/rollout/src/upstreams/upstreamDirectory.ts
+++ b/packages/rollout/src/upstreams/upstreamDirectory.ts
@@ -51,6 +51,9 @@
   policy: SchedulingPolicy;
 }
 
+/** Why an upstream may not receive any requests. */
+export type Exclusion = 'unlisted' | 'draining' | 'leaving' | 'evacuated';
+
 /** The upstreams in the instance list. */
 export class UpstreamDirectory {
   private readonly upstreams = new Map<UpstreamId, Upstream>();
@@ -90,11 +93,18 @@
   }
 
   isUsable(upstream: Upstream): boolean {
-    if (this.upstreams.get(upstream.id) !== upstream) return false;
-    if (upstream.entry.isDraining) return false;
-    if (this.options.notices.isLeaving(upstream.entry)) return false;
-    if (this.evacuated.has(upstream.entry.domain)) return false;
-    return upstream.removedAt === null || this.isKeptDespiteRemoval(upstream);
+    return this.getExclusion(upstream) === null;
+  }
+
+  /** Returns why an upstream may not receive requests; null if it may. */
+  getExclusion(upstream: Upstream): Exclusion | null {
+    if (this.upstreams.get(upstream.id) !== upstream) return 'unlisted';
+    if (upstream.entry.isDraining) return 'draining';
+    if (this.options.notices.isLeaving(upstream.entry)) return 'leaving';
+    if (this.evacuated.has(upstream.entry.domain)) return 'evacuated';
+    const isListed =
+      upstream.removedAt === null || this.isKeptDespiteRemoval(upstream);
+    return isListed ? null : 'unlisted';
   }
 
   /** Applies a record of the instance list. */
