Add the command explain-placement

Cause: the answers of a node's /explain-placement need a reader, and an operator needs to know what each reason means.

--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -4,6 +4,8 @@
 
 import {getExitStatus} from './errors.js';
 import {explainId} from './explain.js';
+import type {PlacementOptions} from './explainPlacement.js';
+import {explainPlacement} from './explainPlacement.js';
 import {reportJournal} from './journalReport.js';
 import {createOperatorClient} from './operatorClient.js';
 import {
@@ -189,6 +191,26 @@
       const {output} = program.opts<RawOptions>();
       printResult(terminal, output, explainId(id, logs));
     });
+  program
+    .command('explain-placement')
+    .description(
+      'shows where a request or sample would go now from a node, without sending it',
+    )
+    .requiredOption('--node <url>', 'metrics address of the node')
+    .option('--host <name>', 'host of a request')
+    .option('--path <path>', 'path of a request')
+    .option('--step <id>', 'step of a sample that the node runs')
+    .option('--sample <id>', 'id of the sample')
+    .option('--json', 'same as --output json', false)
+    .addHelpText(
+      'after',
+      '\nExample: vanillacross explain-placement --node http://127.0.0.1:9100 --host seats.example --path /seats',
+    )
+    .action(async (options: PlacementOptions & {json: boolean}) => {
+      const {output} = program.opts<RawOptions>();
+      const result = await explainPlacement(options);
+      printResult(terminal, options.json ? 'json' : output, result);
+    });
   program
     .command('report <journal-files...>')
     .description(
