Log the connection of each failed attempt

The logs could not tell an attempt on a connection that was being closed from one that waits for a connection.

A failed attempt, one that is open at the deadline of its request and the end of a stream now name the connection: its local port, whether it was used before and whether it was closed already when the request was assigned to it.

--- a/packages/rollout/src/callers/forwardStream.ts
+++ b/packages/rollout/src/callers/forwardStream.ts
@@ -106,6 +106,7 @@
     logger.info('stream ended', {
       request: this.request.id,
       upstream: this.exchange?.upstream.id,
+      connection: this.exchange?.getConnection(),
       isStarted: this.response.headersSent,
       outcome,
       elapsedMs: Math.round(clock.now() - this.startedAt),
--- a/packages/rollout/src/forwarding/requestForwarder.ts
+++ b/packages/rollout/src/forwarding/requestForwarder.ts
@@ -126,6 +126,9 @@
 
   private handleDeadline(): void {
     if (this.lastErrorResponse) return this.settle(this.lastErrorResponse);
+    for (const attempt of this.attempts) {
+      this.logAttempt('attempt unanswered at the deadline', attempt, null);
+    }
     if (this.mayHaveRun || this.attempts.size > 0) {
       return this.settle({tag: 'timed_out'});
     }
@@ -264,10 +267,10 @@
     attempt.recordEnd(isExecuted);
     if (isExecuted) this.recordServiceTime(attempt);
     if (this.isDone) return;
-    if (!head) return this.retry(upstream, 'answer without a head');
+    if (!head) return this.retry(attempt, 'answer without a head');
     if (head.isNotRun || head.isMisdirected) {
       this.executions--;
-      this.recordFailedAttempt(upstream, `not run: ${head.status}`);
+      this.recordFailedAttempt(attempt, `not run: ${head.status}`);
       return this.sendNext();
     }
     this.mayHaveRun = true;
@@ -293,7 +296,7 @@
         isSuccess ? {tag: 'failed', reason: 'no signature'} : outcome,
       );
     }
-    this.recordFailedAttempt(upstream, `status ${head.status}`);
+    this.recordFailedAttempt(attempt, `status ${head.status}`);
     this.sendNext();
   }
 
@@ -304,7 +307,7 @@
     attempt.upstream.recordFailure();
     if (failure.tag === 'not_sent') {
       this.executions--;
-      this.recordFailedAttempt(attempt.upstream, failure.detail);
+      this.recordFailedAttempt(attempt, failure.detail);
       return this.sendNext();
     }
     this.mayHaveRun = true;
@@ -315,23 +318,33 @@
         attempt.upstream.id,
       );
     }
-    this.retry(attempt.upstream, `${failure.tag}: ${failure.detail}`);
+    this.retry(attempt, `${failure.tag}: ${failure.detail}`);
   }
 
-  private retry(upstream: Upstream, reason: string): void {
-    this.recordFailedAttempt(upstream, reason);
+  private retry(attempt: Attempt, reason: string): void {
+    this.recordFailedAttempt(attempt, reason);
     if (this.isIdempotent) this.sendNext();
     else this.giveUp();
   }
 
-  private recordFailedAttempt(upstream: Upstream, reason: string): void {
-    const {logger, metrics, clock} = this.context;
+  private recordFailedAttempt(attempt: Attempt, reason: string): void {
     this.lastReason = reason;
+    const {metrics} = this.context;
     metrics.count('vc_attempts_failed', {reason: reason.split(':')[0]});
-    logger.info('attempt failed', {
+    this.logAttempt('attempt failed', attempt, reason);
+  }
+
+  private logAttempt(
+    message: string,
+    {upstream, exchange}: Attempt,
+    reason: string | null,
+  ): void {
+    const {logger, clock} = this.context;
+    logger.info(message, {
       request: this.request.id,
       upstream: upstream.id,
       reason,
+      connection: exchange.getConnection(),
       sends: this.sends,
       elapsedMs: Math.round(clock.now() - this.startedAt),
       leftMs: Math.round(this.getRemainingMs()),
--- a/packages/rollout/src/upstreams/exchange.ts
+++ b/packages/rollout/src/upstreams/exchange.ts
@@ -45,10 +45,22 @@
   onFailure(failure: ExchangeFailure): void;
 }
 
+/** The connection that a request was assigned, for logs. */
+export interface AssignedConnection {
+  /** Its local port; null if it has none any more. */
+  port: number | null;
+  /** Whether it has carried an earlier request. */
+  isReused: boolean;
+  /** Whether it was closed already when the request was assigned to it. */
+  wasClosed: boolean;
+}
+
 /** A request to an upstream that is in flight. */
 export interface Exchange {
   upstream: Upstream;
   startedAt: MonotonicMs;
+  /** Returns null while the request has no connection. */
+  getConnection(): AssignedConnection | null;
   /** Stops reading, so that the upstream is blocked while a caller is slow. */
   pause(): void;
   resume(): void;
@@ -84,6 +96,7 @@
   return {
     upstream,
     startedAt,
+    getConnection: () => null,
     pause: () => undefined,
     resume: () => undefined,
     abort: () => (isAborted = true),
@@ -126,6 +139,7 @@
   const request = created.value;
   let isSettled = false;
   let mayHaveBeenSent = false;
+  let connection: AssignedConnection | null = null;
   let cancelConnectTimer: () => void = () => undefined;
   upstream.recordStart();
   const settle = (): boolean => {
@@ -166,6 +180,11 @@
     });
   };
   request.on('socket', socket => {
+    connection = {
+      port: socket.localPort ?? null,
+      isReused: request.reusedSocket,
+      wasClosed: !socket.writable,
+    };
     upstream.agent.recordRequest(socket, call.id);
     if (!socket.connecting) {
       mayHaveBeenSent = true;
@@ -209,6 +228,7 @@
   return {
     upstream,
     startedAt,
+    getConnection: () => connection,
     pause: () => currentResponse?.pause(),
     resume: () => currentResponse?.resume(),
     abort: () => {
