Send no request on a connection that was closed already

What callers saw: at a full, sound upstream, requests that may run once were answered 502 (outcome unknown) within milliseconds or 504 after their time limit, although their last attempt reached no upstream.

Cause: the connection was taken out of the agent by its event agentRemove, then destroyed. Node removes idle connections on this event only if they can no longer be written to, and drops the listener of their close, so the destroyed connection stayed idle for ever. An agent that takes the newest connection hands it to the next request: socket hang up if its close is still to be emitted, else silence until the deadline. Idle connections that close on unexpected data or are half closed could be handed out as well until their close was emitted.

Change: a connection is destroyed before it is taken out, and those that can not be written to are taken out before each request. A connection that is assigned nevertheless fails the attempt as not sent. The connections that carried a request are no longer closed when it is sent again; they are hidden from it, so that a refusal costs no connection. They remember 64 ids instead of one: a copy of an earlier response is not always that to the last request.

--- a/packages/rollout/src/forwarding/requestForwarder.test.ts
+++ b/packages/rollout/src/forwarding/requestForwarder.test.ts
@@ -1,3 +1,5 @@
+import type {RequestId} from '@vanillacross/common';
+import {toBranded} from '@vanillacross/common';
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
@@ -91,4 +93,40 @@
       assert.deepEqual({tag: outcome.tag, runs}, {tag: 'answered', runs: 1});
     });
   });
+
+  describe('with a full upstream that refuses without any copy', () => {
+    const REFUSALS = 3;
+
+    it('runs a request that is not idempotent once it has room', async () => {
+      // Guards against an attempt on a connection that this process has closed:
+      // the caller learns that the outcome is unknown, though nothing has run.
+      const refusal =
+        'HTTP/1.1 503 Busy\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n';
+      const success =
+        'HTTP/1.1 200 OK\r\nproof: p\r\ncontent-length: 0\r\n\r\n';
+      let isFull = false;
+      let refusals = 0;
+      const raw = await startRawUpstream(socket => {
+        if (isFull && refusals < REFUSALS) {
+          refusals++;
+          socket.write(refusal);
+          return;
+        }
+        setTimeout(() => socket.write(success), 10);
+      });
+      const context = createForwardContext([raw.upstream]);
+      const forward = (id: string) => {
+        const overrides = {id: toBranded<RequestId>(id)};
+        const request = createForwardRequest('non_idempotent', overrides);
+        return new RequestForwarder(context, request).run();
+      };
+      await Promise.all(['w1', 'w2', 'w3'].map(forward));
+      await new Promise(resolve => setImmediate(resolve));
+      isFull = true;
+      const outcome = await forward('r1');
+      await raw.close();
+      const {tag} = outcome;
+      assert.deepEqual({tag, refusals}, {tag: 'answered', refusals: REFUSALS});
+    });
+  });
 });
--- a/packages/rollout/src/upstreams/connectionPool.test.ts
+++ b/packages/rollout/src/upstreams/connectionPool.test.ts
@@ -1,7 +1,7 @@
-import type {RequestId} from '@vanillacross/common';
-import {ManualClock, getDeadline, toBranded} from '@vanillacross/common';
+import {ManualClock, getDeadline} from '@vanillacross/common';
 import assert from 'node:assert/strict';
 import {afterEach, describe, it} from 'node:test';
+import type {Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 
 import type {UpstreamCall} from '../model/index.js';
@@ -28,12 +28,15 @@
     const {entry} = raw.upstream;
     const upstream = new Upstream(entry, clock, 0, undefined, connections);
     close = () => (upstream.close(), raw.close());
-    const send = async (target: string, isSentOnce = false) => {
-      const id = toBranded<RequestId>(`${Math.random()}`);
+    const send = async (
+      target: string,
+      isSentOnce = false,
+      id = `${Math.random()}`,
+    ) => {
       const call = {id, method: 'GET', target, host: 'h', isSentOnce};
       await new Promise<void>((onEnd, onFailure) => {
         const events = {onHead: () => {}, onData: () => {}, onEnd, onFailure};
-        const sent = call as UpstreamCall;
+        const sent = call as unknown as UpstreamCall;
         startExchange(upstream, rawDialect, clock, sent, Buffer.of(), events);
       });
       // The agent takes the connection back after the end of the response.
@@ -45,9 +48,42 @@
       for (let index = 0; index < count; index++) await send(HEALTH_PATH);
       return count;
     };
-    return {clock, ports, send, refresh};
+    const getIdle = () => Object.values(upstream.agent.freeSockets).flat();
+    return {clock, ports, send, refresh, getIdle};
   };
 
+  /** How an idle connection ends that the agent has not removed yet. */
+  const closings: Record<string, (socket: Socket) => void> = {
+    'is destroyed': socket => socket.destroy(),
+    'is half closed': socket => socket.end(),
+  };
+
+  for (const [closing, close] of Object.entries(closings)) {
+    it(`sends no request on an idle connection that ${closing} (guards against requests that are lost without being sent)`, async () => {
+      const {ports, send, getIdle} = await createFixture({});
+      await Promise.all([send('/'), send('/')]);
+      const [kept, closed] = getIdle() as Socket[];
+      const keptPort = kept.localPort;
+      close(closed);
+      await send('/', true);
+      assert.equal(ports.at(-1), keptPort);
+      assert.deepEqual(getIdle(), [kept]);
+    });
+  }
+
+  it('sends a request again on another connection and keeps the first one for others (guards against late copies of a response, and against connections that are closed for each refusal)', async () => {
+    const {ports, send, getIdle} = await createFixture({});
+    await send('/', true, 'r1');
+    await send('/', true, 'r2');
+    await send('/', true, 'r1');
+    assert.equal(getIdle().length, 2);
+    await Promise.all([send('/'), send('/')]);
+    const [first, other, again] = ports;
+    assert.equal(other, first);
+    assert.notEqual(again, first);
+    assert.equal(new Set(ports).size, 2);
+  });
+
   it('sends only requests that can be sent again on a connection that rested (guards against requests that are lost as the upstream closes it)', async () => {
     const fixture = await createFixture({idleTimeoutMs: 30_000});
     const {clock, ports, send} = fixture;
--- a/packages/rollout/src/upstreams/connectionPool.ts
+++ b/packages/rollout/src/upstreams/connectionPool.ts
@@ -14,6 +14,12 @@
  */
 export const MAX_REST_MS = 10_000;
 
+/**
+ * Number of requests of a connection whose ids are remembered. A request is sent
+ * again within seconds if at all.
+ */
+const MAX_REMEMBERED_REQUESTS = 64;
+
 function closeOnData(this: Duplex): void {
   this.destroy();
 }
@@ -24,7 +30,7 @@
  * its connections for resets, which decide whether a response is whole.
  */
 export class ConnectionPool extends http.Agent {
-  private readonly lastRequests = new WeakMap<Duplex, RequestId>();
+  private readonly carriedRequests = new WeakMap<Duplex, Set<RequestId>>();
   private readonly idleConnections = new WeakMap<
     Duplex,
     IdleConnection & {idleSince: MonotonicMs}
@@ -55,43 +61,81 @@
   /** Closes idle connections at once and the others after their responses. */
   retire(): void {
     this.isRetired = true;
-    for (const socket of Object.values(this.freeSockets).flat()) {
-      socket?.destroy();
+    this.closeIdle(() => true);
+  }
+
+  /**
+   * Creates a request on an idle connection that may carry it, or on a new one.
+   * Throws if the options are no valid request.
+   *
+   * @param isSentOnce Whether the request can't be sent again, so that it must
+   *     not get a connection that the upstream may be closing.
+   */
+  createRequest(
+    options: http.RequestOptions,
+    id: RequestId,
+    isSentOnce: boolean,
+  ): http.ClientRequest {
+    this.closeIdle(socket => isSentOnce && this.hasRested(socket));
+    const restore = this.hideCarriers(id);
+    try {
+      return http.request({...options, agent: this});
+    } finally {
+      restore();
     }
   }
 
   /** Notes the request that is sent on a connection. */
   recordRequest(socket: Duplex, id: RequestId): void {
-    this.lastRequests.set(socket, id);
+    const ids = this.carriedRequests.get(socket) ?? new Set();
+    this.carriedRequests.set(socket, ids.add(id));
+    if (ids.size <= MAX_REMEMBERED_REQUESTS) return;
+    const [oldest] = ids;
+    ids.delete(oldest);
   }
 
   /**
-   * Closes the idle connections whose last request has this id, before a request
-   * is sent again under it. A late copy of the earlier response would have the
-   * id that is expected of the next one.
+   * Hides the idle connections that have carried a request of this id from the
+   * agent until the returned function is called. A late copy of the earlier
+   * response would have the id that is expected of the next one.
    */
-  closeAfter(id: RequestId): void {
-    this.closeIdle(socket => this.lastRequests.get(socket) === id);
+  private hideCarriers(id: RequestId): () => void {
+    const isCarrier = (socket: Duplex) =>
+      this.carriedRequests.get(socket)?.has(id) ?? false;
+    // The agent removes the entry of an address without idle connections.
+    const lists = this.freeSockets as NodeJS.Dict<Socket[]>;
+    const restores = Object.entries(lists).map(([address, sockets = []]) => {
+      const all = [...sockets];
+      if (!all.some(isCarrier)) return () => undefined;
+      lists[address] = all.filter(socket => !isCarrier(socket));
+      return () => {
+        const left = lists[address] ?? [];
+        lists[address] = all.filter(
+          socket => isCarrier(socket) || left.includes(socket),
+        );
+      };
+    });
+    return () => {
+      for (const restore of restores) restore();
+    };
   }
 
-  /**
-   * Closes the connections that have been idle for so long that the upstream may
-   * be closing them, before a request is sent that can't be sent again.
-   */
-  closeRested(): void {
-    const now = this.clock.now();
-    this.closeIdle(socket => {
-      const idleSince = this.idleConnections.get(socket)?.idleSince ?? now;
-      return now - idleSince > MAX_REST_MS;
-    });
+  /** Whether the upstream may be closing a connection that has been idle. */
+  private hasRested(socket: Duplex): boolean {
+    const idle = this.idleConnections.get(socket);
+    if (!idle) return false;
+    return this.clock.now() - idle.idleSince > MAX_REST_MS;
   }
 
+  /** Closes the idle connections that match or can't be written to any more. */
   private closeIdle(isClosed: (socket: Duplex) => boolean): void {
     for (const socket of Object.values(this.freeSockets).flat()) {
-      if (!socket || !isClosed(socket)) continue;
-      // The agent removes the connection at once, so that it is not chosen.
-      socket.emit('agentRemove');
+      if (!socket || (socket.writable && !isClosed(socket))) continue;
       socket.destroy();
+      // The agent would remove it only when its close event is emitted, and hand
+      // it out until then. It looks for idle connections among those that are
+      // destroyed, so the order matters.
+      socket.emit('agentRemove');
     }
   }
 
--- a/packages/rollout/src/upstreams/exchange.ts
+++ b/packages/rollout/src/upstreams/exchange.ts
@@ -1,6 +1,6 @@
 import type {Clock, MonotonicMs, Result} from '@vanillacross/common';
 import {fail, getDeadline, ok} from '@vanillacross/common';
-import * as http from 'node:http';
+import type * as http from 'node:http';
 
 import type {
   ResponseHead,
@@ -111,10 +111,9 @@
   try {
     const {method, target: path} = call;
     const address = splitAddress(upstream.entry.address);
-    const {agent} = upstream;
-    agent.closeAfter(call.id);
-    if (call.isSentOnce) agent.closeRested();
-    return ok(http.request({...address, method, path, headers, agent}));
+    const options = {...address, method, path, headers};
+    const isSentOnce = call.isSentOnce ?? false;
+    return ok(upstream.agent.createRequest(options, call.id, isSentOnce));
   } catch (error) {
     return fail((error as Error).message);
   }
@@ -185,6 +184,7 @@
       isReused: request.reusedSocket,
       wasClosed: !socket.writable,
     };
+    if (connection.wasClosed) return failWith('lost', 'connection was closed');
     upstream.agent.recordRequest(socket, call.id);
     if (!socket.connecting) {
       mayHaveBeenSent = true;
