Take connections that get unexpected data out of the agent at once

An idle connection that is closed for unexpected data stayed with the agent until its close event. It is now removed as the others are.

--- a/packages/rollout/src/forwarding/requestForwarder.test.ts
+++ b/packages/rollout/src/forwarding/requestForwarder.test.ts
@@ -3,6 +3,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
+import type {Route} from '../model/index.js';
 import {
   createForwardContext,
   createForwardRequest,
@@ -64,33 +65,59 @@
     });
   });
 
-  describe('with a full upstream that repeats a refusal late', () => {
-    it('runs a request that is not idempotent once', async () => {
-      // Guards against the copy of a refusal that passes for the response to
-      // the next attempt, so that the request runs twice.
-      const refusal =
-        'HTTP/1.1 503 Busy\r\nid: r1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n';
-      const success =
-        'HTTP/1.1 200 OK\r\nid: r1\r\nproof: p\r\ncontent-length: 0\r\n\r\n';
-      let received = 0;
-      let runs = 0;
-      const raw = await startRawUpstream((socket, requests) => {
-        if (requests > 1) socket.write(refusal);
-        received++;
-        if (received === 1) {
-          socket.write(refusal);
+  describe('with an upstream that repeats its first response late', () => {
+    const refusal =
+      'HTTP/1.1 503 Busy\r\nid: r1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n';
+    const serverError =
+      'HTTP/1.1 500 Error\r\nid: r1\r\ncontent-length: 0\r\n\r\n';
+    const success =
+      'HTTP/1.1 200 OK\r\nid: r1\r\nproof: p\r\ncontent-length: 0\r\n\r\n';
+
+    /**
+     * Starts an upstream whose first response may come a second time, before
+     * the next response on its connection.
+     */
+    const startRepeating = async (first: string) => {
+      let requests = 0;
+      let successes = 0;
+      const raw = await startRawUpstream((socket, onConnection) => {
+        if (onConnection > 1) socket.write(first);
+        if (++requests === 1) {
+          socket.write(first);
           return;
         }
-        runs++;
+        successes++;
         setTimeout(() => socket.write(success), 30);
       });
-      const forwarder = new RequestForwarder(
-        createForwardContext([raw.upstream]),
-        createForwardRequest('non_idempotent'),
-      );
-      const outcome = await forwarder.run();
-      await raw.close();
-      assert.deepEqual({tag: outcome.tag, runs}, {tag: 'answered', runs: 1});
+      const context = createForwardContext([raw.upstream]);
+      const forward = (kind: Route['kind'], maxAttempts = 3) => {
+        const request = createForwardRequest(kind);
+        const route = {...request.route, maxAttempts};
+        return new RequestForwarder(context, {...request, route}).run();
+      };
+      return {forward, close: raw.close, getSuccesses: () => successes};
+    };
+
+    it('runs a request that is not idempotent once after a refusal', async () => {
+      // Guards against the copy of a refusal that passes for the response to
+      // the next attempt, so that the request runs twice.
+      const fixture = await startRepeating(refusal);
+      const {tag} = await fixture.forward('non_idempotent');
+      await fixture.close();
+      const runs = fixture.getSuccesses();
+      assert.deepEqual({tag, runs}, {tag: 'answered', runs: 1});
+    });
+
+    it('counts a server error once when the same request is sent later', async () => {
+      // Guards against scoring calls, which are sent again under their id, that
+      // count the copy of an error as a further one and give up too early.
+      const fixture = await startRepeating(serverError);
+      const first = await fixture.forward('idempotent', 1);
+      await new Promise(resolve => setImmediate(resolve));
+      const second = await fixture.forward('idempotent', 1);
+      await fixture.close();
+      assert.ok(first.tag === 'answered' && second.tag === 'answered');
+      assert.deepEqual([first.head.status, second.head.status], [500, 200]);
     });
   });
 
--- a/packages/rollout/src/upstreams/connectionPool.ts
+++ b/packages/rollout/src/upstreams/connectionPool.ts
@@ -20,8 +20,18 @@
  */
 const MAX_REMEMBERED_REQUESTS = 64;
 
+/**
+ * Closes an idle connection and takes it out of its agent, which would hand it
+ * out until its close event. The agent looks for idle connections only if the
+ * connection can't be written to any more, so the order matters.
+ */
+function closeIdleConnection(socket: Duplex): void {
+  socket.destroy();
+  socket.emit('agentRemove');
+}
+
 function closeOnData(this: Duplex): void {
-  this.destroy();
+  closeIdleConnection(this);
 }
 
 /**
@@ -131,11 +141,7 @@
   private closeIdle(isClosed: (socket: Duplex) => boolean): void {
     for (const socket of Object.values(this.freeSockets).flat()) {
       if (!socket || (socket.writable && !isClosed(socket))) continue;
-      socket.destroy();
-      // The agent would remove it only when its close event is emitted, and hand
-      // it out until then. It looks for idle connections among those that are
-      // destroyed, so the order matters.
-      socket.emit('agentRemove');
+      closeIdleConnection(socket);
     }
   }
 
--- a/packages/rollout/src/upstreams/exchange.test.ts
+++ b/packages/rollout/src/upstreams/exchange.test.ts
@@ -256,6 +256,18 @@
     assert.equal(raw?.upstream.inFlight, 0);
   });
 
+  it('fails as not sent on a connection that is closed before it is written (guards against an unknown outcome of a request that was not sent)', async () => {
+    const respond: RawResponder = socket =>
+      socket.write(getFramedResponse('length'));
+    await exchange(respond);
+    await new Promise(resolve => setImmediate(resolve));
+    const {agent} = raw!.upstream;
+    const [idle] = Object.values(agent.freeSockets).flat();
+    const second = exchange(respond, 'r2');
+    idle!.destroy();
+    assert.deepEqual(await second, {outcome: 'not_sent', body: ''});
+  });
+
   describe('a request that can not be created', () => {
     it('fails as not sent (guards against processes that end)', async () => {
       const {outcome} = await exchange(() => {}, 'r1', '/a b');
