Count no crash when a connection to a leaving upstream breaks

Cause: each connection that broke during a request counted as a crash of its upstream by that request, also if the upstream was draining, had stated that it was leaving, had lost its entry or was taken out with its failure domain.

Change: one function decides whether a broken connection counts; it does so only for an upstream in service.

Evidence: three tests of RequestForwarder (draining, leaving, unlisted) fail with the exclusion ignored; a request that breaks three upstreams in service is still refused everywhere.

--- a/packages/rollout/src/callers/forwardStream.ts
+++ b/packages/rollout/src/callers/forwardStream.ts
@@ -5,7 +5,11 @@
 import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
 
 import type {ForwardContext, ForwardRequest} from '../forwarding/index.js';
-import {NOT_PERMITTED_REASON, chooseForRequest} from '../forwarding/index.js';
+import {
+  NOT_PERMITTED_REASON,
+  chooseForRequest,
+  reportBrokenConnection,
+} from '../forwarding/index.js';
 import type {ResponseHead} from '../model/index.js';
 import type {
   Exchange,
@@ -237,7 +241,7 @@
   private handleFailure(upstream: Upstream, failure: ExchangeFailure): void {
     upstream.recordFailure();
     if (failure.tag === 'lost') {
-      this.context.crashes.reportCrash(this.fingerprint, upstream.id);
+      reportBrokenConnection(this.context, this.fingerprint, upstream);
     }
     if (failure.tag === 'not_sent') return this.sendNext();
     this.fail({status: 502, reason: `${failure.tag}: ${failure.detail}`});
--- a/packages/rollout/src/forwarding/requestForwarder.test.ts
+++ b/packages/rollout/src/forwarding/requestForwarder.test.ts
@@ -1,7 +1,13 @@
 import type {RequestId} from '@vanillacross/common';
-import {toBranded} from '@vanillacross/common';
+import {
+  createLogger,
+  getDeadline,
+  systemClock,
+  toBranded,
+} from '@vanillacross/common';
 import assert from 'node:assert/strict';
-import {describe, it} from 'node:test';
+import {once} from 'node:events';
+import {beforeEach, describe, it} from 'node:test';
 
 import type {Route} from '../model/index.js';
 import {
@@ -9,6 +15,8 @@
   createForwardRequest,
 } from '../testing/forwardFixture.js';
 import {startRawUpstream} from '../testing/rawUpstream.js';
+import type {Exclusion} from '../upstreams/index.js';
+import {CrashTracker} from '../upstreams/index.js';
 import {RequestForwarder} from './requestForwarder.js';
 
 describe('RequestForwarder', () => {
@@ -156,4 +164,75 @@
       assert.deepEqual({tag, refusals}, {tag: 'answered', refusals: REFUSALS});
     });
   });
+
+  describe('with upstreams whose connections break during a request', () => {
+    /** Forwards the same request until three upstreams have closed on it. */
+    const forward = async (exclusion: Exclusion | null) => {
+      const raws = await Promise.all(
+        [1, 2, 3].map(() => startRawUpstream(socket => socket.destroy())),
+      );
+      let last = '';
+      for (const {upstream} of raws) {
+        const context = createForwardContext([upstream]);
+        context.directory.getExclusion = () => exclusion;
+        context.crashes = crashes;
+        const request = createForwardRequest('non_idempotent');
+        last = (await new RequestForwarder(context, request).run()).tag;
+      }
+      await Promise.all(raws.map(raw => raw.close()));
+      return last;
+    };
+    let crashes: CrashTracker;
+    beforeEach(() => {
+      let count = 0;
+      const logger = createLogger('test', 'silent');
+      const tracker = new CrashTracker(systemClock, logger, () => {});
+      // Each raw upstream has the same id.
+      crashes = Object.assign(tracker, {
+        reportCrash: (fingerprint: string) =>
+          tracker.applyCrash(fingerprint, `u${++count}`),
+      });
+    });
+    const isQuarantined = async () => {
+      const raw = await startRawUpstream(() => {});
+      const context = createForwardContext([raw.upstream]);
+      context.crashes = crashes;
+      const request = createForwardRequest('non_idempotent', {
+        deadline: getDeadline(systemClock.now(), 100),
+      });
+      const {tag} = await new RequestForwarder(context, request).run();
+      await raw.close();
+      return tag === 'quarantined';
+    };
+
+    it('refuses it everywhere once three have crashed', async () => {
+      assert.equal(await forward(null), 'failed');
+      assert.equal(await isQuarantined(), true);
+    });
+
+    for (const exclusion of ['draining', 'leaving', 'unlisted'] as const) {
+      it(`does not count those that are ${exclusion} (guards against sound requests that are refused after a release)`, async () => {
+        assert.equal(await forward(exclusion), 'failed');
+        assert.equal(await isQuarantined(), false);
+      });
+    }
+  });
+
+  describe('with an upstream that left and never answers', () => {
+    it('closes its connection at the deadline (guards against connections that retired upstreams keep for ever)', async () => {
+      let closed: Promise<unknown> | null = null;
+      const raw = await startRawUpstream(socket => {
+        closed = once(socket, 'close');
+        raw.upstream.close();
+      });
+      const request = createForwardRequest('non_idempotent', {
+        deadline: getDeadline(systemClock.now(), 100),
+      });
+      const context = createForwardContext([raw.upstream]);
+      const {tag} = await new RequestForwarder(context, request).run();
+      await closed;
+      await raw.close();
+      assert.equal(tag, 'timed_out');
+    });
+  });
 });
--- a/packages/rollout/src/forwarding/requestForwarder.ts
+++ b/packages/rollout/src/forwarding/requestForwarder.ts
@@ -6,6 +6,7 @@
 import type {ResponseHead} from '../model/index.js';
 import type {Exchange, ExchangeFailure, Upstream} from '../upstreams/index.js';
 import {FREE_SHARE, startExchange} from '../upstreams/index.js';
+import {reportBrokenConnection} from './brokenConnection.js';
 import type {PlaceSearch} from './placeSearch.js';
 import {createPlaceSearch} from './placeSearches.js';
 import type {ForwardContext, ForwardOutcome, ForwardRequest} from './types.js';
@@ -313,10 +314,8 @@
     this.mayHaveRun = true;
     this.context.onExecution(this.request.account);
     if (failure.tag === 'lost' && this.request.mayCrashUpstreams) {
-      this.context.crashes.reportCrash(
-        this.getFingerprint(),
-        attempt.upstream.id,
-      );
+      const fingerprint = this.getFingerprint();
+      reportBrokenConnection(this.context, fingerprint, attempt.upstream);
     }
     this.retry(attempt, `${failure.tag}: ${failure.detail}`);
   }
--- a/packages/rollout/src/testing/forwardFixture.ts
+++ b/packages/rollout/src/testing/forwardFixture.ts
@@ -27,6 +27,7 @@
   const metrics = new Metrics();
   const directory = {
     getUsable: () => upstreams,
+    getExclusion: () => null,
     recordDemand: () => {},
     onChange: () => {},
     onExchangeEnd: (listener: (pool: PoolId) => void) => {
