Keep the state of an upstream whose entry lapses and returns

An upstream that was listed again after its entry had lapsed counted as new: its requests in flight, which now end as usual, no longer took slots, and a cold one got the requests of its limit twice. It is now kept while it has requests in flight or is cold, so the number of upstreams kept is bounded by the requests in flight and the cold ones, and used again if the same start is listed again.

--- a/packages/rollout/src/upstreams/connectionPool.ts
+++ b/packages/rollout/src/upstreams/connectionPool.ts
@@ -95,6 +95,11 @@
     }
   }
 
+  /** Keeps idle connections again, after an upstream has returned. */
+  resume(): void {
+    this.isRetired = false;
+  }
+
   /** Notes the request that is sent on a connection. */
   recordRequest(socket: Duplex, id: RequestId): void {
     const ids = this.carriedRequests.get(socket) ?? new Set();
--- a/packages/rollout/src/upstreams/upstream.ts
+++ b/packages/rollout/src/upstreams/upstream.ts
@@ -267,4 +267,11 @@
   close(): void {
     this.agent.retire();
   }
+
+  /** Uses it again after its entry has returned. */
+  reopen(entry: UpstreamEntry): void {
+    this.agent.resume();
+    this.update(entry);
+    this.removedAt = null;
+  }
 }
--- a/packages/rollout/src/upstreams/upstreamDirectory.test.ts
+++ b/packages/rollout/src/upstreams/upstreamDirectory.test.ts
@@ -72,6 +72,39 @@
     });
   });
 
+  describe('an upstream whose entry lapses and returns', () => {
+    const relist = (bornAfterMs: number) => {
+      const fixture = createDirectoryFixture();
+      const bornAt = fixture.clock.wallNow() - 50_000;
+      fixture.list(ID, {bornAt});
+      const before = fixture.directory.get(ID)!;
+      before.recordStart();
+      fixture.removeEntry(ID);
+      fixture.list(ID, {bornAt: bornAt + bornAfterMs});
+      return {...fixture, before, after: fixture.directory.get(ID)!};
+    };
+
+    it('keeps its requests in flight (guards against more work than it has slots for)', () => {
+      const {before, after, directory} = relist(0);
+      assert.equal(after, before);
+      assert.equal(after.inFlight, 1);
+      assert.deepEqual(directory.getUsable(POOL_ID), [after]);
+    });
+
+    it('is another one after a restart', () => {
+      assert.equal(relist(1).after.inFlight, 0);
+    });
+
+    it('is forgotten once its requests have ended (guards against state that grows with each upstream that leaves)', () => {
+      const {before, directory, list, removeEntry} = relist(0);
+      removeEntry(ID);
+      before.recordEnd();
+      directory.sweep();
+      list(ID, {bornAt: before.entry.bornAt});
+      assert.notEqual(directory.get(ID), before);
+    });
+  });
+
   describe('an entry of an earlier start', () => {
     const listTwice = (renewalMs: number) => {
       const {directory, list, clock} = createDirectoryFixture();
--- a/packages/rollout/src/upstreams/upstreamDirectory.ts
+++ b/packages/rollout/src/upstreams/upstreamDirectory.ts
@@ -54,9 +54,19 @@
 /** Why an upstream may not receive any requests. */
 export type Exclusion = 'unlisted' | 'draining' | 'leaving' | 'evacuated';
 
+/** Whether two entries describe the same start of an upstream. */
+function isSameStart(a: UpstreamEntry, b: UpstreamEntry): boolean {
+  return a.bornAt === b.bornAt && a.address === b.address;
+}
+
 /** The upstreams in the instance list. */
 export class UpstreamDirectory {
   private readonly upstreams = new Map<UpstreamId, Upstream>();
+  /**
+   * Upstreams that are no longer listed and have requests in flight or are cold.
+   * If the same start is listed again, these still count.
+   */
+  private readonly departed = new Map<UpstreamId, Upstream>();
   private readonly evacuated = new Set<DomainId>();
   private readonly listeners: Array<() => void> = [];
   private readonly endListeners: Array<(pool: PoolId) => void> = [];
@@ -123,34 +133,45 @@
     if (known && this.isOutdated(entry.value, known)) {
       return this.log(known, 'ignored an entry of an earlier start');
     }
-    const isSame =
-      known !== undefined &&
-      known.entry.bornAt === entry.value.bornAt &&
-      known.entry.address === entry.value.address;
-    if (isSame) {
-      const wasDraining = known.entry.isDraining;
-      known.update(entry.value);
-      known.removedAt = null;
-      if (entry.value.isDraining && !wasDraining) this.log(known, 'draining');
+    if (known && isSameStart(known.entry, entry.value)) {
+      this.updateListed(known, entry.value);
     } else {
       known?.close();
-      const added = new Upstream(
-        entry.value,
-        this.options.clock,
-        this.getInitialColdMs(entry.value),
-        this.options.notices.get(entry.value),
-        this.getConnectionOptions(entry.value),
-      );
-      const {pool} = entry.value;
-      added.onExchangeEnd(() => {
-        for (const listener of this.endListeners) listener(pool);
-      });
-      this.upstreams.set(id, added);
-      this.log(added, 'listed');
+      this.add(entry.value);
     }
     this.notify();
   }
 
+  private updateListed(upstream: Upstream, entry: UpstreamEntry): void {
+    const wasDraining = upstream.entry.isDraining;
+    upstream.update(entry);
+    upstream.removedAt = null;
+    if (entry.isDraining && !wasDraining) this.log(upstream, 'draining');
+  }
+
+  private add(entry: UpstreamEntry): void {
+    const {id} = entry;
+    const departed = this.departed.get(id);
+    this.departed.delete(id);
+    if (departed && isSameStart(departed.entry, entry)) {
+      departed.reopen(entry);
+      this.upstreams.set(id, departed);
+      return this.log(departed, 'listed again');
+    }
+    const added = new Upstream(
+      entry,
+      this.options.clock,
+      this.getInitialColdMs(entry),
+      this.options.notices.get(entry),
+      this.getConnectionOptions(entry),
+    );
+    added.onExchangeEnd(() => {
+      for (const listener of this.endListeners) listener(entry.pool);
+    });
+    this.upstreams.set(id, added);
+    this.log(added, 'listed');
+  }
+
   /** Takes a failure domain out of service or back in. */
   setEvacuated(domain: DomainId, isEvacuated: boolean): void {
     if (this.evacuated.has(domain) === isEvacuated) return;
@@ -171,10 +192,15 @@
         continue;
       }
       this.upstreams.delete(upstream.id);
+      this.departed.set(upstream.id, upstream);
       upstream.close();
       this.log(upstream, 'gone');
       this.notify();
     }
+    for (const [id, upstream] of this.departed) {
+      const isActive = upstream.inFlight > 0 || upstream.isCold();
+      if (!isActive) this.departed.delete(id);
+    }
   }
 
   private isKeptDespiteRemoval(upstream: Upstream): boolean {
@@ -255,6 +281,7 @@
       software,
       address,
       bornAt,
+      inFlight: upstream.inFlight,
     });
   }
 
