Log why a process ends, and close what could end it from outside

Places where an exception of outside input could end the process with all its requests, found by reading each event handler, timer and promise by entry point:

- callers: the head of a request was decoded outside the handler's try block, so an exception there was an unhandled rejection.
The connection is now closed and counted as vc_internal_errors.
- upstreams: the headers of a call were built outside the guard that fails a request which can not be created.

A process that ends at an unhandled exception now says so in its last log line, in the daemon too; before, Node wrote a bare stack to standard error.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,4 +1,5 @@
 /** Helpers shared by all packages. */
+export * from './fatalError.js';
 export * from './fuzzSeed.js';
 export * from './brand.js';
 export * from './clock.js';
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,5 +1,10 @@
 #!/usr/bin/env node
-import {describeSettingsFailure, readSettings} from '@vanillacross/common';
+import {
+  createLogger,
+  describeSettingsFailure,
+  exitOnUnhandledErrors,
+  readSettings,
+} from '@vanillacross/common';
 import {isEntrySettings, settingsSchema} from '@vanillacross/domain';
 import {Command} from 'commander';
 
@@ -29,6 +34,9 @@
 }
 
 const {instance, limits} = settings.value;
+exitOnUnhandledErrors(
+  createLogger('process', 'error', {instance: instance.id}),
+);
 const running = await (
   isEntrySettings(settings.value)
     ? startEntry(settings.value)
--- a/packages/rollout/src/callers/callerServer.ts
+++ b/packages/rollout/src/callers/callerServer.ts
@@ -82,7 +82,10 @@
         keepAliveTimeout: DEFAULT_IDLE_MS + IDLE_MARGIN_MS,
         requestTimeout: 0,
       },
-      (request, response) => void this.handle(request, response),
+      (request, response) =>
+        void this.handle(request, response).catch((error: Error) =>
+          this.handleFault(error, response),
+        ),
     );
     this.shutdown = new ListenerShutdown(this.server, options.clock);
     options.configuration.onChange(() => this.applyLimits());
@@ -135,6 +138,14 @@
     metrics.observe('vc_request_ms', clock.now() - arrivedAt);
   }
 
+  /** Handles an exception before the request is known or after its refusal. */
+  private handleFault(error: Error, response: ServerResponse): void {
+    const {logger, metrics} = this.options;
+    logger.error('request failed unexpectedly', {detail: String(error.stack)});
+    metrics.count('vc_internal_errors');
+    response.destroy();
+  }
+
   private async dispatch(
     head: RequestHead,
     arrivedAt: MonotonicMs,
--- a/packages/rollout/src/upstreams/exchange.ts
+++ b/packages/rollout/src/upstreams/exchange.ts
@@ -105,11 +105,13 @@
 
 function createRequest(
   upstream: Upstream,
+  dialect: UpstreamDialect,
   call: UpstreamCall,
-  headers: http.OutgoingHttpHeaders,
+  bodyBytes: number,
 ): Result<http.ClientRequest, string> {
   try {
     const {method, target: path} = call;
+    const headers = {...dialect.getHeaders(call), 'content-length': bodyBytes};
     const address = splitAddress(upstream.entry.address);
     const options = {...address, method, path, headers};
     const isSentOnce = call.isSentOnce ?? false;
@@ -128,10 +130,8 @@
   body: Buffer,
   events: ExchangeEvents,
 ): Exchange {
-  const headers = dialect.getHeaders(call);
-  headers['content-length'] = body.length;
   const startedAt = clock.now();
-  const created = createRequest(upstream, call, headers);
+  const created = createRequest(upstream, dialect, call, body.length);
   if (!created.ok) {
     return createUnsentExchange(upstream, startedAt, created.error, events);
   }
