Bound the memory of responses without end for the whole process

A faulty upstream that sends bytes without end was bounded by response only (4 MB, or 1 MB an event), so that many requests at such upstreams took the memory of the process, and the requests of its other callers ended with it.

Change: ResponseMemory counts the responses in progress, those of samples too. A refusal of more than 256 KB and more than 32 interim responses fail their exchange; reports and orders are read up to 256 KB. The text of a sample may have 64 KB and 256 bytes a token; beyond, it is discarded and the sample starts again.

--- a/packages/rollout/src/control/weightUpdater.ts
+++ b/packages/rollout/src/control/weightUpdater.ts
@@ -44,6 +44,9 @@
  */
 const LOADING_TTL_MS = 1_100;
 
+/** Maximum size of the response to a report or an order, bytes. */
+const MAX_CALL_BYTES = 256 * 1024;
+
 export interface WeightUpdaterOptions {
   lease: LeaseTask;
   feed: ControlFeed;
@@ -332,6 +335,7 @@
       headers: call.headers,
       body: call.body,
       timeoutMs: CALL_TIMEOUT_MS,
+      maxBytes: MAX_CALL_BYTES,
       agent: engine.agent,
       mayWrite,
     });
--- a/packages/rollout/src/forwarding/requestForwarder.ts
+++ b/packages/rollout/src/forwarding/requestForwarder.ts
@@ -4,7 +4,12 @@
 import type {IncomingHttpHeaders} from 'node:http';
 
 import type {ResponseHead} from '../model/index.js';
-import type {Exchange, ExchangeFailure, Upstream} from '../upstreams/index.js';
+import type {
+  Exchange,
+  ExchangeFailure,
+  HeldResponse,
+  Upstream,
+} from '../upstreams/index.js';
 import {FREE_SHARE, startExchange} from '../upstreams/index.js';
 import {reportBrokenConnection} from './brokenConnection.js';
 import type {PlaceSearch} from './placeSearch.js';
@@ -21,8 +26,6 @@
 const MAX_SENDS = 12;
 /** Minimum time that must remain for another attempt, ms. */
 const MIN_ATTEMPT_MS = 20;
-/** Maximum size of a buffered response, bytes. */
-const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 
 interface Attempt {
   exchange: Exchange;
@@ -30,7 +33,8 @@
   head: ResponseHead | null;
   headers: IncomingHttpHeaders;
   chunks: Buffer[];
-  size: number;
+  /** The memory of `chunks`. */
+  held: HeldResponse;
   /** Called when the attempt ends, also if it was aborted. */
   recordEnd: (isServed: boolean) => void;
 }
@@ -201,7 +205,7 @@
       head: null,
       headers: {},
       chunks: [],
-      size: 0,
+      held: context.memory.hold(() => this.giveUpResponse(attempt)),
       exchange: null as unknown as Exchange,
       recordEnd: this.place.recordStart(upstream),
     };
@@ -251,11 +255,11 @@
 
   private appendChunk(attempt: Attempt, chunk: Buffer): void {
     if (this.isDone) return;
-    attempt.size += chunk.length;
-    if (attempt.size <= MAX_RESPONSE_BYTES) {
-      attempt.chunks.push(chunk);
-      return;
-    }
+    attempt.chunks.push(chunk);
+    attempt.held.add(chunk.length);
+  }
+
+  private giveUpResponse(attempt: Attempt): void {
     attempt.exchange.abort();
     const detail = 'answer is too large';
     this.handleFailure(attempt, {tag: 'invalid', detail});
@@ -263,6 +267,7 @@
 
   private handleEnd(attempt: Attempt): void {
     this.attempts.delete(attempt);
+    attempt.held.release();
     const {head, upstream} = attempt;
     const isExecuted = head !== null && !head.isNotRun && !head.isMisdirected;
     attempt.recordEnd(isExecuted);
@@ -303,6 +308,8 @@
 
   private handleFailure(attempt: Attempt, failure: ExchangeFailure): void {
     this.attempts.delete(attempt);
+    attempt.held.release();
+    attempt.chunks = [];
     attempt.recordEnd(false);
     if (this.isDone) return;
     attempt.upstream.recordFailure();
@@ -388,6 +395,7 @@
     // An attempt that lost a race has taken at least this long.
     if (this.attempts.has(attempt)) this.recordServiceTime(attempt);
     attempt.exchange.abort();
+    attempt.held.release();
     attempt.recordEnd(false);
   }
 }
--- a/packages/rollout/src/forwarding/types.ts
+++ b/packages/rollout/src/forwarding/types.ts
@@ -18,7 +18,11 @@
   StreamContinuation,
   UpstreamDialect,
 } from '../model/index.js';
-import type {CrashTracker, UpstreamDirectory} from '../upstreams/index.js';
+import type {
+  CrashTracker,
+  ResponseMemory,
+  UpstreamDirectory,
+} from '../upstreams/index.js';
 import type {StreamOrigins} from '../streams/index.js';
 import type {AdmissionQueue} from './admissionQueue.js';
 import type {WaitingRequests} from './waitingRequests.js';
@@ -93,6 +97,7 @@
   directory: UpstreamDirectory;
   dialect: UpstreamDialect;
   crashes: CrashTracker;
+  memory: ResponseMemory;
   streams: StreamOrigins;
   clock: Clock;
   logger: Logger;
--- a/packages/rollout/src/node.ts
+++ b/packages/rollout/src/node.ts
@@ -46,6 +46,7 @@
   ConnectionRefresher,
   CrashTracker,
   NoticeRegistry,
+  ResponseMemory,
   UpstreamDirectory,
 } from './upstreams/index.js';
 
@@ -155,6 +156,7 @@
   private readonly platformTails: PlatformTails;
   private readonly statusServers: StatusServers;
   private readonly refresher: ConnectionRefresher;
+  private readonly memory: ResponseMemory;
   private isReady = false;
   private isStopping = false;
   private readonly startedAt;
@@ -314,6 +316,7 @@
       logger: logger.child('usage'),
       metrics,
     });
+    this.memory = new ResponseMemory(metrics);
     const coldShares = new ColdShares({
       limits,
       getOpenRunnerCount: () =>
@@ -333,6 +336,7 @@
       directory: this.directory,
       dialect: options.upstreams,
       crashes,
+      memory: this.memory,
       streams: this.streamOrigins,
       clock,
       logger: logger.child('forward'),
@@ -593,6 +597,7 @@
     metrics.gauge('vc_limited_upstreams', () => this.notices.limitedCount);
     metrics.gauge('vc_leaving_upstreams', () => this.notices.leavingCount);
     metrics.gauge('vc_open_requests', () => this.server.openRequestCount);
+    metrics.gauge('vc_held_response_bytes', () => this.memory.bytes);
     metrics.gauge('vc_open_samples', () => this.runner.size);
     metrics.gauge('vc_lease_held', () => (this.lease.isHeld() ? 1 : 0));
     metrics.gauge('vc_runs_samples', () => (this.membership.isMember ? 1 : 0));
--- a/packages/rollout/src/steps/generation.test.ts
+++ b/packages/rollout/src/steps/generation.test.ts
@@ -1,10 +1,11 @@
 import type {RequestId, UpstreamId} from '@vanillacross/common';
-import {systemClock, toBranded} from '@vanillacross/common';
+import {Metrics, systemClock, toBranded} from '@vanillacross/common';
 import assert from 'node:assert/strict';
 import {afterEach, describe, it} from 'node:test';
 
 import type {RawResponder, RawUpstream} from '../testing/rawUpstream.js';
 import {rawDialect, startRawUpstream} from '../testing/rawUpstream.js';
+import {ResponseMemory} from '../upstreams/index.js';
 import type {GenerationOutcome} from './generation.js';
 import {Generation} from './generation.js';
 import {SampleText} from './sampleText.js';
@@ -29,6 +30,7 @@
     const text = new SampleText();
     const outcome = await new Promise<GenerationOutcome>(resolve => {
       new Generation({
+        memory: new ResponseMemory(new Metrics()),
         upstream,
         dialect: rawDialect,
         clock: systemClock,
--- a/packages/rollout/src/steps/generation.ts
+++ b/packages/rollout/src/steps/generation.ts
@@ -8,7 +8,13 @@
   UpstreamCall,
   UpstreamDialect,
 } from '../model/index.js';
-import type {Exchange, ExchangeFailure, Upstream} from '../upstreams/index.js';
+import type {
+  Exchange,
+  ExchangeFailure,
+  HeldResponse,
+  ResponseMemory,
+  Upstream,
+} from '../upstreams/index.js';
 import {EventBoundary, startExchange} from '../upstreams/index.js';
 import type {SampleText} from './sampleText.js';
 
@@ -32,6 +38,15 @@
 
 /** Maximum size of one event together with its fields, bytes. */
 const MAX_EVENT_BYTES = 1024 * 1024;
+/**
+ * Maximum length of a text, UTF-16 code units. Texts are kept between the runs of
+ * a sample, so each must be small in proportion to what was asked for.
+ */
+const MAX_TEXT_LENGTH = {
+  base: 64 * 1024,
+  perEvent: 256,
+  total: 4 * 1024 * 1024,
+};
 
 /** Decodes a version of the weights; null if the text is none. */
 function readVersion(text: string): number | null {
@@ -39,6 +54,12 @@
   return Number.isSafeInteger(version) ? version : null;
 }
 
+/** Returns the maximum length of a text of so many events. */
+function getMaxTextLength(events: number): number {
+  const {base, perEvent, total} = MAX_TEXT_LENGTH;
+  return Math.min(base + perEvent * events, total);
+}
+
 /** Outcome of a generation. */
 export type GenerationOutcome =
   | {tag: 'complete'}
@@ -53,6 +74,8 @@
   | {tag: 'impossible'}
   /** The stream failed; the text received so far remains valid. */
   | {tag: 'broken'; reason: string}
+  /** The response is larger than this process can hold; its text is no use. */
+  | {tag: 'too_large'}
   /** The connection was lost, possibly because the engine crashed. */
   | {tag: 'lost'; detail: string}
   /**
@@ -66,6 +89,7 @@
   clock: Clock;
   call: UpstreamCall;
   body: Buffer;
+  memory: ResponseMemory;
   text: SampleText;
   /** Maximum number of events; an event holds one token at least. */
   maxEvents: number;
@@ -92,6 +116,7 @@
   private readonly decoder = new StringDecoder('utf8');
   private readonly boundary = new EventBoundary();
   private bytesSinceEvent = 0;
+  private readonly held: HeldResponse;
 
   constructor(private readonly options: GenerationOptions) {
     this.upstream = options.upstream;
@@ -105,6 +130,10 @@
         }
       },
     });
+    this.held = options.memory.hold(() => {
+      this.upstream.recordFailure();
+      this.settle({tag: 'too_large'});
+    });
     this.startIdleTimer(FIRST_EVENT_TIMEOUT_MS);
     this.exchange = startExchange(
       options.upstream,
@@ -129,6 +158,7 @@
   abort(): void {
     if (this.isDone) return;
     this.isDone = true;
+    this.held.release();
     this.cancelIdleTimer();
     this.exchange.abort();
   }
@@ -136,6 +166,7 @@
   private settle(outcome: GenerationOutcome): void {
     if (this.isDone) return;
     this.isDone = true;
+    this.held.release();
     this.cancelIdleTimer();
     this.exchange?.abort();
     this.options.onDone(outcome);
@@ -188,6 +219,8 @@
   }
 
   private handleChunk(chunk: Buffer): void {
+    if (this.isDone) return;
+    this.held.add(chunk.length);
     if (this.head?.status !== 200 || this.isDone) return;
     this.bytesSinceEvent += chunk.length;
     this.boundary.add(chunk);
@@ -214,6 +247,10 @@
     // Only an event is progress: an engine that sends single bytes is stalled.
     this.startIdleTimer(NEXT_EVENT_TIMEOUT_MS);
     this.bytesSinceEvent = 0;
+    if (text.length > getMaxTextLength(maxEvents)) {
+      this.upstream.recordFailure();
+      return this.settle({tag: 'too_large'});
+    }
     if (!text.isUsable(minVersion, isSingleVersion)) {
       return this.settle({tag: 'wrong_version', version: this.version});
     }
--- a/packages/rollout/src/steps/sampleText.ts
+++ b/packages/rollout/src/steps/sampleText.ts
@@ -21,12 +21,18 @@
   private readonly events: string[] = [];
   private readonly versionSet = new Set<number>();
   private softwareVersion: SoftwareVersion | null = null;
+  private lengthSum = 0;
 
   /** Id of the last event; 0 before the first. */
   get lastEventId(): number {
     return this.events.length;
   }
 
+  /** Length of the data of all events, UTF-16 code units. */
+  get length(): number {
+    return this.lengthSum;
+  }
+
   /** Versions of the weights that generated the events, in ascending order. */
   get versions(): number[] {
     return [...this.versionSet].sort((a, b) => a - b);
@@ -57,6 +63,7 @@
     if (!mayExtendText(this.origin, software)) return false;
     this.softwareVersion = software;
     this.events.push(data);
+    this.lengthSum += data.length;
     this.versionSet.add(version);
     return true;
   }
@@ -70,6 +77,7 @@
     this.clear();
     this.softwareVersion = software;
     this.events.push(...events);
+    this.lengthSum = events.reduce((sum, {length}) => sum + length, 0);
     for (const version of versions) this.versionSet.add(version);
   }
 
@@ -85,6 +93,7 @@
 
   clear(): void {
     this.events.length = 0;
+    this.lengthSum = 0;
     this.versionSet.clear();
     this.softwareVersion = null;
   }
--- a/packages/rollout/src/steps/stepRunner.ts
+++ b/packages/rollout/src/steps/stepRunner.ts
@@ -478,6 +478,7 @@
       clock,
       call: getSampleCall(task, upstream),
       body: Buffer.from(task.sample.body, 'base64'),
+      memory: this.options.forwarding.memory,
       text: task.text,
       maxEvents: task.sample.tokens > 0 ? task.sample.tokens : Infinity,
       model: step.model,
@@ -515,7 +516,9 @@
         return this.finish(task, 'dead', null);
       }
     }
-    if (outcome.tag === 'wrong_version') task.restart(this.createChainId());
+    const isUseless =
+      outcome.tag === 'wrong_version' || outcome.tag === 'too_large';
+    if (isUseless) task.restart(this.createChainId());
     if (outcome.tag === 'not_run') this.backOff(task, upstream);
     else task.recordRunEnd(this.options.clock.now());
     task.stage = 'queued';
--- a/packages/rollout/src/testing/forwardFixture.ts
+++ b/packages/rollout/src/testing/forwardFixture.ts
@@ -12,7 +12,7 @@
 import type {Route} from '../model/index.js';
 import {defaultSchedulingPolicy} from '../model/index.js';
 import type {Upstream, UpstreamDirectory} from '../upstreams/index.js';
-import {CrashTracker} from '../upstreams/index.js';
+import {CrashTracker, ResponseMemory} from '../upstreams/index.js';
 import {testPool} from './directoryFixture.js';
 import {rawDialect} from './rawUpstream.js';
 
@@ -38,6 +38,7 @@
     directory,
     dialect: rawDialect,
     crashes: new CrashTracker(systemClock, logger, () => {}),
+    memory: new ResponseMemory(metrics),
     streams: {mayBegin: () => true, recordStream: () => {}},
     clock: systemClock,
     logger,
--- a/packages/rollout/src/upstreams/exchange.ts
+++ b/packages/rollout/src/upstreams/exchange.ts
@@ -21,6 +21,11 @@
  */
 const BLOCKED_LOOP_GRACE_MS = 50;
 
+/** Interim responses (status 1xx) after which an exchange fails. */
+const MAX_INTERIM_RESPONSES = 32;
+/** Size of the body of a refusal after which an exchange fails, bytes. */
+const MAX_REFUSAL_BYTES = 256 * 1024;
+
 /** Why an exchange ended without a complete response. */
 export type ExchangeFailure =
   /** No byte of the request was sent, so it can't have been executed. */
@@ -197,6 +202,11 @@
     });
   });
   request.on('error', handleError);
+  let interimResponses = 0;
+  request.on('information', () => {
+    if (++interimResponses <= MAX_INTERIM_RESPONSES) return;
+    failWith('invalid', 'interim responses without end');
+  });
   let currentResponse: http.IncomingMessage | null = null;
   const handleResponse = (response: http.IncomingMessage) => {
     currentResponse = response;
@@ -211,8 +221,14 @@
     if (head.notice) upstream.notices.record(head.notice, startedAt);
     if (isSettled) return;
     events.onHead(head, response.headers);
+    let refusalBytes = 0;
     response.on('data', (chunk: Buffer) => {
-      if (!isSettled) guard(() => events.onData(chunk));
+      if (isSettled) return;
+      if (head.isNotRun) refusalBytes += chunk.length;
+      if (refusalBytes > MAX_REFUSAL_BYTES) {
+        return failWith('invalid', 'a refusal without end');
+      }
+      guard(() => events.onData(chunk));
     });
     response.on('end', () => {
       if (!isEndOfBodyProven(response)) {
--- a/packages/rollout/src/upstreams/index.ts
+++ b/packages/rollout/src/upstreams/index.ts
@@ -9,5 +9,6 @@
 export * from './incarnationNotices.js';
 export * from './noticeRegistry.js';
 export * from './placementExplanation.js';
+export * from './responseMemory.js';
 export * from './sentPrompts.js';
 export * from './upstream.js';
