--- a/review/kit-2/deployment.mjs
+++ b/review/deployment-2.mjs
@@ -11,11 +11,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {URL, fileURLToPath} from 'node:url';
 
-import {listen, send, splitAddress} from './http.mjs';
+import {listen, send, splitAddress} from './http-2.mjs';
 
 export const HOST = 'ficu95.example';
 export const MODEL = 'daka510000';
-const REPOSITORY = fileURLToPath(new URL('../../', import.meta.url));
+const REPOSITORY = fileURLToPath(new URL('../', import.meta.url));
 const START_TIMEOUT_MS = 20_000;
 const RESTART_DELAY_MS = 300;
 
--- a/review/kit-2/replica.mjs
+++ b/review/replica-2.mjs
@@ -6,7 +6,7 @@
 import {clearInterval, setInterval} from 'node:timers';
 import {URL} from 'node:url';
 
-import {listen, readAll, sendJson} from './http.mjs';
+import {listen, readAll, sendJson} from './http-2.mjs';
 
 const HEARTBEAT_MS = 1_200;
 
--- a/review/kit-2/store.mjs
+++ b/review/store-2.mjs
@@ -8,7 +8,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {URL} from 'node:url';
 
-import {listen, readAll, sendJson} from './http.mjs';
+import {listen, readAll, sendJson} from './http-2.mjs';
 
 const RETAINED_APPENDS = 5;
 const MAX_WAIT_MS = 30_000;
