Read each status of an append as what it says about its effect

A step whose append was answered 500, 502, 504, 000 or 200 with an unreadable body was told 503, "not run and never will be", although it may have been stored and would then run.

Cause: the store client read every status without a meaning of its own, and every unreadable body, as `rejected`, which the append queue takes for "certainly not stored". 408 and 425, which promise that nothing was done for now, were `rejected` too.

Change: a new failure `failed` for answers that leave open whether the call took effect: statuses below 200, other 2xx, 3xx, 5xx but 503 and 507, 600 and above, and unreadable bodies. `rejected` is left for 4xx, which refuse an equal call again. The queue treats `failed` like a lost answer.

--- a/packages/rollout/src/log/appendQueue.ts
+++ b/packages/rollout/src/log/appendQueue.ts
@@ -47,6 +47,10 @@
 /** Maximum delay before a retry, ms. */
 const RETRY_MAX_MS = 300;
 
+function mayHaveTakenEffect({tag}: LogFailure): boolean {
+  return tag === 'unknown' || tag === 'failed';
+}
+
 /**
  * Appends entries to one partition in batches. Only one append is in flight at
  * a time. It is retried under the same sequence number until the store answers,
@@ -152,7 +156,7 @@
       if (outcome.error.tag === 'out_of_sequence') {
         this.sequence = outcome.error.expected;
       }
-      isUncertain ||= outcome.error.tag === 'unknown';
+      isUncertain ||= mayHaveTakenEffect(outcome.error);
       if (!isUncertain) for (const queued of batch) queued.mayBeStored = false;
       const waitMs = Math.min(RETRY_BASE_MS * 2 ** attempt, RETRY_MAX_MS);
       await clock.waitUntil(getDeadline(clock.now(), waitMs));
--- a/packages/rollout/src/model/ports.ts
+++ b/packages/rollout/src/model/ports.ts
@@ -35,7 +35,12 @@
   | {tag: 'fenced'}
   /** The producer's sequence number differs from the expected one. */
   | {tag: 'out_of_sequence'; expected: number}
-  /** The store rejected the call, or its response is invalid. */
+  /**
+   * The store answered that it failed, or its answer can't be understood; the
+   * call may have taken effect, or may still do so.
+   */
+  | {tag: 'failed'; detail: string}
+  /** The store refuses the call, and would refuse an equal one again. */
   | {tag: 'rejected'; detail: string};
 
 /** Identity and sequence number by which the store deduplicates appends. */
