Take only statuses from 200 to 599 for an answer, on every path

Cause: Node's client accepts any three digits; only the lower bound was checked, and only for responses that packages/rollout forwards.

Change: isFinalStatus says which statuses end an exchange (RFC 9110, section 15). Exchanges with upstreams, JSON calls, the agent's requests, an entry's requests to agents and fetches of weights fail at any other, with their connection, as "may have run".

--- a/packages/common/src/http.test.ts
+++ b/packages/common/src/http.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
 import * as http from 'node:http';
+import * as net from 'node:net';
 import {afterEach, describe, it} from 'node:test';
 
 import type {JsonRequest} from './http.js';
@@ -111,3 +113,37 @@
     });
   }
 });
+
+describe('requestJson', () => {
+  const answers: ReadonlyArray<[string, string]> = [
+    ['000', 'unknown'],
+    ['042', 'unknown'],
+    ['099', 'unknown'],
+    ['600', 'unknown'],
+    ['999', 'unknown'],
+    ['200', 'ok'],
+    ['404', 'ok'],
+    ['599', 'ok'],
+  ];
+  for (const [status, expected] of answers) {
+    it(`of a response with status ${status} is ${expected} (guards against an answer that no status stands for)`, async () => {
+      const server = net.createServer(socket => {
+        socket.on('error', () => {});
+        socket.once('data', () =>
+          socket.end(`HTTP/1.1 ${status} X\r\nContent-Length: 2\r\n\r\n{}`),
+        );
+      });
+      server.listen(0, '127.0.0.1');
+      await once(server, 'listening');
+      const {port} = server.address() as net.AddressInfo;
+      const url = `http://127.0.0.1:${port}/`;
+      const response = await requestJson({
+        method: 'GET',
+        url,
+        timeoutMs: 5_000,
+      });
+      server.close();
+      assert.equal(response.ok ? 'ok' : response.error.tag, expected);
+    });
+  }
+});
--- a/packages/common/src/http.ts
+++ b/packages/common/src/http.ts
@@ -170,6 +170,17 @@
   }
 }
 
+/** Range of the statuses of final responses (RFC 9110, section 15). */
+const FINAL_STATUSES = {min: 200, max: 599};
+
+/**
+ * Whether a status is that of a final response. Node's client accepts any three
+ * digits.
+ */
+export function isFinalStatus(status: number): boolean {
+  return status >= FINAL_STATUSES.min && status <= FINAL_STATUSES.max;
+}
+
 /** Creates a request; Node throws if its URL or a header can't be sent. */
 function createRequest(
   request: JsonRequest,
@@ -216,12 +227,16 @@
       finish(fail({tag, detail: error.message}));
     });
     outgoing.on('response', response => {
+      const {statusCode: status = 0} = response;
+      if (!isFinalStatus(status)) {
+        outgoing.destroy();
+        return finish(fail({tag: 'unknown', detail: `status ${status}`}));
+      }
       void readJsonResponse(
         response,
         request.maxBytes ?? DEFAULT_MAX_RESPONSE_BYTES,
       ).then(body => {
         if (body.ok) {
-          const status = response.statusCode ?? 0;
           finish(ok({status, headers: response.headers, body: body.value}));
         } else if (body.error.tag === 'not_json') {
           finish(fail({tag: 'malformed', detail: body.error.detail}));
--- a/packages/daemon/src/agentConnections.ts
+++ b/packages/daemon/src/agentConnections.ts
@@ -1,6 +1,8 @@
 import * as http from 'node:http';
 import type {Socket} from 'node:net';
 
+import {isFinalStatus} from '@vanillacross/common';
+
 /** A request of an entry to an agent. */
 export interface AgentRequest {
   /** `ip:port` of the agent's data listener. */
@@ -125,6 +127,12 @@
       }
       // Without a listener, an error after the body was read would be thrown.
       response.on('error', () => {});
+      const {statusCode: status = 0} = response;
+      if (!isFinalStatus(status)) {
+        settle({tag: 'unknown', detail: `status ${status}`});
+        outgoing.destroy();
+        return;
+      }
       settle({tag: 'answer', response});
     });
     outgoing.end(request.body);
--- a/packages/daemon/src/agentForward.ts
+++ b/packages/daemon/src/agentForward.ts
@@ -2,6 +2,8 @@
 import type {IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 
+import {isFinalStatus} from '@vanillacross/common';
+
 /** Why the upstream sent no response. */
 export type ForwardFailure =
   /** No byte of the request reached the upstream. */
@@ -75,6 +77,13 @@
     };
     outgoing.on('socket', watchSocket);
     outgoing.on('response', response => {
+      const {statusCode: status = 0} = response;
+      if (!isFinalStatus(status)) {
+        const failure = {tag: 'failed' as const, detail: `status ${status}`};
+        settle({ok: false, failure});
+        outgoing.destroy();
+        return;
+      }
       response.once('close', () =>
         request.signal.removeEventListener('abort', cancel),
       );
--- a/packages/daemon/src/agentServer.test.ts
+++ b/packages/daemon/src/agentServer.test.ts
@@ -241,6 +241,25 @@
     assert.deepEqual(leaked, []);
   });
 
+  for (const status of ['000', '042', '099', '600', '999']) {
+    it(`does not pass on a response with status ${status} (guards against a caller that gets it as an answer)`, async () => {
+      const upstream = await startUpstream((request, response) => {
+        if (request.method === 'GET') {
+          response.end();
+          return;
+        }
+        request.socket.write(
+          `HTTP/1.1 ${status} X\r\nContent-Length: 2\r\n\r\nok`,
+        );
+      });
+      const {agent} = await startAgent('plain', upstream);
+      const answer = await send(agent);
+      assert.equal(answer.status, 502);
+      assert.equal(answer.headers[HEADERS.notRun], undefined);
+      assert.equal(answer.trailers[HEADERS.outcome], undefined);
+    });
+  }
+
   it('refuses unauthenticated requests', async () => {
     // Guards against requests that bypass the entries and their key checks.
     let runs = 0;
--- a/packages/daemon/src/weightProxy.ts
+++ b/packages/daemon/src/weightProxy.ts
@@ -2,7 +2,12 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {pipeline} from 'node:stream/promises';
 
-import {getHmac, isEqualSecret, sendJson} from '@vanillacross/common';
+import {
+  getHmac,
+  isEqualSecret,
+  isFinalStatus,
+  sendJson,
+} from '@vanillacross/common';
 
 import type {Context} from './types.js';
 
@@ -65,7 +70,12 @@
         timeout: FETCH_IDLE_TIMEOUT_MS,
         signal,
       });
-      outgoing.once('response', resolve);
+      outgoing.once('response', response => {
+        const {statusCode: status = 0} = response;
+        if (isFinalStatus(status)) return resolve(response);
+        outgoing.destroy();
+        reject(new Error(`status ${status}`));
+      });
       outgoing.on('timeout', () => outgoing.destroy(new Error('timeout')));
       outgoing.on('error', reject);
     });
--- a/packages/rollout/src/upstreams/exchange.test.ts
+++ b/packages/rollout/src/upstreams/exchange.test.ts
@@ -105,6 +105,34 @@
     }
   });
 
+  describe('when the status of a response', () => {
+    const getResponse = (status: string) =>
+      `HTTP/1.1 ${status} X\r\nid: r1\r\nproof: p\r\ncontent-length: 2\r\n\r\nok`;
+
+    for (const status of ['000', '042', '099', '600', '999']) {
+      it(`is ${status}, fails as invalid (guards against a caller that gets it as an answer)`, async () => {
+        let heads = 0;
+        const {outcome} = await exchange(
+          socket => socket.write(getResponse(status)),
+          'r1',
+          '/',
+          () => heads++,
+        );
+        assert.equal(outcome, 'invalid');
+        assert.equal(heads, 0);
+      });
+    }
+
+    for (const status of ['200', '302', '421', '500', '599']) {
+      it(`is ${status}, passes it on`, async () => {
+        const {outcome} = await exchange(socket =>
+          socket.write(getResponse(status)),
+        );
+        assert.equal(outcome, 'end');
+      });
+    }
+  });
+
   describe('when an upstream sends a second copy of a response', () => {
     const getResponse = (id: string, body: string) =>
       `HTTP/1.1 200 OK\r\nid: ${id}\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
--- a/packages/rollout/src/upstreams/responseHead.ts
+++ b/packages/rollout/src/upstreams/responseHead.ts
@@ -1,12 +1,6 @@
-import {isSendableHeader} from '@vanillacross/common';
+import {isFinalStatus, isSendableHeader} from '@vanillacross/common';
 import type {IncomingMessage} from 'node:http';
 
-/**
- * Lowest status of a final response. Node's client accepts any three digits, but
- * its server throws for a status below 100.
- */
-const MIN_STATUS = 200;
-
 /**
  * Returns why the head of a response is unusable, or null. Every head that is
  * passed on, to a caller or to a sample, has passed this check. What the client
@@ -14,7 +8,7 @@
  */
 export function getHeadFault(response: IncomingMessage): string | null {
   const {statusCode = 0, rawHeaders} = response;
-  if (statusCode < MIN_STATUS) return `status ${statusCode}`;
+  if (!isFinalStatus(statusCode)) return `status ${statusCode}`;
   for (let index = 0; index < rawHeaders.length; index += 2) {
     const name = rawHeaders[index];
     if (!isSendableHeader(name, rawHeaders[index + 1])) {
