--- a/packages/rollout/src/log/appendQueue.test.ts
+++ b/packages/rollout/src/log/appendQueue.test.ts
@@ -271,7 +271,7 @@
     it('could not take an entry in one append never gets it (guards against retries of an append that can not succeed)', async () => {
       const fake = new FakeLog(() => 'none');
       const queue = createFakeQueue(fake);
-      // 17 records of 64 bytes with their lengths are more than 1,024 bytes.
+      // It takes 16 records; with their markers and lengths, 1,040 bytes.
       const outcome = await queue.append(Buffer.alloc(960), null);
       assert.deepEqual(outcome, {
         tag: 'too_large',
