--- a/review/record-3.mjs
+++ b/review/record-3.mjs
@@ -39,13 +39,23 @@
   const record = new Record(folder);
   const closers = [];
   let status = FAILED;
+  // Ends what was started also if the script itself is ended.
+  const closeAll = async () => {
+    for (const close of closers.splice(0)) await close();
+  };
+  for (const signal of ['SIGINT', 'SIGTERM']) {
+    process.once(
+      signal,
+      () => void closeAll().then(() => process.exit(FAILED)),
+    );
+  }
   try {
     const isBroken = await play(record, closer => closers.unshift(closer));
     status = isBroken ? BROKEN : HELD;
   } catch (error) {
     record.note(`could not run: ${error.stack}`);
   }
-  for (const close of closers) await close();
+  await closeAll();
   const verdict = ['the rule held', 'the rule was broken', 'could not run'];
   record.note(verdict[status]);
   record.save();
