--- a/review/node-3.mjs
+++ b/review/node-3.mjs
@@ -58,6 +58,14 @@
   return bound;
 }
 
+/** Returns two different free ports of an address. */
+async function getFreePorts(host) {
+  const front = await getFreePort(host);
+  let ready = front;
+  while (ready === front) ready = await getFreePort(host);
+  return {front, ready};
+}
+
 /** Returns a loopback address of its own, as the port of metrics is fixed. */
 async function getFreeHost() {
   for (;;) {
@@ -131,13 +139,7 @@
   async start() {
     this.host ??= await getFreeHost();
     const {host} = this;
-    this.ports ??= {
-      front: await getFreePort(host),
-      ready: await getFreePort(host),
-    };
-    if (this.ports.front === this.ports.ready) {
-      throw new Error('one port twice');
-    }
+    this.ports ??= await getFreePorts(host);
     fs.writeFileSync(this.settings, getSettings(this));
     this.isFirst = false;
     const [program, ...words] = getRunWords();
